--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+GO ?= go
+TOOL = $(GO) tool -modfile=tools/go.mod
+
+.PHONY: build quickstart up test unit race process format lint generate cases
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+# Runs the whole path once with stand-ins and leaves no process behind.
+quickstart: build
+	bin/launch
+
+# Keeps the quick start's set up until Ctrl-C.
+up: build
+	bin/launch -keep
+
+# Everything that CI checks.
+test: lint unit race process
+
+lint:
+	@unformatted=$$($(TOOL) gofumpt -l .); if [ -n "$$unformatted" ]; then echo "gofumpt would change: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(TOOL) staticcheck ./...
+
+unit:
+	$(GO) test ./...
+
+# Packages where several goroutines share state.
+race:
+	$(GO) test -race ./claimer ./queuer ./tracker ./follower ./publisher ./planner ./elector ./quarantiner
+
+# Tests over real processes, with kills, pauses, cuts and outages.
+process: build
+	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 8m ./launcher
+
+# Rewrites the expected outputs of the regression cases and the docs' examples.
+cases:
+	$(GO) test ./commander -args -update
+
+format:
+	$(TOOL) gofumpt -w .
+
+# Needs protoc, protoc-gen-go and protoc-gen-go-grpc; the result is committed.
+generate:
+	$(GO) generate ./nodewire
--- /dev/null
+++ b/asker/asker.go
@@ -0,0 +1,194 @@
+// Package asker asks the zone's leader for units that are loaded nowhere. All
+// requests of a node that wait for one unit share one question at a time.
+package asker
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/acaciaproxy/acaciaproxy/nodewire"
+)
+
+// Limits of one question.
+const (
+	questionTime = 1500 * time.Millisecond
+	questionGap  = 50 * time.Millisecond
+	// leaderlessTime is how long requests wait for a zone to have a leader.
+	leaderlessTime = 5 * time.Second
+	// leaderlessRetry is when a request refused for want of a leader may come back.
+	leaderlessRetry = 3 * time.Second
+)
+
+// RefusedError says that a unit will not be ready by a request's deadline.
+type RefusedError struct {
+	// reason says why.
+	reason string
+	// retryAt is when the request may come back.
+	retryAt time.Time
+}
+
+// NewRefusedError returns a refusal.
+func NewRefusedError(reason string, retryAt time.Time) error {
+	return &RefusedError{reason: reason, retryAt: retryAt}
+}
+
+// Error returns the reason.
+func (e *RefusedError) Error() string { return fmt.Sprintf("not loaded in time: %s", e.reason) }
+
+// Reason returns why the request is refused.
+func (e *RefusedError) Reason() string { return e.reason }
+
+// RetryAt returns when the request may come back.
+func (e *RefusedError) RetryAt() time.Time { return e.retryAt }
+
+// waiter is one request that waits for a unit.
+type waiter struct {
+	deadline time.Time
+	class    string
+	request  string
+	// result receives nil or a *RefusedError; it has room for one.
+	result chan error
+}
+
+// flight is the shared question for one unit.
+type flight struct {
+	waiters map[*waiter]bool
+	// leaderSeenAt is when a leader last answered.
+	leaderSeenAt time.Time
+}
+
+// Asker is safe for use by several goroutines.
+type Asker struct {
+	node string
+	// leader returns the client of the zone's leader, or an error when there is none.
+	leader func() (nodewire.NodeClient, error)
+	// ready is told which workers have a unit ready.
+	ready func(unit string, workers []string)
+	// version returns the configuration version in force.
+	version func() int64
+	// mu guards flights.
+	mu      sync.Mutex
+	flights map[string]*flight
+}
+
+// New returns an asker for a node.
+func New(node string, leader func() (nodewire.NodeClient, error), ready func(unit string, workers []string), version func() int64) *Asker {
+	return &Asker{node: node, leader: leader, ready: ready, version: version, flights: map[string]*flight{}}
+}
+
+// Request describes a request that waits.
+type Request struct {
+	Unit     string
+	Class    string
+	ID       string
+	Deadline time.Time
+}
+
+// Wait returns once the unit is ready somewhere in the zone, or with a
+// *RefusedError as soon as it is certain that it will not be in time.
+func (a *Asker) Wait(request Request) error {
+	w := &waiter{deadline: request.Deadline, class: request.Class, request: request.ID, result: make(chan error, 1)}
+	a.mu.Lock()
+	f, running := a.flights[request.Unit]
+	if !running {
+		f = &flight{waiters: map[*waiter]bool{}, leaderSeenAt: time.Now()}
+		a.flights[request.Unit] = f
+	}
+	f.waiters[w] = true
+	a.mu.Unlock()
+	if !running {
+		go a.fly(request.Unit, f)
+	}
+	select {
+	case err := <-w.result:
+		return err
+	case <-time.After(time.Until(request.Deadline)):
+		a.mu.Lock()
+		delete(f.waiters, w)
+		a.mu.Unlock()
+		return NewRefusedError("deadline passed while loading", time.Now().Add(time.Second))
+	}
+}
+
+// fly asks until no request waits for the unit.
+func (a *Asker) fly(unit string, f *flight) {
+	for {
+		latest, class, id, waiting := a.furthest(unit, f)
+		if !waiting {
+			return
+		}
+		asked := time.Now()
+		reply, err := a.ask(unit, latest, class, id)
+		a.take(unit, f, reply, err)
+		time.Sleep(questionGap - time.Since(asked))
+	}
+}
+
+// furthest returns the latest deadline among the waiters and the most urgent
+// class, and ends the flight when nobody waits.
+func (a *Asker) furthest(unit string, f *flight) (latest time.Time, class, id string, waiting bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if len(f.waiters) == 0 {
+		delete(a.flights, unit)
+		return latest, "", "", false
+	}
+	for w := range f.waiters {
+		if w.deadline.After(latest) {
+			latest, class, id = w.deadline, w.class, w.request
+		}
+	}
+	return latest, class, id, true
+}
+
+func (a *Asker) ask(unit string, deadline time.Time, class, id string) (*nodewire.AskReply, error) {
+	client, err := a.leader()
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), questionTime)
+	defer cancel()
+	return client.Ask(ctx, &nodewire.AskRequest{
+		Unit: unit, Node: a.node, RemainingMs: time.Until(deadline).Milliseconds(),
+		Class: class, Request: id, Config: a.version(),
+	})
+}
+
+// take hands a reply to the waiters that it decides.
+func (a *Asker) take(unit string, f *flight, reply *nodewire.AskReply, err error) {
+	now := time.Now()
+	if err != nil || reply.GetVerdict() == nodewire.Verdict_VERDICT_NOT_LEADING {
+		if now.Sub(f.leaderSeenAt) > leaderlessTime {
+			a.refuse(f, func(*waiter) bool { return true }, "zone has no leader", now.Add(leaderlessRetry))
+		}
+		return
+	}
+	f.leaderSeenAt = now
+	retryAt := now.Add(time.Duration(reply.GetRetryMs()) * time.Millisecond)
+	switch reply.GetVerdict() {
+	case nodewire.Verdict_VERDICT_READY:
+		a.ready(unit, reply.GetWorkers())
+		a.finish(f, func(*waiter) bool { return true }, nil)
+	case nodewire.Verdict_VERDICT_REFUSED:
+		a.refuse(f, func(*waiter) bool { return true }, reply.GetReason(), retryAt)
+	case nodewire.Verdict_VERDICT_WAIT:
+		a.refuse(f, func(w *waiter) bool { return retryAt.After(w.deadline) }, "load would end too late", retryAt)
+	}
+}
+
+func (a *Asker) refuse(f *flight, concerns func(*waiter) bool, reason string, retryAt time.Time) {
+	a.finish(f, concerns, NewRefusedError(reason, retryAt))
+}
+
+func (a *Asker) finish(f *flight, concerns func(*waiter) bool, result error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for w := range f.waiters {
+		if concerns(w) {
+			w.result <- result
+			delete(f.waiters, w)
+		}
+	}
+}
--- /dev/null
+++ b/cmd/launch/main.go
@@ -0,0 +1,58 @@
+// Command launch starts the example set of processes on this machine, either
+// to run the quick start or to keep it up until Ctrl-C.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/acaciaproxy/acaciaproxy/launcher"
+)
+
+func main() {
+	programs := flag.String("programs", "bin", "`folder` with the programs")
+	configuration := flag.String("configuration", "examples/quickstart", "`folder` to publish")
+	nodes := flag.Int("nodes", 2, "nodes in each zone")
+	first := flag.Int("first", 20, "engines' time to the first token in `milliseconds`")
+	token := flag.Int("token", 5, "engines' time between tokens in `milliseconds`")
+	keep := flag.Bool("keep", false, "keep the set up until Ctrl-C instead of running the quick start")
+	flag.Parse()
+	spec := launcher.Spec{Programs: *programs, Configuration: *configuration, NodesPerZone: *nodes, FirstTokenMS: *first, TokenMS: *token}
+	if err := run(spec, *keep); err != nil {
+		fmt.Fprintln(os.Stderr, "launch:", err)
+		os.Exit(1)
+	}
+}
+
+func run(spec launcher.Spec, keep bool) error {
+	set, err := launcher.Start(spec)
+	if err != nil {
+		return err
+	}
+	defer set.Close()
+	printSet(set)
+	if !keep {
+		return launcher.QuickStart(set, os.Stdout)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	<-signals
+	return nil
+}
+
+func printSet(set *launcher.Set) {
+	fmt.Printf("platform   %s\n", set.Platform().Address())
+	for _, node := range set.Nodes() {
+		fmt.Printf("node       %s callers %s operators %s\n", node.Name(), node.Address(), node.Operators())
+	}
+	for _, engine := range set.Engines() {
+		fmt.Printf("engine     %s %s\n", engine.Name(), engine.Address())
+	}
+	for _, register := range set.Registers() {
+		fmt.Printf("register   %s %s\n", register.Name(), register.Address())
+	}
+	fmt.Printf("\ncurl -si http://%s/v1/chat/completions -d '{\"model\": \"occupations\", \"messages\": [{\"role\": \"user\", \"content\": \"goat herder\"}]}'\n", set.Nodes()[0].Address())
+}
--- /dev/null
+++ b/commander/help.go
@@ -0,0 +1,167 @@
+package commander
+
+import (
+	"flag"
+	"fmt"
+	"io"
+	"strings"
+
+	"github.com/acaciaproxy/acaciaproxy/configurer"
+	"github.com/acaciaproxy/acaciaproxy/settingsreader"
+)
+
+func verbHelp() verb {
+	return verb{
+		name:      "help",
+		summary:   "Prints help on a topic, a verb or a keyword.",
+		arguments: "[TOPIC | VERB | KEYWORD]...",
+		prepare:   prepareHelp,
+	}
+}
+
+// topic is one help page that is not about a verb.
+type topic struct {
+	name, summary string
+	print         func(w io.Writer)
+}
+
+func topics() []topic {
+	return []topic{
+		{"topics", "Lists the topics.", printTopics},
+		{"verbs", "Lists the verbs.", printVerbs},
+		{"configuration", "Describes every kind of configuration object.", printConfiguration},
+		{"settings", "Describes a node's settings file.", printSettings},
+		{"headers", "Describes the headers of the callers' interface.", printHeaders},
+		{"outcomes", "Describes how a request can end.", printOutcomes},
+		{"exit", "Describes the exit codes.", printExit},
+	}
+}
+
+func prepareHelp(*flag.FlagSet) func([]string, streams) int {
+	return func(arguments []string, s streams) int {
+		if len(arguments) == 0 {
+			printMainHelp(s.out)
+			return ExitDone
+		}
+		for _, word := range arguments {
+			if !printHelpOn(s.out, word) {
+				return verbHelp().usageError(s, "nothing is known about %q", word)
+			}
+		}
+		return ExitDone
+	}
+}
+
+func printMainHelp(w io.Writer) {
+	fmt.Fprintf(w, "Usage: %s VERB [flags] [arguments]\n\nServes rarely used models from a shared set of workers.\n\n", program)
+	printVerbs(w)
+	fmt.Fprintf(w, "\nSee '%s help VERB' for a verb and '%s help topics' for everything else.\n", program, program)
+}
+
+// printHelpOn prints help on a topic, else on a verb, else on a configuration
+// kind or key; it reports whether it found any.
+func printHelpOn(w io.Writer, word string) bool {
+	for _, page := range topics() {
+		if page.name == word {
+			page.print(w)
+			return true
+		}
+	}
+	if found, known := findVerb(word); known {
+		found.printUsage(w)
+		return true
+	}
+	return printKeyword(w, word)
+}
+
+func printTopics(w io.Writer) {
+	for _, page := range topics() {
+		fmt.Fprintf(w, "%-14s %s\n", page.name, page.summary)
+	}
+}
+
+func printVerbs(w io.Writer) {
+	for _, v := range verbs() {
+		fmt.Fprintf(w, "%-9s %s\n", v.name, v.summary)
+	}
+}
+
+func printConfiguration(w io.Writer) {
+	fmt.Fprintln(w, "A folder of *.json files (JSON with comments) holds the configuration. Each file is one object of lists:")
+	for _, kind := range configurer.Kinds() {
+		printKind(w, kind)
+	}
+}
+
+func printKind(w io.Writer, kind configurer.Kind) {
+	plural, help, fields := configurer.Describe(kind)
+	fmt.Fprintf(w, "\n%q: %s\n", plural, help)
+	fmt.Fprintf(w, "  %-13s %-14s %s\n", "name", "text", "unique name of the object; needed")
+	printFields(w, fields)
+}
+
+func printFields(w io.Writer, fields []configurer.Field) {
+	for _, field := range fields {
+		needed := ""
+		if field.Required() {
+			needed = "; needed"
+		}
+		fmt.Fprintf(w, "  %-13s %-14s %s%s\n", field.Key(), field.Type(), field.Help(), needed)
+	}
+}
+
+// printKeyword prints the kinds that have the word as their name or as a key.
+func printKeyword(w io.Writer, word string) bool {
+	found := false
+	for _, kind := range configurer.Kinds() {
+		plural, _, fields := configurer.Describe(kind)
+		if strings.EqualFold(word, string(kind)) || strings.EqualFold(word, plural) {
+			printKind(w, kind)
+			found = true
+			continue
+		}
+		for _, field := range fields {
+			if field.Key() == word {
+				fmt.Fprintf(w, "key %q of a %s: %s, %s\n", word, kind, field.Type(), field.Help())
+				found = true
+			}
+		}
+	}
+	return found
+}
+
+func printSettings(w io.Writer) {
+	fmt.Fprintln(w, "A settings file is one JSON object with comments, for one node:")
+	fmt.Fprintf(w, "  %-13s %-14s %s\n", "name", "text", "host's name in the platform's host list; needed")
+	printFields(w, settingsreader.Fields())
+}
+
+func printHeaders(w io.Writer) {
+	fmt.Fprint(w, `Headers that callers may send:
+  Acacia-Timeout-Ms      milliseconds from arrival to the deadline
+  Acacia-Class           urgent, normal or batch
+  Acacia-Tenant          name of the tenant
+  Idempotency-Key        repeats with the same key never run twice (routes that are not idempotent)
+Headers of every answer:
+  X-Request-Id           id of the request in logs
+  Acacia-Config-Version  version of the configuration that served the request
+  Acacia-Outcome         answered, streaming, refused or unknown
+  Acacia-Replayed        true when the answer is the recorded one of an earlier request
+  Retry-After            seconds after which a refused request may come back
+`)
+}
+
+func printOutcomes(w io.Writer) {
+	fmt.Fprint(w, `answered   the whole answer follows
+streaming  the answer follows as events and is whole only if it ends with [DONE]
+refused    the request did not run; Retry-After says when it may come back
+unknown    the request may have run; repeat it only if it is idempotent or has an Idempotency-Key
+`)
+}
+
+func printExit(w io.Writer) {
+	fmt.Fprint(w, `0  done
+1  refused, with one reason a line
+2  wrong usage
+`)
+}
--- /dev/null
+++ b/commander/publish.go
@@ -0,0 +1,68 @@
+package commander
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/acaciaproxy/acaciaproxy/configurer"
+	"github.com/acaciaproxy/acaciaproxy/follower"
+	"github.com/acaciaproxy/acaciaproxy/platformclient"
+	"github.com/acaciaproxy/acaciaproxy/publisher"
+)
+
+func verbPublish() verb {
+	return verb{
+		name:      "publish",
+		summary:   "Checks a folder as a whole and puts it in force.",
+		arguments: "-platform ADDRESS [-base VERSION] FOLDER",
+		details: "The folder's differences from the base version are what is published. Changes that other operators\n" +
+			"published since the base stay in force when they touch other objects; the whole is checked again.\n" +
+			"Changes to the same objects are refused, with the objects and the other operator's version.",
+		prepare: preparePublish,
+	}
+}
+
+func preparePublish(flags *flag.FlagSet) func([]string, streams) int {
+	address := platformFlag(flags)
+	base := flags.Int64("base", -1, "`version` on which the folder is based; the version in force when absent")
+	operator := flags.String("operator", os.Getenv("USER"), "`name` of who publishes")
+	id := flags.String("id", "", "publish `id`; give the same again to repeat a publish whose end is not known")
+	return func(arguments []string, s streams) int {
+		if *address == "" || len(arguments) != 1 {
+			return verbPublish().usageError(s, "-platform ADDRESS and one folder are needed")
+		}
+		target, err := configurer.ReadFolder(arguments[0])
+		if err != nil {
+			return refuseFaults(verbPublish(), s, err)
+		}
+		request := publisher.Request{ID: *id, Operator: *operator, Base: *base, Target: target}
+		return publish(platformclient.NewHTTP(*address, ""), request, s)
+	}
+}
+
+func publish(platform *platformclient.Platform, request publisher.Request, s streams) int {
+	deadline := time.Now().Add(platformTime)
+	if request.ID == "" {
+		request.ID = strconv.FormatInt(time.Now().UnixNano(), 36) + "-" + strconv.Itoa(os.Getpid())
+	}
+	if request.Base < 0 {
+		head, _, err := follower.ReadHead(deadline, platform)
+		if err != nil {
+			return verbPublish().refuse(s, err)
+		}
+		request.Base = head.Version
+	}
+	result, err := publisher.Publish(platform, request, deadline)
+	if err != nil {
+		return refuseFaults(verbPublish(), s, err)
+	}
+	note := ""
+	if result.Rebased {
+		note = ", rebased over other operators' changes"
+	}
+	writeLine(s.out, fmt.Sprintf("version %d in force: %d objects changed%s", result.Version, len(result.Edits), note))
+	return ExitDone
+}
--- /dev/null
+++ b/commander/show.go
@@ -0,0 +1,70 @@
+package commander
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+
+	"github.com/acaciaproxy/acaciaproxy/configurer"
+)
+
+func verbShow() verb {
+	return verb{
+		name:      "show",
+		summary:   "Prints the objects of a folder, or of the version in force.",
+		arguments: "[-platform ADDRESS | FOLDER] [KIND [NAME]]",
+		details:   "Each line is kind, name and body. With -platform the version in force is shown, else the folder.",
+		prepare:   prepareShow,
+	}
+}
+
+func prepareShow(flags *flag.FlagSet) func([]string, streams) int {
+	address := platformFlag(flags)
+	return func(arguments []string, s streams) int {
+		configuration, rest, code := showSource(*address, arguments, s)
+		if configuration == nil {
+			return code
+		}
+		return show(configuration, rest, s)
+	}
+}
+
+// showSource returns the configuration to show and the arguments that select objects.
+func showSource(address string, arguments []string, s streams) (*configurer.Configuration, []string, int) {
+	if address != "" {
+		pinned, err := loadHead(address)
+		if err != nil {
+			return nil, nil, verbShow().refuse(s, err)
+		}
+		if pinned.Configuration() == nil {
+			return nil, nil, verbShow().refuse(s, fmt.Errorf("no configuration is published at %s", address))
+		}
+		return pinned.Configuration(), arguments, ExitDone
+	}
+	if len(arguments) == 0 {
+		return nil, nil, verbShow().usageError(s, "a folder or -platform ADDRESS is needed")
+	}
+	configuration, err := configurer.ReadFolder(arguments[0])
+	if err != nil {
+		return nil, nil, refuseFaults(verbShow(), s, err)
+	}
+	return configuration, arguments[1:], ExitDone
+}
+
+func show(configuration *configurer.Configuration, selection []string, s streams) int {
+	if len(selection) > 2 {
+		return verbShow().usageError(s, "at most a kind and a name select objects; got %q", strings.Join(selection, " "))
+	}
+	shown := 0
+	for _, object := range configuration.Objects() {
+		if len(selection) > 0 && string(object.Kind()) != selection[0] || len(selection) > 1 && object.Name() != selection[1] {
+			continue
+		}
+		writeLine(s.out, object.ID()+" "+object.Body())
+		shown++
+	}
+	if shown == 0 {
+		return verbShow().refuse(s, fmt.Errorf("no object matches %q", strings.Join(selection, " ")))
+	}
+	return ExitDone
+}
--- /dev/null
+++ b/configurer/configuration.go
@@ -0,0 +1,163 @@
+// Package configurer reads and checks the configuration: the named objects
+// that operators edit together and publish as one whole.
+package configurer
+
+import (
+	"encoding/json"
+	"sort"
+	"strings"
+)
+
+// Configuration is an immutable, checked set of objects.
+type Configuration struct {
+	// objects maps "kind name" to the object.
+	objects map[string]*Object
+	// byKind holds each kind's objects sorted by name.
+	byKind map[Kind][]*Object
+	// servicePaths holds service routes, longest path first.
+	servicePaths []Route
+}
+
+func (c *Configuration) index() {
+	c.byKind = map[Kind][]*Object{}
+	for _, object := range c.objects {
+		c.byKind[object.kind] = append(c.byKind[object.kind], object)
+	}
+	for _, objects := range c.byKind {
+		sort.Slice(objects, func(i, j int) bool { return objects[i].name < objects[j].name })
+	}
+	for _, route := range c.Routes() {
+		if route.Service() != "" {
+			c.servicePaths = append(c.servicePaths, route)
+		}
+	}
+	sort.SliceStable(c.servicePaths, func(i, j int) bool { return len(c.servicePaths[i].Path()) > len(c.servicePaths[j].Path()) })
+}
+
+func (c *Configuration) ofKind(kind Kind) []*Object { return c.byKind[kind] }
+
+func (c *Configuration) find(kind Kind, name string) (*Object, bool) {
+	object, found := c.objects[string(kind)+" "+name]
+	return object, found
+}
+
+// Objects returns every object, by kind in schema order and then by name.
+func (c *Configuration) Objects() []*Object {
+	var all []*Object
+	for _, entry := range schema {
+		all = append(all, c.byKind[entry.kind]...)
+	}
+	return all
+}
+
+// Deployment returns the deployment object.
+func (c *Configuration) Deployment() (Deployment, bool) {
+	if len(c.byKind[KindDeployment]) == 0 {
+		return Deployment{}, false
+	}
+	return Deployment{c.byKind[KindDeployment][0]}, true
+}
+
+// Model returns the named model.
+func (c *Configuration) Model(name string) (Model, bool) {
+	object, found := c.find(KindModel, name)
+	return Model{object}, found
+}
+
+// Version returns the named version.
+func (c *Configuration) Version(name string) (Version, bool) {
+	object, found := c.find(KindVersion, name)
+	return Version{object}, found
+}
+
+// Adapter returns the named adapter.
+func (c *Configuration) Adapter(name string) (Adapter, bool) {
+	object, found := c.find(KindAdapter, name)
+	return Adapter{object}, found
+}
+
+// Service returns the named service.
+func (c *Configuration) Service(name string) (Service, bool) {
+	object, found := c.find(KindService, name)
+	return Service{object}, found
+}
+
+// Route returns the named route.
+func (c *Configuration) Route(name string) (Route, bool) {
+	object, found := c.find(KindRoute, name)
+	return Route{object}, found
+}
+
+// Worker returns the named worker group.
+func (c *Configuration) Worker(name string) (Worker, bool) {
+	object, found := c.find(KindWorker, name)
+	return Worker{object}, found
+}
+
+// Tenant returns the named tenant.
+func (c *Configuration) Tenant(name string) (Tenant, bool) {
+	object, found := c.find(KindTenant, name)
+	return Tenant{object}, found
+}
+
+// Models returns the models sorted by name.
+func (c *Configuration) Models() []Model {
+	models := make([]Model, 0, len(c.byKind[KindModel]))
+	for _, object := range c.byKind[KindModel] {
+		models = append(models, Model{object})
+	}
+	return models
+}
+
+// Workers returns the worker groups sorted by name.
+func (c *Configuration) Workers() []Worker {
+	workers := make([]Worker, 0, len(c.byKind[KindWorker]))
+	for _, object := range c.byKind[KindWorker] {
+		workers = append(workers, Worker{object})
+	}
+	return workers
+}
+
+// Routes returns the routes sorted by name.
+func (c *Configuration) Routes() []Route {
+	routes := make([]Route, 0, len(c.byKind[KindRoute]))
+	for _, object := range c.byKind[KindRoute] {
+		routes = append(routes, Route{object})
+	}
+	return routes
+}
+
+// RouteOfPath returns the service route with the longest matching path prefix.
+func (c *Configuration) RouteOfPath(path string) (Route, bool) {
+	for _, route := range c.servicePaths {
+		prefix := strings.TrimSuffix(route.Path(), "/")
+		if path == prefix || strings.HasPrefix(path, prefix+"/") {
+			return route, true
+		}
+	}
+	return Route{}, false
+}
+
+// Text returns the configuration as one JSON text with sorted objects,
+// which Parse turns back into an equal configuration.
+func (c *Configuration) Text() []byte {
+	lists := map[string][]json.RawMessage{}
+	for _, entry := range schema {
+		for _, object := range c.byKind[entry.kind] {
+			lists[entry.plural] = append(lists[entry.plural], json.RawMessage(object.body))
+		}
+	}
+	text, err := json.Marshal(lists)
+	if err != nil {
+		return nil // Bodies are canonical JSON, which always encodes.
+	}
+	return text
+}
+
+func (c *Configuration) largestMemory() int64 {
+	var largest int64
+	for _, worker := range c.Workers() {
+		largest = max(largest, worker.Memory())
+	}
+	return largest
+}
--- /dev/null
+++ b/dialer/dialer.go
@@ -0,0 +1,93 @@
+// Package dialer opens HTTP connections on which every read must make
+// progress, so that a connection that went silent is noticed and dropped.
+package dialer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/valyala/fasthttp"
+)
+
+// Limits of every connection.
+const (
+	connectTimeout = 1 * time.Second
+	idleTimeout    = 30 * time.Second
+	maxConnections = 4096
+	bufferBytes    = 16 << 10
+)
+
+// DialError says that no connection could be opened, so that nothing was sent.
+type DialError struct {
+	// address is the IP and port that did not answer.
+	address string
+	// cause is the network's error, never nil.
+	cause error
+}
+
+// Error names the address and the cause.
+func (e *DialError) Error() string { return fmt.Sprintf("connect to %s: %v", e.address, e.cause) }
+
+// Unwrap returns the cause.
+func (e *DialError) Unwrap() error { return e.cause }
+
+// NothingSent reports whether err proves that the request never left.
+func NothingSent(err error) bool {
+	var dialError *DialError
+	return errors.As(err, &dialError) || errors.Is(err, fasthttp.ErrNoFreeConns)
+}
+
+// New returns a client for one address. Each read fails when nothing arrives
+// for the progress time. The client never repeats a request by itself.
+func New(address string, progress time.Duration) *fasthttp.HostClient {
+	return &fasthttp.HostClient{
+		Addr:                      address,
+		MaxConns:                  maxConnections,
+		MaxIdleConnDuration:       idleTimeout,
+		MaxIdemponentCallAttempts: 1,
+		ReadBufferSize:            bufferBytes,
+		WriteBufferSize:           bufferBytes,
+		NoDefaultUserAgentHeader:  true,
+		DisablePathNormalizing:    true,
+		Dial: func(address string) (net.Conn, error) {
+			inner, err := net.DialTimeout("tcp", address, connectTimeout)
+			if err != nil {
+				return nil, &DialError{address: address, cause: err}
+			}
+			return &progressConn{Conn: inner, progress: progress}, nil
+		},
+	}
+}
+
+// progressConn bounds the time of every read by the progress time and by the read deadline.
+type progressConn struct {
+	net.Conn
+	progress time.Duration
+	// readDeadline is in Unix nanoseconds; 0 means none.
+	readDeadline atomic.Int64
+}
+
+// SetReadDeadline stores the deadline for later reads.
+func (c *progressConn) SetReadDeadline(deadline time.Time) error {
+	if deadline.IsZero() {
+		c.readDeadline.Store(0)
+		return nil
+	}
+	c.readDeadline.Store(deadline.UnixNano())
+	return nil
+}
+
+// Read waits at most the progress time, and not past the read deadline.
+func (c *progressConn) Read(buffer []byte) (int, error) {
+	limit := time.Now().Add(c.progress)
+	if deadline := c.readDeadline.Load(); deadline != 0 && deadline < limit.UnixNano() {
+		limit = time.Unix(0, deadline)
+	}
+	if err := c.Conn.SetReadDeadline(limit); err != nil {
+		return 0, err
+	}
+	return c.Conn.Read(buffer)
+}
--- /dev/null
+++ b/enginestandin/answer.go
@@ -0,0 +1,216 @@
+package enginestandin
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/gofiber/fiber/v3"
+	"github.com/valyala/fasthttp"
+)
+
+// request is the part of an OpenAI-style request that the engine reads.
+type request struct {
+	Model    string `json:"model"`
+	Prompt   string `json:"prompt"`
+	Messages []struct {
+		Role    string `json:"role"`
+		Content string `json:"content"`
+	} `json:"messages"`
+	Stream     bool `json:"stream"`
+	MaxTokens  int  `json:"max_tokens"`
+	ResumeFrom int  `json:"resume_from"`
+}
+
+func (r request) text() string {
+	var text strings.Builder
+	text.WriteString(r.Prompt)
+	for _, message := range r.Messages {
+		text.WriteString(message.Content)
+		text.WriteByte('\n')
+	}
+	return text.String()
+}
+
+// defaultTokens is the length of an answer when the request names none.
+const defaultTokens = 16
+
+func (r request) tokens() int {
+	if r.MaxTokens > 0 {
+		return r.MaxTokens
+	}
+	return defaultTokens
+}
+
+// Token returns the token at an index of the answer to a prompt by a unit.
+// It depends on nothing else, so that a client can verify a whole answer.
+func Token(unit, prompt string, index int) string {
+	hash := xxhash.Sum64String(unit + "\x00" + prompt)
+	return fmt.Sprintf("%05x.%d ", hash&0xfffff, index)
+}
+
+// Answer returns the whole answer of a length to a prompt by a unit.
+func Answer(unit, prompt string, tokens int) string {
+	var answer strings.Builder
+	for i := range tokens {
+		answer.WriteString(Token(unit, prompt, i))
+	}
+	return answer.String()
+}
+
+// fetch asks the platform's weight store for a checkpoint.
+func (e *Engine) fetch(order Order, milliseconds int64) bool {
+	if e.settings.Platform == "" {
+		time.Sleep(time.Duration(milliseconds) * time.Millisecond)
+		return true
+	}
+	body, _ := json.Marshal(map[string]any{"checkpoint": order.Checkpoint, "adapter": order.Adapter, "milliseconds": milliseconds})
+	answer, err := http.Post("http://"+e.settings.Platform+"/weights/fetch", fiber.MIMEApplicationJSON, strings.NewReader(string(body)))
+	if err != nil {
+		return false
+	}
+	defer answer.Body.Close()
+	return answer.StatusCode == http.StatusNoContent
+}
+
+func (e *Engine) complete(c fiber.Ctx) error {
+	var parsed request
+	if err := json.Unmarshal(c.Body(), &parsed); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
+	id := c.Get("X-Request-Id")
+	faults := e.currentFaults()
+	if faults.CrashMarker != "" && strings.Contains(parsed.text(), faults.CrashMarker) {
+		e.crash()
+		return nil
+	}
+	if reason := e.admit(parsed, id); reason != "" {
+		c.Set("X-Not-Run", reason)
+		return fiber.NewError(fiber.StatusServiceUnavailable, reason)
+	}
+	if faults.SilentAnswers {
+		time.Sleep(time.Hour)
+	}
+	if faults.Crossed {
+		id = "another-" + id
+	}
+	c.Set("X-Request-Id", id)
+	if parsed.Stream {
+		return e.stream(c, parsed, id, faults)
+	}
+	return e.whole(c, parsed, id, faults)
+}
+
+// admit counts the request as run, or returns why it was not.
+func (e *Engine) admit(parsed request, id string) string {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.faults.Leaving {
+		return "leaving"
+	}
+	unit, present := e.memory.units[parsed.Model]
+	if !present || unit.Phase != PhaseReady {
+		return "not loaded"
+	}
+	e.runs[id]++
+	e.using[parsed.Model]++
+	e.queued++
+	return ""
+}
+
+// occupy waits for a slot and returns the function that frees it.
+func (e *Engine) occupy(unit string) func() {
+	e.slots <- struct{}{}
+	e.mu.Lock()
+	e.queued--
+	e.running++
+	e.mu.Unlock()
+	return func() {
+		e.mu.Lock()
+		e.running--
+		e.using[unit]--
+		e.mu.Unlock()
+		<-e.slots
+	}
+}
+
+func (e *Engine) whole(c fiber.Ctx, parsed request, id string, faults Faults) error {
+	free := e.occupy(parsed.Model)
+	defer free()
+	tokens := parsed.tokens()
+	time.Sleep(time.Duration(e.settings.FirstTokenMS+int64(tokens)*e.settings.TokenMS) * time.Millisecond)
+	prompt := parsed.text()
+	text := Answer(parsed.Model, prompt, tokens)
+	body, _ := json.Marshal(map[string]any{
+		"id": id, "object": "chat.completion", "model": parsed.Model,
+		"choices": []any{map[string]any{"index": 0, "finish_reason": "stop", "text": text, "message": map[string]string{"role": "assistant", "content": text}}},
+		"usage":   usage(prompt, tokens),
+	})
+	c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+	if faults.Truncated {
+		raw := "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nX-Request-Id: " + id + "\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n"
+		_, _ = c.RequestCtx().Conn().Write(append([]byte(raw), body[:len(body)/2]...))
+		return c.RequestCtx().Conn().Close()
+	}
+	return c.Send(body)
+}
+
+func usage(prompt string, tokens int) map[string]int {
+	words := len(strings.Fields(prompt))
+	return map[string]int{"prompt_tokens": words, "completion_tokens": tokens, "total_tokens": words + tokens}
+}
+
+func (e *Engine) stream(c fiber.Ctx, parsed request, id string, faults Faults) error {
+	c.Set(fiber.HeaderContentType, "text/event-stream")
+	connection := c.RequestCtx().Conn()
+	c.RequestCtx().Response.ImmediateHeaderFlush = true
+	c.RequestCtx().SetBodyStreamWriter(fasthttp.StreamWriter(func(w *bufio.Writer) {
+		free := e.occupy(parsed.Model)
+		defer free()
+		if !e.writeTokens(w, parsed, id, faults) {
+			_ = connection.Close()
+		}
+	}))
+	return nil
+}
+
+// writeTokens writes the events of an answer; false means that the stream must be cut.
+func (e *Engine) writeTokens(w *bufio.Writer, parsed request, id string, faults Faults) bool {
+	prompt := parsed.text()
+	head := fmt.Sprintf(`data: {"id":%q,"object":"chat.completion.chunk","model":%q,"choices":[{"index":0,"delta":{"content":"`, id, parsed.Model)
+	sleepMS(e.settings.FirstTokenMS)
+	prefix := Token(parsed.Model, prompt, 0)
+	prefix = prefix[:strings.IndexByte(prefix, '.')+1]
+	sent := int64(0)
+	for i := parsed.ResumeFrom; i < parsed.tokens(); i++ {
+		if faults.CutAfter > 0 && sent >= faults.CutAfter {
+			return false
+		}
+		w.WriteString(head)
+		w.WriteString(prefix)
+		w.WriteString(strconv.Itoa(i))
+		w.WriteString(" \"}}]}\n\n")
+		if err := w.Flush(); err != nil {
+			e.mu.Lock()
+			e.cancelled++
+			e.mu.Unlock()
+			return false
+		}
+		sent++
+		sleepMS(e.settings.TokenMS)
+	}
+	counts, _ := json.Marshal(usage(prompt, parsed.tokens()))
+	fmt.Fprintf(w, "data: {\"id\":%q,\"object\":\"chat.completion.chunk\",\"model\":%q,\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],\"usage\":%s}\n\ndata: [DONE]\n\n", id, parsed.Model, counts)
+	return w.Flush() == nil
+}
+
+func sleepMS(milliseconds int64) {
+	if milliseconds > 0 {
+		time.Sleep(time.Duration(milliseconds) * time.Millisecond)
+	}
+}
--- /dev/null
+++ b/enginestandin/engine.go
@@ -0,0 +1,412 @@
+// Package enginestandin stands in for a model engine: it loads units within
+// its memory, streams deterministic answers in the OpenAI form, takes fenced
+// orders, reports its load, and has a switch for each of its faults.
+package enginestandin
+
+import (
+	"fmt"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/acaciaproxy/acaciaproxy/silencer"
+)
+
+// Settings describe one engine.
+type Settings struct {
+	// ID is the host's name in the host list.
+	ID string
+	// Platform is the address of the weight store, or empty for none.
+	Platform string
+	// Memory is the bytes for models.
+	Memory int64
+	// Fencing makes the engine refuse orders with an old fencing number.
+	Fencing bool
+	// FirstTokenMS and TokenMS are the times to the first token and between tokens.
+	FirstTokenMS, TokenMS int64
+	// Slots is how many requests run at once; more wait.
+	Slots int
+}
+
+// Faults is the state of the fault switches.
+type Faults struct {
+	// Freeze makes every call wait until the switch is off.
+	Freeze bool `json:"freeze"`
+	// FailLoads makes every load fail half way.
+	FailLoads bool `json:"fail_loads"`
+	// LoadMS replaces the time of every load when above 0.
+	LoadMS int64 `json:"load_ms"`
+	// LoseOrders is how many of the next orders take effect and lose their answer.
+	LoseOrders int64 `json:"lose_orders"`
+	// ReportLagMS is how old the load report is when read.
+	ReportLagMS int64 `json:"report_lag_ms"`
+	// Gap makes the engine leave every second report out.
+	Gap bool `json:"gap"`
+	// Leaving makes the engine refuse new work.
+	Leaving bool `json:"leaving"`
+	// SilentAnswers makes the engine accept requests and never answer.
+	SilentAnswers bool `json:"silent_answers"`
+	// CutAfter ends every stream after that many tokens when above 0.
+	CutAfter int64 `json:"cut_after"`
+	// Crossed makes the engine answer with the request id of another request.
+	Crossed bool `json:"crossed"`
+	// Truncated makes whole answers shorter than their Content-Length.
+	Truncated bool `json:"truncated"`
+	// CrashMarker crashes the engine when a prompt contains it.
+	CrashMarker string `json:"crash_marker"`
+	// RestartMS is how long a crashed engine stays away.
+	RestartMS int64 `json:"restart_ms"`
+}
+
+// Report is the engine's account of itself.
+type Report struct {
+	ID string `json:"id"`
+	// Incarnation changes when the engine restarts.
+	Incarnation int64 `json:"incarnation"`
+	// Sequence counts the reports made.
+	Sequence    int64             `json:"sequence"`
+	Fence       int64             `json:"fence"`
+	MemoryTotal int64             `json:"memory_total"`
+	MemoryUsed  int64             `json:"memory_used"`
+	Units       []Unit            `json:"units"`
+	Caches      map[string]string `json:"caches"`
+	Running     int               `json:"running"`
+	Queued      int               `json:"queued"`
+	Leaving     bool              `json:"leaving"`
+	// Orders lists the ids of the last orders that were accepted.
+	Orders []string `json:"orders"`
+}
+
+// datedReport is a report with the time at which it was made.
+type datedReport struct {
+	at     time.Time
+	report Report
+}
+
+// Engine is one running stand-in.
+type Engine struct {
+	settings Settings
+	app      *fiber.App
+	listener *silencer.Listener
+	// mu guards all fields below.
+	mu          sync.Mutex
+	faults      Faults
+	memory      memory
+	fence       int64
+	incarnation int64
+	sequence    int64
+	orders      []string
+	running     int
+	queued      int
+	// awayUntil is when a crashed engine is back.
+	awayUntil time.Time
+	// runs counts the runs of each request id; staleOrders counts the orders with an old fence that were obeyed.
+	runs        map[string]int
+	staleOrders int64
+	// using counts the requests at each unit that have not ended.
+	using     map[string]int
+	loads     map[string]int
+	crashes   int64
+	cancelled int64
+	reports   []datedReport
+	// slots holds one token for each request that may run.
+	slots chan struct{}
+}
+
+// New returns an engine with nothing loaded.
+func New(settings Settings, listener net.Listener) *Engine {
+	e := &Engine{
+		settings:    settings,
+		app:         fiber.New(fiber.Config{Immutable: true, BodyLimit: 16 << 20}),
+		listener:    silencer.New(listener),
+		memory:      memory{total: settings.Memory, units: map[string]Unit{}},
+		incarnation: time.Now().UnixNano(),
+		runs:        map[string]int{},
+		loads:       map[string]int{},
+		using:       map[string]int{},
+		slots:       make(chan struct{}, max(settings.Slots, 1)),
+	}
+	e.route()
+	return e
+}
+
+func (e *Engine) route() {
+	e.app.Put("/faults", e.setFaults)
+	e.app.Post("/faults/silence", func(c fiber.Ctx) error {
+		return c.JSON(map[string]int{"silenced": e.listener.Silence()})
+	})
+	e.app.Post("/faults/crash", func(c fiber.Ctx) error {
+		e.crash()
+		return c.SendStatus(fiber.StatusNoContent)
+	})
+	e.app.Get("/record", e.record)
+	e.app.Use(e.applyFaults)
+	e.app.Get("/health", func(c fiber.Ctx) error { return c.SendString("ok") })
+	e.app.Get("/report", e.report)
+	e.app.Post("/orders", e.order)
+	e.app.Post("/v1/chat/completions", e.complete)
+	e.app.Post("/v1/completions", e.complete)
+}
+
+// Serve answers calls until the listener is closed.
+func (e *Engine) Serve() error {
+	go e.recordReports()
+	return e.app.Listener(e.listener, fiber.ListenConfig{DisableStartupMessage: true})
+}
+
+// Stop ends the stand-in.
+func (e *Engine) Stop() error { return e.app.Shutdown() }
+
+func (e *Engine) setFaults(c fiber.Ctx) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if err := c.Bind().JSON(&e.faults); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
+	return c.JSON(e.faults)
+}
+
+func (e *Engine) currentFaults() Faults {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.faults
+}
+
+// freezePoll is how often a frozen call looks whether the switch is off.
+const freezePoll = 5 * time.Millisecond
+
+func (e *Engine) applyFaults(c fiber.Ctx) error {
+	for e.currentFaults().Freeze {
+		time.Sleep(freezePoll)
+	}
+	e.mu.Lock()
+	away := time.Now().Before(e.awayUntil)
+	e.mu.Unlock()
+	if away {
+		return c.RequestCtx().Conn().Close()
+	}
+	return c.Next()
+}
+
+// crash loses everything loaded and cuts every connection.
+func (e *Engine) crash() {
+	e.mu.Lock()
+	e.crashes++
+	e.incarnation++
+	e.orders = nil
+	e.fence = 0
+	e.memory.units = map[string]Unit{}
+	e.awayUntil = time.Now().Add(time.Duration(e.faults.RestartMS) * time.Millisecond)
+	e.mu.Unlock()
+	e.listener.Cut()
+}
+
+// Record is the engine's account of what happened to it.
+type Record struct {
+	// Runs counts the runs of each request id.
+	Runs map[string]int `json:"runs"`
+	// Loads counts the loads of each unit.
+	Loads       map[string]int `json:"loads"`
+	Overcommits int64          `json:"overcommits"`
+	StaleOrders int64          `json:"stale_orders"`
+	Crashes     int64          `json:"crashes"`
+	Cancelled   int64          `json:"cancelled"`
+}
+
+func (e *Engine) record(c fiber.Ctx) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return c.JSON(Record{Runs: e.runs, Loads: e.loads, Overcommits: e.memory.overcommits, StaleOrders: e.staleOrders, Crashes: e.crashes, Cancelled: e.cancelled})
+}
+
+// Times at which reports are made and for which they are kept.
+const (
+	reportInterval = 20 * time.Millisecond
+	maxReports     = 500
+)
+
+// recordReports keeps a history of reports for lagging reads.
+func (e *Engine) recordReports() {
+	for {
+		time.Sleep(reportInterval)
+		e.mu.Lock()
+		e.reports = append(e.reports, datedReport{time.Now(), e.makeReport()})
+		if len(e.reports) > maxReports {
+			e.reports = append([]datedReport(nil), e.reports[maxReports/2:]...)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// makeReport describes the present state; the caller holds mu.
+func (e *Engine) makeReport() Report {
+	e.sequence++
+	return Report{
+		ID: e.settings.ID, Incarnation: e.incarnation, Sequence: e.sequence, Fence: e.fence,
+		MemoryTotal: e.memory.total, MemoryUsed: e.memory.used(),
+		Units: e.memory.list(), Caches: e.memory.caches(),
+		Running: e.running, Queued: e.queued, Leaving: e.faults.Leaving,
+		Orders: append([]string(nil), e.orders...),
+	}
+}
+
+func (e *Engine) report(c fiber.Ctx) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	current := e.makeReport()
+	if e.faults.Gap && e.sequence%2 == 0 {
+		return fiber.NewError(fiber.StatusServiceUnavailable, "report left out")
+	}
+	if e.faults.ReportLagMS == 0 {
+		return c.JSON(current)
+	}
+	asOf := time.Now().Add(-time.Duration(e.faults.ReportLagMS) * time.Millisecond)
+	for _, past := range e.reports {
+		if past.at.After(asOf) {
+			break
+		}
+		current = past.report
+	}
+	return c.JSON(current)
+}
+
+// Order is a command to load or unload a unit.
+type Order struct {
+	ID    string `json:"id"`
+	Fence int64  `json:"fence"`
+	// Verb is load, unload or fence; fence only raises the fencing number.
+	Verb       string `json:"verb"`
+	Unit       string `json:"unit"`
+	Checkpoint string `json:"checkpoint"`
+	Adapter    bool   `json:"adapter"`
+	Memory     int64  `json:"memory"`
+	// LoadMS is the time of a load from the weight store at full speed.
+	LoadMS int64 `json:"load_ms"`
+}
+
+// OrderAnswer says what became of an order.
+type OrderAnswer struct {
+	Accepted bool   `json:"accepted"`
+	Reason   string `json:"reason,omitempty"`
+	Fence    int64  `json:"fence"`
+	// Incarnation is the one that answers.
+	Incarnation int64 `json:"incarnation"`
+}
+
+func (e *Engine) order(c fiber.Ctx) error {
+	var order Order
+	if err := c.Bind().JSON(&order); err != nil {
+		return fiber.NewError(fiber.StatusBadRequest, err.Error())
+	}
+	e.mu.Lock()
+	answer := e.obey(order)
+	answer.Incarnation = e.incarnation
+	lose := answer.Accepted && e.faults.LoseOrders > 0
+	if lose {
+		e.faults.LoseOrders--
+	}
+	e.mu.Unlock()
+	if lose {
+		return c.RequestCtx().Conn().Close()
+	}
+	if !answer.Accepted {
+		c.Status(fiber.StatusConflict)
+	}
+	return c.JSON(answer)
+}
+
+// maxOrders bounds the list of accepted orders.
+const maxOrders = 64
+
+// obey carries an order out or starts it; the caller holds mu.
+func (e *Engine) obey(order Order) OrderAnswer {
+	if order.Fence < e.fence {
+		if e.settings.Fencing {
+			return OrderAnswer{Reason: "fenced", Fence: e.fence}
+		}
+		e.staleOrders++
+	}
+	e.fence = max(e.fence, order.Fence)
+	for _, known := range e.orders {
+		if known == order.ID {
+			return OrderAnswer{Accepted: true, Fence: e.fence}
+		}
+	}
+	if order.Verb == "load" && e.faults.Leaving {
+		return OrderAnswer{Reason: "leaving", Fence: e.fence}
+	}
+	if order.Verb == "unload" && e.using[order.Unit] > 0 {
+		return OrderAnswer{Reason: "busy", Fence: e.fence}
+	}
+	e.orders = append(e.orders, order.ID)
+	if len(e.orders) > maxOrders {
+		e.orders = append([]string(nil), e.orders[maxOrders/2:]...)
+	}
+	switch order.Verb {
+	case "load":
+		e.startLoad(order)
+	case "unload":
+		e.memory.remove(order.Unit)
+	}
+	return OrderAnswer{Accepted: true, Fence: e.fence}
+}
+
+// startLoad begins a load; the caller holds mu.
+func (e *Engine) startLoad(order Order) {
+	if _, present := e.memory.units[order.Unit]; present {
+		return
+	}
+	tier := e.memory.tier(order.Unit)
+	e.memory.add(Unit{Unit: order.Unit, Phase: PhaseLoading, Memory: order.Memory})
+	e.loads[order.Unit]++
+	go e.load(order, tier, e.incarnation)
+}
+
+// Share of the remote load time that a load from a nearer tier takes.
+const (
+	memoryTierShare = 0.1
+	diskTierShare   = 0.35
+)
+
+func (e *Engine) load(order Order, tier string, incarnation int64) {
+	faults := e.currentFaults()
+	milliseconds := order.LoadMS
+	if faults.LoadMS > 0 {
+		milliseconds = faults.LoadMS
+	}
+	if faults.FailLoads {
+		time.Sleep(time.Duration(milliseconds/2) * time.Millisecond)
+		e.finishLoad(order, incarnation, false)
+		return
+	}
+	ok := true
+	switch tier {
+	case TierMemory:
+		time.Sleep(time.Duration(memoryTierShare*float64(milliseconds)) * time.Millisecond)
+	case TierDisk:
+		time.Sleep(time.Duration(diskTierShare*float64(milliseconds)) * time.Millisecond)
+	default:
+		ok = e.fetch(order, milliseconds)
+	}
+	e.finishLoad(order, incarnation, ok)
+}
+
+func (e *Engine) finishLoad(order Order, incarnation int64, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	unit, present := e.memory.units[order.Unit]
+	if !present || e.incarnation != incarnation {
+		return
+	}
+	if !ok {
+		delete(e.memory.units, order.Unit)
+		return
+	}
+	unit.Phase = PhaseReady
+	e.memory.units[order.Unit] = unit
+}
+
+// String names the engine in messages.
+func (e *Engine) String() string { return fmt.Sprintf("engine %s", e.settings.ID) }
--- /dev/null
+++ b/launcher/launcher.go
@@ -0,0 +1,400 @@
+// Package launcher starts a whole set of processes on this machine for the
+// quick start and for tests: a platform, engines and registers as stand-ins,
+// and nodes. The product's own processes never start others.
+package launcher
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/acaciaproxy/acaciaproxy/configurer"
+	"github.com/acaciaproxy/acaciaproxy/platformclient"
+)
+
+// Process is one started process.
+type Process struct {
+	name string
+	// arguments start with the path of the program.
+	arguments []string
+	logPath   string
+	command   *exec.Cmd
+	// ended is closed when the process has ended.
+	ended chan struct{}
+	// address is where callers, or the stand-in's users, reach it.
+	address string
+	// operators is a node's address for operators.
+	operators string
+	zone      string
+}
+
+// Name returns the process's name in the host list.
+func (p *Process) Name() string { return p.name }
+
+// Address returns where callers, or a stand-in's users, reach the process.
+func (p *Process) Address() string { return p.address }
+
+// Operators returns a node's address for operators.
+func (p *Process) Operators() string { return p.operators }
+
+// Zone returns the availability zone.
+func (p *Process) Zone() string { return p.zone }
+
+// LogPath returns the file that holds what the process wrote.
+func (p *Process) LogPath() string { return p.logPath }
+
+// Spec says what to start.
+type Spec struct {
+	// Programs is the folder with the programs.
+	Programs string
+	// Configuration is the folder to publish.
+	Configuration string
+	// NodesPerZone is how many nodes each zone has.
+	NodesPerZone int
+	// FirstTokenMS and TokenMS are the engines' speeds.
+	FirstTokenMS, TokenMS int
+	// Token is the operators' token, or empty.
+	Token string
+}
+
+// Set is a started set of processes. Its methods may be called by several goroutines.
+type Set struct {
+	spec          Spec
+	folder        string
+	configuration *configurer.Configuration
+	// mu guards processes and order.
+	mu        sync.Mutex
+	processes map[string]*Process
+	// order lists the names in the order of their start.
+	order []string
+	// hosts are the entries of the host list by name.
+	hosts map[string]platformclient.Host
+}
+
+// readyTime bounds the start of one process.
+const readyTime = 20 * time.Second
+
+// Start starts a set and waits until every node answers callers.
+func Start(spec Spec) (*Set, error) {
+	configuration, err := configurer.ReadFolder(spec.Configuration)
+	if err != nil {
+		return nil, err
+	}
+	folder, err := os.MkdirTemp("", "acaciaproxy-set-")
+	if err != nil {
+		return nil, fmt.Errorf("folder for logs: %w", err)
+	}
+	s := &Set{spec: spec, folder: folder, configuration: configuration, processes: map[string]*Process{}, hosts: map[string]platformclient.Host{}}
+	if err := s.startAll(); err != nil {
+		s.Close()
+		return nil, err
+	}
+	return s, nil
+}
+
+func (s *Set) startAll() error {
+	if err := s.startPlatform(); err != nil {
+		return err
+	}
+	for _, group := range s.configuration.Workers() {
+		for number := 1; number <= group.Count(); number++ {
+			if err := s.startWorker(group, number); err != nil {
+				return err
+			}
+		}
+	}
+	deployment, _ := s.configuration.Deployment()
+	for _, zone := range deployment.Zones() {
+		for number := 1; number <= s.spec.NodesPerZone; number++ {
+			if err := s.startNode(zone, number); err != nil {
+				return err
+			}
+		}
+	}
+	if output, err := s.Run("publish", "-platform", s.Platform().address, "-operator", "launcher", s.spec.Configuration); err != nil {
+		return fmt.Errorf("publish: %w: %s", err, output)
+	}
+	for _, node := range s.Nodes() {
+		if err := waitFor(node.address, "/readyz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// Run runs the acaciaproxy program to its end and returns what it wrote.
+func (s *Set) Run(arguments ...string) (string, error) {
+	output, err := exec.Command(filepath.Join(s.spec.Programs, "acaciaproxy"), arguments...).CombinedOutput()
+	return string(output), err
+}
+
+func (s *Set) startPlatform() error {
+	deployment, _ := s.configuration.Deployment()
+	address := FreeAddress()
+	return s.launch(&Process{
+		name: "platform", address: address,
+		arguments: []string{
+			filepath.Join(s.spec.Programs, "standin"), "platform", "-listen", address, "-rate", fmt.Sprint(deployment.Rate()),
+			"-parallel", fmt.Sprint(deployment.Parallel()), "-transit", fmt.Sprint(deployment.Transit()),
+		},
+	}, "/stats")
+}
+
+func (s *Set) startWorker(group configurer.Worker, number int) error {
+	name := fmt.Sprintf("%s-%d", group.Name(), number)
+	address := FreeAddress()
+	process := &Process{name: name, address: address, zone: group.Zone()}
+	program := filepath.Join(s.spec.Programs, "standin")
+	if group.RunsModels() {
+		process.arguments = []string{
+			program, "engine", "-listen", address, "-id", name, "-platform", s.Platform().address,
+			"-memory", fmt.Sprint(float64(group.Memory()) / (1 << 30)), fmt.Sprintf("-fencing=%v", group.Fencing()),
+			"-slots", fmt.Sprint(group.Slots()), "-first", fmt.Sprint(s.spec.FirstTokenMS), "-token", fmt.Sprint(s.spec.TokenMS),
+		}
+	} else {
+		process.arguments = []string{program, "register", "-listen", address}
+	}
+	if err := s.launch(process, "/health"); err != nil {
+		return err
+	}
+	return s.SetHost(platformclient.Host{
+		ID: name, Kind: platformclient.HostWorker, Group: group.Name(), Zone: group.Zone(), Address: address, State: platformclient.StateLive,
+	})
+}
+
+func (s *Set) startNode(zone string, number int) error {
+	name := fmt.Sprintf("node-%s-%d", zone, number)
+	settings := map[string]any{
+		"name": name, "zone": zone, "callers": FreeAddress(), "operators": FreeAddress(), "nodes": FreeAddress(),
+		"platform": s.Platform().address, "drain": 30,
+	}
+	if s.spec.Token != "" {
+		settings["token"] = s.spec.Token
+	}
+	text, err := json.MarshalIndent(settings, "", "  ")
+	if err != nil {
+		return fmt.Errorf("settings of %s: %w", name, err)
+	}
+	path := filepath.Join(s.folder, name+".json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return fmt.Errorf("settings of %s: %w", name, err)
+	}
+	process := &Process{
+		name: name, zone: zone, address: settings["callers"].(string), operators: settings["operators"].(string),
+		arguments: []string{filepath.Join(s.spec.Programs, "acaciaproxy"), "serve", "-settings", path},
+	}
+	host := platformclient.Host{ID: name, Kind: platformclient.HostNode, Zone: zone, Address: settings["nodes"].(string), State: platformclient.StateLive}
+	if err := s.SetHost(host); err != nil {
+		return err
+	}
+	return s.launch(process, "/healthz")
+}
+
+// launch starts a process and waits until its path answers.
+func (s *Set) launch(process *Process, path string) error {
+	process.logPath = filepath.Join(s.folder, process.name+".log")
+	if err := process.start(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	if _, known := s.processes[process.name]; !known {
+		s.order = append(s.order, process.name)
+	}
+	s.processes[process.name] = process
+	s.mu.Unlock()
+	return waitFor(process.address, path)
+}
+
+func (p *Process) start() error {
+	output, err := os.OpenFile(p.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("log of %s: %w", p.name, err)
+	}
+	defer output.Close()
+	p.command = exec.Command(p.arguments[0], p.arguments[1:]...)
+	p.command.Stdout, p.command.Stderr = output, output
+	p.ended = make(chan struct{})
+	if err := p.command.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.name, err)
+	}
+	go func() {
+		_ = p.command.Wait()
+		close(p.ended)
+	}()
+	return nil
+}
+
+// Process returns a process by name; it panics when there is none.
+func (s *Set) Process(name string) *Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	process, known := s.processes[name]
+	if !known {
+		panic(fmt.Sprintf("process %q was not started", name))
+	}
+	return process
+}
+
+// Platform returns the platform's process.
+func (s *Set) Platform() *Process { return s.Process("platform") }
+
+// Nodes returns the nodes in the order of their start.
+func (s *Set) Nodes() []*Process {
+	return s.filter(func(p *Process) bool { return p.operators != "" })
+}
+
+// Engines returns the model engines in the order of their start.
+func (s *Set) Engines() []*Process {
+	return s.filter(func(p *Process) bool { return len(p.arguments) > 1 && p.arguments[1] == "engine" })
+}
+
+// Registers returns the registers in the order of their start.
+func (s *Set) Registers() []*Process {
+	return s.filter(func(p *Process) bool { return len(p.arguments) > 1 && p.arguments[1] == "register" })
+}
+
+func (s *Set) filter(matches func(*Process) bool) []*Process {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var found []*Process
+	for _, name := range s.order {
+		if matches(s.processes[name]) {
+			found = append(found, s.processes[name])
+		}
+	}
+	return found
+}
+
+// SetHost puts an entry in the platform's host list.
+func (s *Set) SetHost(host platformclient.Host) error {
+	s.mu.Lock()
+	s.hosts[host.ID] = host
+	s.mu.Unlock()
+	return Put(s.Platform().address, "/hosts/"+host.ID, host)
+}
+
+// SetState changes the state of an entry of the host list.
+func (s *Set) SetState(name, state string) error {
+	s.mu.Lock()
+	host := s.hosts[name]
+	s.mu.Unlock()
+	host.State = state
+	return s.SetHost(host)
+}
+
+// Put sends a JSON body with PUT.
+func Put(address, path string, body any) error {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return fmt.Errorf("encode body for %s: %w", path, err)
+	}
+	request, err := http.NewRequest(http.MethodPut, "http://"+address+path, bytes.NewReader(text))
+	if err != nil {
+		return fmt.Errorf("PUT %s: %w", path, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return fmt.Errorf("PUT %s: %w", path, err)
+	}
+	defer answer.Body.Close()
+	if answer.StatusCode >= http.StatusMultipleChoices {
+		text, _ := io.ReadAll(answer.Body)
+		return fmt.Errorf("PUT %s: status %d: %s", path, answer.StatusCode, text)
+	}
+	return nil
+}
+
+// Get decodes the JSON answer to a GET.
+func Get(address, path string, result any) error {
+	answer, err := http.Get("http://" + address + path)
+	if err != nil {
+		return fmt.Errorf("GET %s: %w", path, err)
+	}
+	defer answer.Body.Close()
+	if err := json.NewDecoder(answer.Body).Decode(result); err != nil {
+		return fmt.Errorf("GET %s: %w", path, err)
+	}
+	return nil
+}
+
+// Signal sends a signal to a process.
+func (p *Process) Signal(signal syscall.Signal) error { return p.command.Process.Signal(signal) }
+
+// Ended reports whether the process ends by a deadline.
+func (p *Process) Ended(deadline time.Time) bool {
+	select {
+	case <-p.ended:
+		return true
+	case <-time.After(time.Until(deadline)):
+		return false
+	}
+}
+
+// Kill ends a process at once.
+func (p *Process) Kill() {
+	_ = p.Signal(syscall.SIGKILL)
+	<-p.ended
+}
+
+// Restart starts an ended process again at the same addresses.
+func (s *Set) Restart(name string) error {
+	process := s.Process(name)
+	if err := process.start(); err != nil {
+		return err
+	}
+	path := "/health"
+	if process.operators != "" {
+		path = "/readyz"
+	}
+	return waitFor(process.address, path)
+}
+
+// Close ends every process of the set and removes its folder.
+func (s *Set) Close() {
+	for i := len(s.order) - 1; i >= 0; i-- {
+		process := s.Process(s.order[i])
+		_ = process.Signal(syscall.SIGCONT)
+		process.Kill()
+	}
+	_ = os.RemoveAll(s.folder)
+}
+
+// FreeAddress returns an unused address on the loopback interface.
+func FreeAddress() string {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		panic(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+// readyPoll is how often a starting process is asked.
+const readyPoll = 20 * time.Millisecond
+
+// waitFor waits until a path answers with status 200.
+func waitFor(address, path string) error {
+	client := http.Client{Timeout: time.Second}
+	deadline := time.Now().Add(readyTime)
+	for time.Now().Before(deadline) {
+		answer, err := client.Get("http://" + address + path)
+		if err == nil {
+			_ = answer.Body.Close()
+			if answer.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		time.Sleep(readyPoll)
+	}
+	return fmt.Errorf("http://%s%s did not answer within %s", address, path, readyTime)
+}
--- /dev/null
+++ b/launcher/quickstart.go
@@ -0,0 +1,175 @@
+package launcher
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+)
+
+// Reply is the end of one request as its caller sees it.
+type Reply struct {
+	Status int
+	Header http.Header
+	Body   []byte
+	// Took is the time from sending to the end of the body.
+	Took time.Duration
+}
+
+// Send sends a request with a JSON body to a node and returns the reply.
+func Send(address, method, path string, body any, headers map[string]string) (Reply, error) {
+	text, err := json.Marshal(body)
+	if err != nil {
+		return Reply{}, fmt.Errorf("encode body for %s: %w", path, err)
+	}
+	request, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(text))
+	if err != nil {
+		return Reply{}, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	for key, value := range headers {
+		request.Header.Set(key, value)
+	}
+	began := time.Now()
+	answer, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return Reply{}, fmt.Errorf("%s %s: %w", method, path, err)
+	}
+	defer answer.Body.Close()
+	content, err := io.ReadAll(answer.Body)
+	return Reply{Status: answer.StatusCode, Header: answer.Header, Body: content, Took: time.Since(began)}, err
+}
+
+// Completion returns the body of a chat request.
+func Completion(route, prompt string, stream bool) map[string]any {
+	return map[string]any{"model": route, "stream": stream, "max_tokens": 8, "messages": []map[string]string{{"role": "user", "content": prompt}}}
+}
+
+// quickStep is one step of the quick start.
+type quickStep struct {
+	title string
+	run   func(s *Set, out io.Writer) error
+}
+
+// QuickStart runs the whole path once and prints what it does.
+func QuickStart(s *Set, out io.Writer) error {
+	steps := []quickStep{
+		{"Cold answer: the model is loaded nowhere in the zone", quickCold},
+		{"Warm answer: the model is loaded now, asked at the zone's other node", quickWarm},
+		{"Streamed answer from an adapter", quickStream},
+		{"Code assignment, and its repeat at another node", quickAssign},
+		{"Refusal: the deadline is shorter than the load", quickRefusal},
+		{"Status of all nodes", quickStatus},
+	}
+	for i, step := range steps {
+		fmt.Fprintf(out, "\n%d. %s\n", i+1, step.title)
+		if err := step.run(s, out); err != nil {
+			return fmt.Errorf("%s: %w", step.title, err)
+		}
+	}
+	return nil
+}
+
+func expect(reply Reply, status int, outcome string) error {
+	if reply.Status != status || reply.Header.Get("Acacia-Outcome") != outcome {
+		return fmt.Errorf("got status %d and outcome %q, not %d and %q: %s", reply.Status, reply.Header.Get("Acacia-Outcome"), status, outcome, reply.Body)
+	}
+	return nil
+}
+
+func printReply(out io.Writer, label string, reply Reply) {
+	fmt.Fprintf(out, "   %s: status %d, outcome %s, %d ms, version %s\n   %s\n", label, reply.Status, reply.Header.Get("Acacia-Outcome"),
+		reply.Took.Milliseconds(), reply.Header.Get("Acacia-Config-Version"), bytes.TrimSpace(reply.Body))
+}
+
+func quickCold(s *Set, out io.Writer) error {
+	reply, err := Send(s.Nodes()[0].address, http.MethodPost, "/v1/chat/completions", Completion("occupations", "goat herder", false), nil)
+	if err != nil {
+		return err
+	}
+	printReply(out, "cold", reply)
+	return expect(reply, http.StatusOK, "answered")
+}
+
+func quickWarm(s *Set, out io.Writer) error {
+	reply, err := Send(s.Nodes()[1].address, http.MethodPost, "/v1/chat/completions", Completion("occupations", "sign painter", false), nil)
+	if err != nil {
+		return err
+	}
+	printReply(out, "warm", reply)
+	return expect(reply, http.StatusOK, "answered")
+}
+
+func quickStream(s *Set, out io.Writer) error {
+	reply, err := Send(s.Nodes()[2].address, http.MethodPost, "/v1/chat/completions", Completion("activities-retail", "corner shop", true), nil)
+	if err != nil {
+		return err
+	}
+	events := 0
+	last := ""
+	for scanner := bufio.NewScanner(bytes.NewReader(reply.Body)); scanner.Scan(); {
+		if line := scanner.Text(); strings.HasPrefix(line, "data: ") {
+			events++
+			last = line
+		}
+	}
+	fmt.Fprintf(out, "   streamed: status %d, %d events in %d ms, the last is %q\n", reply.Status, events, reply.Took.Milliseconds(), last)
+	if last != "data: [DONE]" {
+		return fmt.Errorf("the stream ended with %q", last)
+	}
+	return expect(reply, http.StatusOK, "streaming")
+}
+
+func quickAssign(s *Set, out io.Writer) error {
+	body := map[string]string{"company": "SIA Example", "code": "47.11"}
+	headers := map[string]string{"Idempotency-Key": fmt.Sprintf("filing-%d", time.Now().UnixNano())}
+	first, err := Send(s.Nodes()[0].address, http.MethodPost, "/register/assign", body, headers)
+	if err != nil {
+		return err
+	}
+	printReply(out, "first", first)
+	if err := expect(first, http.StatusOK, "answered"); err != nil {
+		return err
+	}
+	second, err := Send(s.Nodes()[3].address, http.MethodPost, "/register/assign", body, headers)
+	if err != nil {
+		return err
+	}
+	printReply(out, "repeat", second)
+	if !bytes.Equal(first.Body, second.Body) || second.Header.Get("Acacia-Replayed") != "true" {
+		return fmt.Errorf("the repeat got another answer: %s", second.Body)
+	}
+	return expect(second, http.StatusOK, "answered")
+}
+
+func quickRefusal(s *Set, out io.Writer) error {
+	headers := map[string]string{"Acacia-Timeout-Ms": "400"}
+	reply, err := Send(s.Nodes()[0].address, http.MethodPost, "/v1/chat/completions", Completion("products", "oak table", false), headers)
+	if err != nil {
+		return err
+	}
+	printReply(out, "refused", reply)
+	fmt.Fprintf(out, "   Retry-After: %s s\n", reply.Header.Get("Retry-After"))
+	if reply.Header.Get("Retry-After") == "" {
+		return fmt.Errorf("the refusal does not say when to come back")
+	}
+	return expect(reply, http.StatusServiceUnavailable, "refused")
+}
+
+func quickStatus(s *Set, out io.Writer) error {
+	addresses := make([]string, 0, len(s.Nodes()))
+	for _, node := range s.Nodes() {
+		addresses = append(addresses, node.operators)
+	}
+	output, err := s.Run("status", "-operators", strings.Join(addresses, ","))
+	fmt.Fprint(out, indent(output))
+	return err
+}
+
+func indent(text string) string {
+	return "   " + strings.ReplaceAll(strings.TrimRight(text, "\n"), "\n", "\n   ") + "\n"
+}
--- /dev/null
+++ b/leader/answer.go
@@ -0,0 +1,182 @@
+package leader
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/acaciaproxy/acaciaproxy/configurer"
+	"github.com/acaciaproxy/acaciaproxy/elector"
+	"github.com/acaciaproxy/acaciaproxy/nodewire"
+	"github.com/acaciaproxy/acaciaproxy/planner"
+)
+
+// zoneView numbers the changes of what the planner shows, so that nodes fetch only what changed.
+type zoneView struct {
+	epoch    int64
+	sequence int64
+	workers  map[string]viewedWorker
+}
+
+// viewedWorker is a worker's view with the sequence of its last change.
+type viewedWorker struct {
+	text     string
+	state    *nodewire.WorkerState
+	sequence int64
+}
+
+func (v *zoneView) reset(epoch int64) {
+	*v = zoneView{epoch: epoch, workers: map[string]viewedWorker{}}
+}
+
+// update takes in the planner's view and reports whether anything changed.
+func (v *zoneView) update(views []planner.WorkerView) bool {
+	changed := false
+	listed := map[string]bool{}
+	for _, view := range views {
+		listed[view.ID] = true
+		text := fmt.Sprintf("%v %d %d %d %v", view.Leaving, view.Running, view.Queued, view.Incarnation, view.Units)
+		if v.workers[view.ID].text == text {
+			continue
+		}
+		v.sequence++
+		v.workers[view.ID] = viewedWorker{text: text, state: workerState(view), sequence: v.sequence}
+		changed = true
+	}
+	for id, known := range v.workers {
+		if !listed[id] && !known.state.GetRemoved() {
+			v.sequence++
+			v.workers[id] = viewedWorker{state: &nodewire.WorkerState{Id: id, Removed: true}, sequence: v.sequence}
+			changed = true
+		}
+	}
+	return changed
+}
+
+func workerState(view planner.WorkerView) *nodewire.WorkerState {
+	state := &nodewire.WorkerState{Id: view.ID, Leaving: view.Leaving, Running: int32(view.Running), Queued: int32(view.Queued), Incarnation: view.Incarnation}
+	for _, unit := range view.Units {
+		state.Residents = append(state.Residents, &nodewire.Resident{Unit: unit.Unit, Phase: unit.Phase})
+	}
+	return state
+}
+
+// Pull answers a node that follows this leader's view.
+func (l *Leader) Pull(request *nodewire.PullRequest) *nodewire.PullReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.follower.Hear(request.GetConfig())
+	l.members[request.GetIncarnation()] = member{
+		Member: elector.Member{Node: request.GetNode(), Incarnation: request.GetIncarnation(), Address: request.GetAddress()},
+		seenAt: now,
+	}
+	reply := &nodewire.PullReply{Config: l.follower.Current().Version(), Incarnation: l.Self().Incarnation}
+	epoch, leading := l.elector.Leading(now)
+	if !leading || l.planner == nil {
+		return reply
+	}
+	l.takeUses(now, request.GetUses())
+	reply.Leading, reply.Epoch, reply.Sequence = true, epoch, l.view.sequence
+	since := request.GetSince()
+	if request.GetEpoch() != l.view.epoch {
+		since = 0
+	}
+	reply.Whole = since == 0
+	for _, worker := range l.view.workers {
+		if worker.sequence > since {
+			reply.Workers = append(reply.Workers, worker.state)
+		}
+	}
+	if l.quarantines != nil {
+		reply.Quarantines = l.quarantines(now)
+	}
+	return reply
+}
+
+// takeUses tells the planner which units a node's requests named; the caller holds mu.
+func (l *Leader) takeUses(now time.Time, uses []*nodewire.Use) {
+	configuration := l.follower.Current().Configuration()
+	for _, use := range uses {
+		spec, found := unitSpec(configuration, use.GetUnit())
+		if !found {
+			continue
+		}
+		l.planner.Use(spec, now)
+		if use.GetSaturated() {
+			l.planner.Pressure(now, spec)
+		}
+	}
+}
+
+// classWeight orders waiting loads by class.
+func classWeight(class string) float64 {
+	switch class {
+	case configurer.ClassUrgent:
+		return 3
+	case configurer.ClassBatch:
+		return 1
+	default:
+		return 2
+	}
+}
+
+// askHold is how long an ask waits at the leader for the unit to be ready.
+const askHold = 250 * time.Millisecond
+
+// Ask answers a node whose requests wait for a unit: at once when the unit is
+// ready or will not be in time, else after askHold with the expected time.
+func (l *Leader) Ask(ctx context.Context, request *nodewire.AskRequest) *nodewire.AskReply {
+	l.follower.Hear(request.GetConfig())
+	now := time.Now()
+	deadline := now.Add(time.Duration(request.GetRemainingMs()) * time.Millisecond)
+	holdUntil := now.Add(askHold)
+	for {
+		reply, changed := l.askOnce(request, deadline)
+		if reply.GetVerdict() != nodewire.Verdict_VERDICT_WAIT || !time.Now().Before(holdUntil) {
+			return reply
+		}
+		select {
+		case <-changed:
+		case <-time.After(time.Until(holdUntil)):
+		case <-ctx.Done():
+			return reply
+		case <-l.stopped:
+			return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_NOT_LEADING}
+		}
+	}
+}
+
+// askOnce returns the reply of now and a channel that is closed at the next change.
+func (l *Leader) askOnce(request *nodewire.AskRequest, deadline time.Time) (*nodewire.AskReply, <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if _, leading := l.elector.Leading(now); !leading || l.planner == nil {
+		return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_NOT_LEADING}, nil
+	}
+	configuration := l.follower.Current().Configuration()
+	spec, found := unitSpec(configuration, request.GetUnit())
+	if !found {
+		return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_REFUSED, Reason: "unit is not in the configuration", RetryMs: 1000}, nil
+	}
+	if spec.Adapter() {
+		if base, found := unitSpec(configuration, spec.Base); found {
+			l.planner.Want(now, base, deadline, classWeight(request.GetClass()))
+		}
+	}
+	l.planner.Want(now, spec, deadline, classWeight(request.GetClass()))
+	verdict := l.planner.Ask(now, request.GetUnit(), deadline)
+	switch verdict.Kind {
+	case planner.VerdictReady:
+		return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_READY, Workers: verdict.Workers}, nil
+	case planner.VerdictRefuse:
+		log.Info().Str("zone", l.zone).Int64("epoch", l.planner.Epoch()).Str("request", request.GetRequest()).
+			Str("unit", request.GetUnit()).Str("reason", verdict.Reason).Msg("cold request refused")
+		return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_REFUSED, Reason: verdict.Reason, RetryMs: max(verdict.RetryAt.Sub(now).Milliseconds(), 1)}, nil
+	}
+	l.kick()
+	return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_WAIT, RetryMs: max(verdict.RetryAt.Sub(now).Milliseconds(), 1)}, l.changed
+}
--- /dev/null
+++ b/leader/leader.go
@@ -0,0 +1,305 @@
+// Package leader runs the part of a node that can lead its zone: it keeps the
+// lease, carries out the planner's decisions, and answers the other nodes.
+//
+// All decisions are made by the elector and planner packages, which do no I/O.
+// This package does the I/O around them under one lock.
+package leader
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/acaciaproxy/acaciaproxy/configurer"
+	"github.com/acaciaproxy/acaciaproxy/elector"
+	"github.com/acaciaproxy/acaciaproxy/engineclient"
+	"github.com/acaciaproxy/acaciaproxy/follower"
+	"github.com/acaciaproxy/acaciaproxy/nodewire"
+	"github.com/acaciaproxy/acaciaproxy/peerclient"
+	"github.com/acaciaproxy/acaciaproxy/planner"
+	"github.com/acaciaproxy/acaciaproxy/platformclient"
+)
+
+// Intervals of the leader's loops.
+const (
+	leaseInterval  = 100 * time.Millisecond
+	planInterval   = 50 * time.Millisecond
+	reportInterval = 500 * time.Millisecond
+	// busyReportInterval applies to workers where something changes.
+	busyReportInterval = 50 * time.Millisecond
+	issuerInterval     = 500 * time.Millisecond
+	// freshMember is the age of the last pull up to which a node counts as well.
+	freshMember = 2 * time.Second
+)
+
+// Time limits of single calls.
+const (
+	platformTime = 1500 * time.Millisecond
+	leaseTime    = 800 * time.Millisecond
+	orderTime    = 3 * time.Second
+	reportTime   = 2 * time.Second
+	peerTime     = 1 * time.Second
+)
+
+// member is another node of the zone as its pulls describe it.
+type member struct {
+	elector.Member
+	// seenAt is when it last pulled.
+	seenAt time.Time
+}
+
+// workerHost is a model worker of the zone.
+type workerHost struct {
+	client *engineclient.Client
+	// polling is set while a goroutine reads its reports.
+	polling bool
+}
+
+// Leader is safe for use by several goroutines.
+type Leader struct {
+	zone     string
+	platform *platformclient.Platform
+	peers    *peerclient.Pool
+	follower *follower.Follower
+	// stopped is closed when the node stops.
+	stopped chan struct{}
+	// kicks wakes the plan loop.
+	kicks chan struct{}
+
+	// mu guards everything below.
+	mu      sync.Mutex
+	elector *elector.Elector
+	// planner is set while this node leads and its epoch is the lease's.
+	planner *planner.Planner
+	// epochVersion is the version of the epoch row that this leader wrote.
+	epochVersion int64
+	// specs are the zone's workers by the host list and configuration.
+	specs []planner.WorkerSpec
+	hosts map[string]*workerHost
+	// nodeHosts are all listed nodes by name.
+	nodeHosts map[string]platformclient.Host
+	// hostsKnown is set once a host list was read.
+	hostsKnown bool
+	members    map[string]member
+	// changed is closed and replaced whenever the planner's state may have changed.
+	changed chan struct{}
+	view    zoneView
+	held    heldRows
+	// ordersInFlight counts the orders sent and not answered.
+	ordersInFlight int
+	// lastUnknownAt is when an order last ended without an answer.
+	lastUnknownAt time.Time
+	// platformSeenAt is when the platform last answered this node.
+	platformSeenAt time.Time
+	// absentSince maps unsettled issuers to when their host was first found gone.
+	absentSince map[string]time.Time
+	// replicatedOnly holds the workers whose newest row is only at the successors.
+	replicatedOnly map[string]bool
+	// retryPersistAt maps workers to when their row may be written again.
+	retryPersistAt map[string]time.Time
+	// quarantines lists what is quarantined in the zone, with the remaining time.
+	quarantines func(now time.Time) []*nodewire.Quarantine
+	keep        func(unit string, lastUse time.Time) time.Time
+}
+
+// New returns the leader part of a node.
+func New(zone string, self elector.Member, platform *platformclient.Platform, peers *peerclient.Pool, configuration *follower.Follower) *Leader {
+	return &Leader{
+		zone: zone, platform: platform, peers: peers, follower: configuration,
+		stopped:        make(chan struct{}),
+		kicks:          make(chan struct{}, 1),
+		elector:        elector.New(self),
+		hosts:          map[string]*workerHost{},
+		nodeHosts:      map[string]platformclient.Host{},
+		members:        map[string]member{},
+		changed:        make(chan struct{}),
+		absentSince:    map[string]time.Time{},
+		replicatedOnly: map[string]bool{},
+		retryPersistAt: map[string]time.Time{},
+		keep:           keepFixed,
+	}
+}
+
+// fixedKeep is how long a unit stays loaded after its last use.
+const fixedKeep = 10 * time.Minute
+
+func keepFixed(_ string, lastUse time.Time) time.Time { return lastUse.Add(fixedKeep) }
+
+// Self returns the member that this node is.
+func (l *Leader) Self() elector.Member { return l.elector.Self() }
+
+// LeaseKey returns the key of the zone's lease row.
+func (l *Leader) LeaseKey() string { return "zone/" + l.zone + "/lease" }
+
+func (l *Leader) epochKey() string { return "zone/" + l.zone + "/epoch" }
+
+func (l *Leader) rowPrefix() string { return "zone/" + l.zone + "/worker/" }
+
+// Run starts the loops; they end when Stop is called.
+func (l *Leader) Run() {
+	go l.loop(leaseInterval, l.keepLease)
+	go l.loop(issuerInterval, l.settleIssuers)
+	go l.planLoop()
+}
+
+func (l *Leader) loop(interval time.Duration, step func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.stopped:
+			return
+		case <-ticker.C:
+			step()
+		}
+	}
+}
+
+// kick makes the plan loop run soon.
+func (l *Leader) kick() {
+	select {
+	case l.kicks <- struct{}{}:
+	default:
+	}
+}
+
+// announce wakes everyone who waits for a change; the caller holds mu.
+func (l *Leader) announce() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
+// SetHosts takes in the host list and the configuration in force.
+func (l *Leader) SetHosts(hosts []platformclient.Host, pinned *follower.Pinned) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hostsKnown = true
+	l.nodeHosts = map[string]platformclient.Host{}
+	l.specs = nil
+	for _, host := range hosts {
+		if host.Kind == platformclient.HostNode {
+			l.nodeHosts[host.ID] = host
+			continue
+		}
+		l.setWorkerHost(host, pinned.Configuration())
+	}
+	if l.planner != nil {
+		l.planner.SetWorkers(l.specs)
+		l.setLimits(pinned.Configuration())
+	}
+}
+
+// setWorkerHost takes in one worker of the host list; the caller holds mu.
+func (l *Leader) setWorkerHost(host platformclient.Host, configuration *configurer.Configuration) {
+	if host.Zone != l.zone || configuration == nil {
+		return
+	}
+	group, found := configuration.Worker(host.Group)
+	if !found || !group.RunsModels() {
+		return
+	}
+	l.specs = append(l.specs, planner.WorkerSpec{
+		ID: host.ID, Memory: group.Memory(), Fencing: group.Fencing(), Slots: group.Slots(),
+		Accelerators: group.Accelerators(), Leaving: host.State == platformclient.StateLeaves,
+	})
+	if known, found := l.hosts[host.ID]; !found || known.client.Address() != host.Address {
+		l.hosts[host.ID] = &workerHost{client: engineclient.New(host.Address)}
+	}
+}
+
+// setLimits gives the planner this zone's share of the weight store, so that
+// the sum over all zones holds even while they are cut off from each other.
+func (l *Leader) setLimits(configuration *configurer.Configuration) {
+	if configuration == nil {
+		return
+	}
+	deployment, found := configuration.Deployment()
+	if !found {
+		return
+	}
+	zones := max(len(deployment.Zones()), 1)
+	l.planner.SetLimits(planner.Limits{
+		Rate:     deployment.Rate() / float64(zones),
+		Parallel: max(deployment.Parallel()/zones, 1),
+		Transit:  max(deployment.Transit()/zones, 1),
+	})
+}
+
+// unitSpec returns the spec of a unit by the configuration.
+func unitSpec(configuration *configurer.Configuration, unit string) (planner.UnitSpec, bool) {
+	if configuration == nil {
+		return planner.UnitSpec{}, false
+	}
+	base, adapterName, isAdapter := strings.Cut(unit, "/")
+	version, found := configuration.Version(base)
+	if !found {
+		return planner.UnitSpec{}, false
+	}
+	spec := planner.UnitSpec{Unit: unit, Checkpoint: version.Checkpoint(), Memory: version.Memory(), LoadMS: version.LoadTime().Milliseconds(), Most: 1}
+	for _, model := range configuration.Models() {
+		if model.Version() == base {
+			spec.Least, spec.Most = max(spec.Least, model.Least()), max(spec.Most, model.Most())
+		}
+	}
+	if !isAdapter {
+		return spec, true
+	}
+	adapter, found := configuration.Adapter(adapterName)
+	if !found {
+		return planner.UnitSpec{}, false
+	}
+	return planner.UnitSpec{Unit: unit, Base: base, Checkpoint: adapter.Checkpoint(), Memory: adapter.Memory(), LoadMS: adapterLoadMS, Most: spec.Most}, true
+}
+
+// adapterLoadMS is the time of an adapter load at full speed, in milliseconds.
+const adapterLoadMS = 12
+
+// Stop ends the loops and hands the lease over if it is held.
+func (l *Leader) Stop() {
+	close(l.stopped)
+	l.mu.Lock()
+	epoch := l.elector.Lease().Epoch
+	proposal := l.elector.Resign(time.Now())
+	l.planner = nil
+	candidates := l.successors(time.Now())
+	l.mu.Unlock()
+	if proposal == nil {
+		return
+	}
+	l.handOver(proposal, epoch, candidates)
+}
+
+// handOver frees the lease row and invites the first successor that answers.
+func (l *Leader) handOver(proposal *elector.Proposal, epoch int64, candidates []elector.Member) {
+	deadline := time.Now().Add(platformTime)
+	if _, err := l.writeLease(proposal, deadline, false); err != nil {
+		log.Warn().Str("zone", l.zone).Err(err).Msg("lease not handed over; it lapses")
+		return
+	}
+	log.Info().Str("zone", l.zone).Int64("epoch", epoch).Msg("lease handed over")
+	for _, candidate := range candidates {
+		if l.invite(candidate, epoch) {
+			return
+		}
+	}
+}
+
+func (l *Leader) invite(candidate elector.Member, epoch int64) bool {
+	client, err := l.peers.Node(candidate.Address)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := peerclient.Until(time.Now().Add(peerTime))
+	defer cancel()
+	reply, err := client.Invite(ctx, &nodewire.InviteRequest{Incarnation: l.Self().Incarnation, Epoch: epoch})
+	return err == nil && reply.GetAccepted()
+}
+
+// SetQuarantines sets the source of the quarantines that go out with each pull.
+func (l *Leader) SetQuarantines(quarantines func(now time.Time) []*nodewire.Quarantine) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.quarantines = quarantines
+}
--- /dev/null
+++ b/peerclient/peer.go
@@ -0,0 +1,88 @@
+// Package peerclient speaks with the other nodes.
+package peerclient
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"github.com/acaciaproxy/acaciaproxy/nodewire"
+)
+
+// Times after which a silent connection to a node is dropped.
+const (
+	keepaliveTime    = 10 * time.Second
+	keepaliveTimeout = 2 * time.Second
+	longestBackoff   = 1 * time.Second
+	connectTimeout   = 1 * time.Second
+)
+
+// Pool holds one connection for each node. It is safe for use by several goroutines.
+type Pool struct {
+	// mu guards connections.
+	mu          sync.Mutex
+	connections map[string]*grpc.ClientConn
+	// cut says whether the node at an address is unreachable; nil means that none is.
+	cut func(address string) bool
+}
+
+// NewPool returns a pool without connections. The cut function is a seam for
+// tests that cut nodes off from each other; it may be nil.
+func NewPool(cut func(address string) bool) *Pool {
+	return &Pool{connections: map[string]*grpc.ClientConn{}, cut: cut}
+}
+
+// CutError says that the seam for tests cut the connection.
+type CutError struct {
+	// address is the node that is cut off.
+	address string
+}
+
+// Error names the address.
+func (e *CutError) Error() string { return fmt.Sprintf("node at %s is cut off", e.address) }
+
+// Node returns the client of the node at an address.
+func (p *Pool) Node(address string) (nodewire.NodeClient, error) {
+	if p.cut != nil && p.cut(address) {
+		return nil, &CutError{address: address}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if connection, open := p.connections[address]; open {
+		return nodewire.NewNodeClient(connection), nil
+	}
+	connection, err := grpc.NewClient(address,
+		grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveTime, Timeout: keepaliveTimeout}),
+		grpc.WithConnectParams(grpc.ConnectParams{
+			Backoff:           backoff.Config{BaseDelay: longestBackoff / 10, Multiplier: 1.6, MaxDelay: longestBackoff},
+			MinConnectTimeout: connectTimeout,
+		}),
+	)
+	if err != nil {
+		return nil, fmt.Errorf("connect to node %s: %w", address, err)
+	}
+	p.connections[address] = connection
+	return nodewire.NewNodeClient(connection), nil
+}
+
+// Close closes every connection.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, connection := range p.connections {
+		_ = connection.Close()
+	}
+	p.connections = map[string]*grpc.ClientConn{}
+}
+
+// Until returns a context that ends at a deadline.
+func Until(deadline time.Time) (context.Context, context.CancelFunc) {
+	return context.WithDeadline(context.Background(), deadline)
+}
--- /dev/null
+++ b/planner/decide.go
@@ -0,0 +1,349 @@
+package planner
+
+import (
+	"sort"
+	"strings"
+	"time"
+)
+
+// Tick decides what is due: fence orders, loads, evictions and unloads.
+func (p *Planner) Tick(now time.Time) {
+	p.forget(now)
+	for _, id := range p.workerIDs() {
+		p.tickWorker(now, p.workers[id])
+	}
+	p.holdLeast(now)
+	for _, w := range p.queue() {
+		p.tryLoad(now, w)
+	}
+	p.unloadIdle(now)
+}
+
+// forget ends demands whose time is over and drops those long unused.
+func (p *Planner) forget(now time.Time) {
+	for unit, w := range p.wants {
+		if now.After(w.targetUntil) {
+			w.target = min(w.target, 1)
+		}
+		if now.After(w.until) {
+			w.target = 0
+			w.weight = 0
+		}
+		if now.Sub(w.lastUse) > wantMemory && p.replicas(unit) == 0 && w.spec.Least == 0 {
+			delete(p.wants, unit)
+		}
+	}
+}
+
+// holdLeast keeps the configured least number of replicas.
+func (p *Planner) holdLeast(now time.Time) {
+	for _, w := range p.wants {
+		if w.spec.Least > w.target {
+			w.target = w.spec.Least
+			w.until = now.Add(pressureHold)
+			w.targetUntil = w.until
+			w.deadline = maxTime(w.deadline, w.until)
+		}
+	}
+}
+
+func (p *Planner) tickWorker(now time.Time, w *worker) {
+	if !w.adopted || w.gone {
+		return
+	}
+	p.writeNext(w)
+	if !w.fenced && !now.Before(w.fenceAt) {
+		p.sendFence(now, w)
+	}
+	for i := range w.row.Charges {
+		charge := &w.row.Charges[i]
+		if charge.Phase == PhaseUnloading && !now.Before(w.retryAt[charge.Unit]) && w.row.Sequence == w.persisted {
+			w.retryAt[charge.Unit] = now.Add(OrderTimeout)
+			order := p.newOrder(w, VerbUnload)
+			order.Unit = charge.Unit
+			p.send(order)
+		}
+	}
+}
+
+// holders returns the workers that have a unit in a phase and may get work.
+func (p *Planner) holders(unit, phase string) []string {
+	var ids []string
+	for id, w := range p.workers {
+		at := w.row.find(unit)
+		if at >= 0 && w.row.Charges[at].Phase == phase && w.usable() {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+func (w *worker) usable() bool {
+	return w.adopted && !w.gone && !w.spec.Leaving && !w.report.Leaving
+}
+
+// replicas counts the workers where a unit is loading or ready.
+func (p *Planner) replicas(unit string) int {
+	return len(p.holders(unit, PhaseLoading)) + len(p.holders(unit, PhaseReady))
+}
+
+// loading counts the loads under way, of adapters or of models.
+func (p *Planner) loading(adapters bool) int {
+	count := 0
+	for _, w := range p.workers {
+		for _, charge := range w.row.Charges {
+			if charge.Phase == PhaseLoading && strings.Contains(charge.Unit, "/") == adapters {
+				count++
+			}
+		}
+	}
+	return count
+}
+
+// fits reports whether any worker could hold the unit if it were empty. A new
+// leader does not yet know all workers, and assumes that one could.
+func (p *Planner) fits(now time.Time, spec UnitSpec) bool {
+	for _, w := range p.workers {
+		if (w.usable() || !w.adopted) && w.spec.Memory >= spec.Memory {
+			return true
+		}
+	}
+	return now.Before(p.warmUntil)
+}
+
+// storeAllows reports whether the weight store's limits allow a load now.
+func (p *Planner) storeAllows(now time.Time, spec UnitSpec) bool {
+	if spec.Adapter() {
+		return p.loading(true) < p.limits.Transit
+	}
+	return !now.Before(p.loadAt) && p.loading(false) < p.limits.Parallel
+}
+
+// tryLoad decides one load of a wanted unit if it is possible now.
+func (p *Planner) tryLoad(now time.Time, w *want) {
+	if now.Before(w.retryAt) || !p.storeAllows(now, w.spec) {
+		return
+	}
+	if chosen := p.choose(w.spec); chosen != nil {
+		p.load(now, chosen, w.spec)
+		return
+	}
+	p.makeRoom(now, w)
+}
+
+// choose returns the worker that can load a unit at the least cost, or nil.
+// A nearer checkpoint comes first; among equals the fullest worker, so that
+// rarely used units share workers and others stay empty.
+func (p *Planner) choose(spec UnitSpec) *worker {
+	var best *worker
+	for _, id := range p.workerIDs() {
+		w := p.workers[id]
+		if !p.canHold(w, spec) || w.free() < spec.Memory {
+			continue
+		}
+		if best == nil || p.better(w, best, spec) {
+			best = w
+		}
+	}
+	return best
+}
+
+func (p *Planner) canHold(w *worker, spec UnitSpec) bool {
+	if !w.usable() || !w.reported || w.row.find(spec.Unit) >= 0 {
+		return false
+	}
+	if spec.Base == "" {
+		return true
+	}
+	at := w.row.find(spec.Base)
+	return at >= 0 && w.row.Charges[at].Phase == PhaseReady
+}
+
+func (p *Planner) better(a, b *worker, spec UnitSpec) bool {
+	timeA, timeB := p.loadTime(spec, a), p.loadTime(spec, b)
+	if timeA != timeB {
+		return timeA < timeB
+	}
+	return a.free() < b.free()
+}
+
+func (w *worker) free() int64 { return w.spec.Memory - w.row.memory() }
+
+// Shares of the remote load time that a load from a nearer tier takes.
+const (
+	memoryTierShare = 0.1
+	diskTierShare   = 0.35
+)
+
+// loadTime estimates a load at a worker, or from the weight store if w is nil.
+func (p *Planner) loadTime(spec UnitSpec, w *worker) time.Duration {
+	remote := time.Duration(spec.LoadMS) * time.Millisecond
+	if w == nil {
+		return remote
+	}
+	switch w.report.Caches[spec.Unit] {
+	case "memory":
+		return time.Duration(float64(remote) * memoryTierShare)
+	case "disk":
+		return time.Duration(float64(remote) * diskTierShare)
+	default:
+		return remote
+	}
+}
+
+// nearestLoadTime estimates a load at the usable worker nearest to the checkpoint.
+func (p *Planner) nearestLoadTime(spec UnitSpec) time.Duration {
+	least := p.loadTime(spec, nil)
+	for _, w := range p.workers {
+		if w.usable() {
+			least = min(least, p.loadTime(spec, w))
+		}
+	}
+	return least
+}
+
+func (p *Planner) load(now time.Time, w *worker, spec UnitSpec) {
+	order := p.newOrder(w, VerbLoad)
+	order.Unit, order.Checkpoint, order.Adapter = spec.Unit, spec.Checkpoint, spec.Adapter()
+	order.Memory, order.LoadMS = spec.Memory, spec.LoadMS
+	row := w.row.clone()
+	row.Charges = append(row.Charges, Charge{Unit: spec.Unit, Memory: spec.Memory, Phase: PhaseLoading, Order: order.ID, Issuer: p.issuer})
+	if p.checkMemory(w, row) != nil {
+		return
+	}
+	w.row = row
+	p.wants[spec.Unit].loadStartedAt = now
+	p.decided++
+	if now.Sub(p.unloadedAt[spec.Unit]) < reloadWindow {
+		p.reloads++
+	}
+	if !spec.Adapter() {
+		p.loadAt = maxTime(now, p.loadAt).Add(time.Duration(float64(time.Second) / p.limits.Rate))
+	}
+	p.persist(w)
+	w.pending = append(w.pending, pendingOrder{order: order, sequence: w.row.Sequence})
+}
+
+// reloadWindow is the age of an unload within which a load counts as a reload.
+const reloadWindow = time.Minute
+
+// makeRoom evicts the least recently used units of one worker, as few as
+// needed, if none of them is younger in use than the waiting unit's demand.
+func (p *Planner) makeRoom(now time.Time, waiting *want) {
+	var best *worker
+	var bestVictims []string
+	for _, id := range p.workerIDs() {
+		w := p.workers[id]
+		if !p.canHold(w, waiting.spec) {
+			continue
+		}
+		if w.freeing() >= waiting.spec.Memory {
+			return
+		}
+		victims := p.victims(now, w, waiting.spec)
+		if victims != nil && (best == nil || len(victims) < len(bestVictims)) {
+			best, bestVictims = w, victims
+		}
+	}
+	if best != nil {
+		p.unload(best, bestVictims)
+	}
+}
+
+// freeing returns the bytes that are free once all unloads under way are confirmed.
+func (w *worker) freeing() int64 {
+	free := w.free()
+	for _, charge := range w.row.Charges {
+		if charge.Phase == PhaseUnloading {
+			free += charge.Memory
+		}
+	}
+	return free
+}
+
+// minResidence is how long after its last use a unit cannot be evicted for another.
+const minResidence = 2 * time.Second
+
+// victims returns the units to evict from a worker so that a unit fits, or nil.
+func (p *Planner) victims(now time.Time, w *worker, spec UnitSpec) []string {
+	candidates := p.evictable(now, w, spec.Base)
+	needed := spec.Memory - w.freeing()
+	var victims []string
+	for _, charge := range candidates {
+		if needed <= 0 {
+			break
+		}
+		victims = append(victims, charge.Unit)
+		needed -= charge.Memory
+	}
+	if needed > 0 {
+		return nil
+	}
+	return victims
+}
+
+// evictable returns the ready charges of a worker, least recently used first.
+func (p *Planner) evictable(now time.Time, w *worker, base string) []Charge {
+	var candidates []Charge
+	for _, charge := range w.row.Charges {
+		if charge.Phase == PhaseReady && charge.Unit != base && now.Sub(p.lastUse(charge.Unit)) > minResidence {
+			candidates = append(candidates, charge)
+		}
+	}
+	sort.Slice(candidates, func(i, j int) bool {
+		return p.lastUse(candidates[i].Unit).Before(p.lastUse(candidates[j].Unit))
+	})
+	return candidates
+}
+
+// lastUse returns the last use of a unit, or of any adapter on it.
+func (p *Planner) lastUse(unit string) time.Time {
+	last := p.startedAt
+	for other, w := range p.wants {
+		if other == unit || strings.HasPrefix(other, unit+"/") {
+			last = maxTime(last, w.lastUse)
+		}
+	}
+	return last
+}
+
+// unload marks units, and the adapters on them, as unloading.
+func (p *Planner) unload(w *worker, units []string) {
+	for i := range w.row.Charges {
+		charge := &w.row.Charges[i]
+		for _, unit := range units {
+			if charge.Unit == unit || strings.HasPrefix(charge.Unit, unit+"/") {
+				charge.Phase = PhaseUnloading
+			}
+		}
+	}
+	p.persist(w)
+}
+
+// unloadIdle unloads the units that the keep policy gives up, and replicas above the target.
+func (p *Planner) unloadIdle(now time.Time) {
+	for _, id := range p.workerIDs() {
+		w := p.workers[id]
+		if !w.adopted || w.gone || w.writing != 0 {
+			continue
+		}
+		var idle []string
+		for _, charge := range w.row.Charges {
+			if charge.Phase == PhaseReady && p.isIdle(now, charge.Unit) {
+				idle = append(idle, charge.Unit)
+			}
+		}
+		if len(idle) > 0 {
+			p.unload(w, idle)
+		}
+	}
+}
+
+func (p *Planner) isIdle(now time.Time, unit string) bool {
+	if want, known := p.wants[unit]; known && want.target > 0 {
+		return false
+	}
+	last := p.lastUse(unit)
+	return now.Sub(last) > minResidence && now.After(p.keep(unit, last))
+}
--- /dev/null
+++ b/planner/planner.go
@@ -0,0 +1,419 @@
+// Package planner decides, for the leader of a zone, which units are loaded
+// and unloaded on which workers.
+//
+// The package holds no clock and does no I/O: events and the current time go
+// in, actions come out. A decision is first persisted in the worker's row and
+// then sent as an order; memory is charged from the moment of the decision
+// until the unload is confirmed.
+package planner
+
+import (
+	"fmt"
+	"sort"
+	"time"
+)
+
+// Verbs of orders.
+const (
+	VerbLoad   = "load"
+	VerbUnload = "unload"
+	VerbFence  = "fence"
+)
+
+// UnitSpec describes a loadable unit: a model version, or an adapter on one.
+type UnitSpec struct {
+	// Unit is the unit's key, unique.
+	Unit string
+	// Base is the unit that must be ready on the same worker first, or empty.
+	Base string
+	// Checkpoint is the name in the weight store.
+	Checkpoint string
+	// Memory is in bytes, above 0.
+	Memory int64
+	// LoadMS is the time of a load from the weight store, in milliseconds.
+	LoadMS int64
+	// Least and Most bound the replicas in the zone.
+	Least, Most int
+}
+
+// Adapter reports whether the unit is an adapter.
+func (s UnitSpec) Adapter() bool { return s.Base != "" }
+
+// WorkerSpec describes a worker as the host list and the configuration do.
+type WorkerSpec struct {
+	// ID is the host's name.
+	ID string
+	// Memory is in bytes.
+	Memory int64
+	// Fencing is set when the worker refuses old fencing numbers.
+	Fencing bool
+	// Slots is how many requests the worker runs at once.
+	Slots int
+	// Accelerators is how many accelerators the worker holds while anything is loaded.
+	Accelerators int
+	// Leaving is set when the worker must get no new work.
+	Leaving bool
+}
+
+// UnitState is one loaded unit in a report.
+type UnitState struct {
+	Unit   string
+	Ready  bool
+	Memory int64
+}
+
+// Report is what a worker says of itself.
+type Report struct {
+	// Incarnation rises when the worker restarts.
+	Incarnation int64
+	// Sequence rises with every report of an incarnation.
+	Sequence int64
+	Units    []UnitState
+	// Caches maps checkpoints that are near the worker to their tier.
+	Caches map[string]string
+	// Orders lists the last orders that the worker accepted.
+	Orders  []string
+	Running int
+	Queued  int
+	Leaving bool
+}
+
+// Order is a command to a worker.
+type Order struct {
+	ID         string
+	Worker     string
+	Fence      int64
+	Verb       string
+	Unit       string
+	Checkpoint string
+	Adapter    bool
+	Memory     int64
+	LoadMS     int64
+}
+
+// Action is what the caller must do: persist a row, or send an order.
+type Action struct {
+	// Worker is the worker that the action is about.
+	Worker string
+	// Persist is the row to write, or nil.
+	Persist *Row
+	// Version is the table version that the persisted row replaces.
+	Version int64
+	// Send is the order to send, or nil.
+	Send *Order
+}
+
+// OrderOutcome says what became of an order.
+type OrderOutcome int
+
+// The outcomes of an order.
+const (
+	// OrderAccepted means that the worker took the order.
+	OrderAccepted OrderOutcome = iota
+	// OrderRefused means that the worker did not and will not carry the order out.
+	OrderRefused
+	// OrderUnknown means that the order may still take effect.
+	OrderUnknown
+)
+
+// OrderTimeout is the longest time after its sending at which an order can take effect.
+const OrderTimeout = 10 * time.Second
+
+// fencesPerEpoch is how many orders one leader may number.
+const fencesPerEpoch = 1 << 24
+
+// pendingOrder is an order that waits for the row that decides it.
+type pendingOrder struct {
+	order Order
+	// sequence is the row sequence that must be written before the order is sent.
+	sequence int64
+}
+
+// worker is what the planner knows of one worker.
+type worker struct {
+	spec WorkerSpec
+	// adopted is set once the decision row was read under this lease.
+	adopted bool
+	// row is what is decided; it may be ahead of what is persisted.
+	row Row
+	// version is the table version of the last persisted row.
+	version int64
+	// persisted is the sequence of the last persisted row.
+	persisted int64
+	// writing is the sequence being written, or 0.
+	writing int64
+	// pending holds orders in the order of decision.
+	pending []pendingOrder
+	// report is the newest report.
+	report Report
+	// reported is set once a report has come.
+	reported bool
+	// reportedAt is when the newest report came.
+	reportedAt time.Time
+	// fenceOrder is the id of the order that this leader sent first.
+	fenceOrder string
+	// fenced is set once the worker accepted the fence order.
+	fenced bool
+	// fenceAt is when the fence order may be sent again.
+	fenceAt time.Time
+	// unloads maps units to the id of the accepted unload order.
+	unloads map[string]string
+	// timeouts maps units with an unanswered load order to the time after which it cannot take effect.
+	timeouts map[string]time.Time
+	// retryAt maps units to when an unload may be sent again.
+	retryAt map[string]time.Time
+	// proofs maps units to the fence order that a report must list before the unit's absence counts.
+	proofs map[string]string
+	// unitsAdopted is set once a report proved what the worker held at the takeover.
+	unitsAdopted bool
+	// gone is set when the host list no longer names the worker.
+	gone bool
+}
+
+// Planner is the state of one leader. Its methods must not run at the same time.
+type Planner struct {
+	zone string
+	// issuer is this incarnation.
+	issuer string
+	// epoch is the lease epoch; it never changes.
+	epoch int64
+	// orders counts the orders numbered under this epoch.
+	orders  int64
+	workers map[string]*worker
+	wants   map[string]*want
+	limits  Limits
+	// keep says until when a ready unit that was last used at a time is kept.
+	keep    func(unit string, lastUse time.Time) time.Time
+	actions []Action
+	// issuersGone holds the incarnations whose orders can take effect no more.
+	issuersGone map[string]bool
+	// loadAt is the earliest time of the next load by the store's rate.
+	loadAt time.Time
+	// decided counts the load decisions, reloads those within reloadWindow of an unload.
+	decided, reloads int64
+	// unloadedAt maps units to when they were last unloaded.
+	unloadedAt map[string]time.Time
+	// warmUntil is until when the list of workers may still be incomplete.
+	warmUntil time.Time
+	// startedAt is when the first row was adopted; every unit counts as used then.
+	startedAt time.Time
+}
+
+// Limits are this zone's share of the weight store's limits.
+type Limits struct {
+	// Rate is the model loads a second.
+	Rate float64
+	// Parallel is how many model loads may run at once.
+	Parallel int
+	// Transit is how many adapter loads may run at once.
+	Transit int
+}
+
+// warmTime is how long a new leader may take to learn of all workers.
+const warmTime = 3 * time.Second
+
+// New returns the planner of a leader. The keep function decides until when
+// a unit that was last used at a time stays loaded.
+func New(now time.Time, zone, issuer string, epoch int64, keep func(unit string, lastUse time.Time) time.Time) *Planner {
+	return &Planner{
+		zone: zone, issuer: issuer, epoch: epoch, keep: keep, warmUntil: now.Add(warmTime),
+		workers:     map[string]*worker{},
+		wants:       map[string]*want{},
+		issuersGone: map[string]bool{},
+		unloadedAt:  map[string]time.Time{},
+		limits:      Limits{Rate: 1, Parallel: 1, Transit: 1},
+	}
+}
+
+// Epoch returns the lease epoch under which the planner decides.
+func (p *Planner) Epoch() int64 { return p.epoch }
+
+// SetLimits sets the zone's share of the weight store.
+func (p *Planner) SetLimits(limits Limits) { p.limits = limits }
+
+// Actions returns and forgets the actions decided since the last call.
+func (p *Planner) Actions() []Action {
+	actions := p.actions
+	p.actions = nil
+	return actions
+}
+
+// SetWorkers replaces the list of workers.
+func (p *Planner) SetWorkers(specs []WorkerSpec) {
+	listed := map[string]bool{}
+	for _, spec := range specs {
+		listed[spec.ID] = true
+		w, known := p.workers[spec.ID]
+		if !known {
+			w = newWorker()
+			p.workers[spec.ID] = w
+		}
+		w.spec = spec
+		w.gone = false
+	}
+	for id, w := range p.workers {
+		if !listed[id] {
+			w.gone = true
+		}
+	}
+}
+
+func newWorker() *worker {
+	return &worker{unloads: map[string]string{}, timeouts: map[string]time.Time{}, retryAt: map[string]time.Time{}, proofs: map[string]string{}}
+}
+
+// Adopt takes in a worker's decision row as read under this lease. A row that
+// does not exist has version 0. Durable is the sequence of the row in the
+// table, which is lower than the row's when successors hold a newer one.
+func (p *Planner) Adopt(now time.Time, id string, row Row, version, durable int64) {
+	w, known := p.workers[id]
+	if !known || w.adopted {
+		return
+	}
+	if p.startedAt.IsZero() {
+		p.startedAt = now
+	}
+	w.adopted = true
+	w.row = row.clone()
+	w.row.Epoch = p.epoch
+	w.version = version
+	w.persisted = durable
+	w.writing = 0
+	p.sendFence(now, w)
+	for _, charge := range w.row.Charges {
+		w.proofs[charge.Unit] = w.fenceOrder
+	}
+}
+
+// Unadopted returns the workers whose rows must be read.
+func (p *Planner) Unadopted() []string {
+	var ids []string
+	for id, w := range p.workers {
+		if !w.adopted && !w.gone {
+			ids = append(ids, id)
+		}
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// fenceRetry is the pause between two fence orders.
+const fenceRetry = 1 * time.Second
+
+func (p *Planner) sendFence(now time.Time, w *worker) {
+	order := p.newOrder(w, VerbFence)
+	w.fenceOrder = order.ID
+	w.fenceAt = now.Add(fenceRetry)
+	p.send(order)
+}
+
+func (p *Planner) newOrder(w *worker, verb string) Order {
+	p.orders++
+	fence := p.epoch*fencesPerEpoch + p.orders
+	return Order{ID: fmt.Sprintf("%s-%d-%d", p.issuer, p.epoch, p.orders), Worker: w.spec.ID, Fence: fence, Verb: verb}
+}
+
+func (p *Planner) send(order Order) {
+	p.actions = append(p.actions, Action{Worker: order.Worker, Send: &order})
+}
+
+// persist schedules the write of a worker's row. One write is under way at a time.
+func (p *Planner) persist(w *worker) {
+	w.row.Sequence++
+	w.row.Epoch = p.epoch
+	p.writeNext(w)
+}
+
+func (p *Planner) writeNext(w *worker) {
+	if w.writing != 0 || w.row.Sequence == w.persisted {
+		return
+	}
+	w.writing = w.row.Sequence
+	row := w.row.clone()
+	p.actions = append(p.actions, Action{Worker: w.spec.ID, Persist: &row, Version: w.version})
+}
+
+// Persisted takes in that a row was written, or replicated to every successor.
+func (p *Planner) Persisted(id string, sequence, version int64) {
+	w, known := p.workers[id]
+	if !known || w.writing != sequence {
+		return
+	}
+	w.writing = 0
+	w.persisted = sequence
+	w.version = version
+	kept := w.pending[:0]
+	for _, pending := range w.pending {
+		if pending.sequence > sequence {
+			kept = append(kept, pending)
+			continue
+		}
+		p.send(pending.order)
+	}
+	w.pending = kept
+	p.writeNext(w)
+}
+
+// NotPersisted takes in that a row was not written. Version is the row's
+// version in the table; the write is tried again against it.
+func (p *Planner) NotPersisted(id string, version int64) {
+	w, known := p.workers[id]
+	if !known {
+		return
+	}
+	w.writing = 0
+	w.version = version
+}
+
+// Rewrite makes the next tick write a worker's row again, because the last
+// write went only to the successors.
+func (p *Planner) Rewrite(id string) {
+	w, known := p.workers[id]
+	if !known || w.writing != 0 {
+		return
+	}
+	w.row.Sequence++
+}
+
+// MarkGone takes in that an incarnation's orders can take effect no more.
+func (p *Planner) MarkGone(issuer string) { p.issuersGone[issuer] = true }
+
+// UnsettledIssuers returns the incarnations other than this one with unsettled charges.
+func (p *Planner) UnsettledIssuers() []string {
+	found := map[string]bool{}
+	for _, w := range p.workers {
+		for _, charge := range w.row.Charges {
+			if !charge.Settled && charge.Issuer != p.issuer && !p.issuersGone[charge.Issuer] {
+				found[charge.Issuer] = true
+			}
+		}
+	}
+	issuers := make([]string, 0, len(found))
+	for issuer := range found {
+		issuers = append(issuers, issuer)
+	}
+	sort.Strings(issuers)
+	return issuers
+}
+
+// workerIDs returns the workers in a fixed order.
+func (p *Planner) workerIDs() []string {
+	ids := make([]string, 0, len(p.workers))
+	for id := range p.workers {
+		ids = append(ids, id)
+	}
+	sort.Strings(ids)
+	return ids
+}
+
+// String names the outcome in log lines.
+func (o OrderOutcome) String() string {
+	switch o {
+	case OrderAccepted:
+		return "accepted"
+	case OrderRefused:
+		return "refused"
+	default:
+		return "unknown"
+	}
+}
--- /dev/null
+++ b/recorder/recorder.go
@@ -0,0 +1,152 @@
+// Package recorder counts what a node does and keeps histograms for each
+// tenant and class. Everything is published through expvar.
+package recorder
+
+import (
+	"encoding/json"
+	"expvar"
+	"hash/maphash"
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Measures of a request, each with a histogram for every tenant and class.
+const (
+	// MeasureQueue is the wait for a saturated worker.
+	MeasureQueue = "queue"
+	// MeasureCold is the wait for a unit that was loaded nowhere.
+	MeasureCold = "cold"
+	// MeasureFirst is the time to the first token.
+	MeasureFirst = "first"
+	// MeasureBetween is the time between two tokens.
+	MeasureBetween = "between"
+	// MeasureWhole is the time to the end of the answer.
+	MeasureWhole = "whole"
+)
+
+// Range and precision of the histograms, in microseconds.
+const (
+	leastMicroseconds = 1
+	mostMicroseconds  = 600_000_000
+	precisionDigits   = 2
+)
+
+// maxSeries bounds the number of histograms; further tenants share one name.
+const maxSeries = 512
+
+// otherTenant stands for the tenants beyond maxSeries.
+const otherTenant = "other"
+
+const shardCount = 16
+
+type seriesKey struct{ measure, tenant, class string }
+
+type shard struct {
+	// mu guards series.
+	mu     sync.Mutex
+	series map[seriesKey]*hdrhistogram.Histogram
+}
+
+// Recorder is safe for use by several goroutines.
+type Recorder struct {
+	shards   [shardCount]shard
+	seed     maphash.Seed
+	counters *expvar.Map
+}
+
+var (
+	publishOnce sync.Once
+	counters    = new(expvar.Map).Init()
+)
+
+// New returns a recorder without values. The counters of all recorders of a
+// process are one map.
+func New() *Recorder {
+	r := &Recorder{seed: maphash.MakeSeed(), counters: counters}
+	for i := range r.shards {
+		r.shards[i].series = map[seriesKey]*hdrhistogram.Histogram{}
+	}
+	publishOnce.Do(func() {
+		expvar.Publish("counters", counters)
+		expvar.Publish("histograms", expvar.Func(func() any { return r.Summaries() }))
+	})
+	return r
+}
+
+// Count adds one to a counter.
+func (r *Recorder) Count(name string) { r.counters.Add(name, 1) }
+
+// Observe records one or more durations of a measure.
+func (r *Recorder) Observe(measure, tenant, class string, durations ...time.Duration) {
+	key := seriesKey{measure, tenant, class}
+	s := &r.shards[maphash.Comparable(r.seed, key)%shardCount]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	histogram, known := s.series[key]
+	if !known {
+		if len(s.series) >= maxSeries/shardCount {
+			key.tenant = otherTenant
+			histogram = s.series[key]
+		}
+		if histogram == nil {
+			histogram = hdrhistogram.New(leastMicroseconds, mostMicroseconds, precisionDigits)
+			s.series[key] = histogram
+		}
+	}
+	for _, duration := range durations {
+		_ = histogram.RecordValue(min(max(duration.Microseconds(), leastMicroseconds), mostMicroseconds))
+	}
+}
+
+// Summary describes one histogram, in milliseconds.
+type Summary struct {
+	Measure string  `json:"measure"`
+	Tenant  string  `json:"tenant"`
+	Class   string  `json:"class"`
+	Count   int64   `json:"count"`
+	P50     float64 `json:"p50_ms"`
+	P95     float64 `json:"p95_ms"`
+	P99     float64 `json:"p99_ms"`
+	P999    float64 `json:"p999_ms"`
+	Max     float64 `json:"max_ms"`
+}
+
+// microsecondsPerMillisecond converts recorded values for summaries.
+const microsecondsPerMillisecond = 1000
+
+// Summaries returns a summary of every histogram.
+func (r *Recorder) Summaries() []Summary {
+	summaries := []Summary{}
+	for i := range r.shards {
+		s := &r.shards[i]
+		s.mu.Lock()
+		for key, histogram := range s.series {
+			summaries = append(summaries, summarize(key, histogram))
+		}
+		s.mu.Unlock()
+	}
+	return summaries
+}
+
+func summarize(key seriesKey, histogram *hdrhistogram.Histogram) Summary {
+	at := func(quantile float64) float64 {
+		return float64(histogram.ValueAtQuantile(quantile)) / microsecondsPerMillisecond
+	}
+	return Summary{
+		Measure: key.measure, Tenant: key.tenant, Class: key.class, Count: histogram.TotalCount(),
+		P50: at(50), P95: at(95), P99: at(99), P999: at(99.9), Max: at(100),
+	}
+}
+
+// Vars returns every expvar variable as JSON.
+func Vars() []byte {
+	all := map[string]json.RawMessage{}
+	expvar.Do(func(kv expvar.KeyValue) { all[kv.Key] = json.RawMessage(kv.Value.String()) })
+	text, err := json.Marshal(all)
+	if err != nil {
+		return []byte("{}")
+	}
+	return text
+}
--- /dev/null
+++ b/server/server.go
@@ -0,0 +1,211 @@
+// Package server runs one node: it builds the parts, starts their loops and
+// listeners, and stops them in an order that cuts no request.
+package server
+
+import (
+	"fmt"
+	"net"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/samber/do/v2"
+	"google.golang.org/grpc"
+
+	"github.com/acaciaproxy/acaciaproxy/asker"
+	"github.com/acaciaproxy/acaciaproxy/claimer"
+	"github.com/acaciaproxy/acaciaproxy/elector"
+	"github.com/acaciaproxy/acaciaproxy/follower"
+	"github.com/acaciaproxy/acaciaproxy/gateway"
+	"github.com/acaciaproxy/acaciaproxy/isolator"
+	"github.com/acaciaproxy/acaciaproxy/leader"
+	"github.com/acaciaproxy/acaciaproxy/nodewire"
+	"github.com/acaciaproxy/acaciaproxy/operator"
+	"github.com/acaciaproxy/acaciaproxy/peerclient"
+	"github.com/acaciaproxy/acaciaproxy/platformclient"
+	"github.com/acaciaproxy/acaciaproxy/queuer"
+	"github.com/acaciaproxy/acaciaproxy/recorder"
+	"github.com/acaciaproxy/acaciaproxy/settingsreader"
+	"github.com/acaciaproxy/acaciaproxy/tracker"
+)
+
+// Server is one node.
+type Server struct {
+	settings *settingsreader.Settings
+	injector *do.RootScope
+	platform *platformclient.Platform
+	follower *follower.Follower
+	tracker  *tracker.Tracker
+	leader   *leader.Leader
+	gateway  *gateway.Gateway
+	operator *operator.Operator
+	isolator *isolator.Isolator
+	peers    *peerclient.Pool
+	poller   *poller
+	grpc     *grpc.Server
+}
+
+// New builds a node from its settings.
+func New(settings *settingsreader.Settings) (*Server, error) {
+	injector := do.New()
+	do.ProvideValue(injector, settings)
+	provide(injector)
+	s, err := do.Invoke[*Server](injector)
+	if err != nil {
+		return nil, fmt.Errorf("build node %q: %w", settings.Name(), err)
+	}
+	s.injector = injector
+	return s, nil
+}
+
+// provide registers the constructor of every part.
+func provide(injector do.Injector) {
+	do.Provide(injector, func(i do.Injector) (*platformclient.Platform, error) {
+		settings := do.MustInvoke[*settingsreader.Settings](i)
+		return platformclient.NewHTTP(settings.Platform(), settings.Zone()), nil
+	})
+	do.Provide(injector, func(i do.Injector) (*follower.Follower, error) {
+		return follower.New(do.MustInvoke[*platformclient.Platform](i), logVersion), nil
+	})
+	do.Provide(injector, func(do.Injector) (*tracker.Tracker, error) { return tracker.New(), nil })
+	do.Provide(injector, func(do.Injector) (*queuer.Queuer, error) { return queuer.New(), nil })
+	do.Provide(injector, func(do.Injector) (*recorder.Recorder, error) { return recorder.New(), nil })
+	do.Provide(injector, func(do.Injector) (*peerclient.Pool, error) { return peerclient.NewPool(nil), nil })
+	do.Provide(injector, func(i do.Injector) (*claimer.Claimer, error) {
+		return claimer.New(do.MustInvoke[*platformclient.Platform](i)), nil
+	})
+	do.Provide(injector, provideLeader)
+	do.Provide(injector, providePoller)
+	do.Provide(injector, provideIsolator)
+	do.Provide(injector, provideAsker)
+	do.Provide(injector, provideGateway)
+	do.Provide(injector, provideServer)
+}
+
+func logVersion(pinned *follower.Pinned) {
+	log.Info().Int64("version", pinned.Version()).Msg("configuration in force")
+}
+
+func provideLeader(i do.Injector) (*leader.Leader, error) {
+	settings := do.MustInvoke[*settingsreader.Settings](i)
+	self := elector.Member{
+		Node:        settings.Name(),
+		Incarnation: leader.NewIncarnation(settings.Name(), time.Now()),
+		Address:     settings.Nodes(),
+	}
+	return leader.New(settings.Zone(), self, do.MustInvoke[*platformclient.Platform](i),
+		do.MustInvoke[*peerclient.Pool](i), do.MustInvoke[*follower.Follower](i)), nil
+}
+
+func providePoller(i do.Injector) (*poller, error) {
+	return newPoller(
+		do.MustInvoke[*settingsreader.Settings](i), do.MustInvoke[*platformclient.Platform](i), do.MustInvoke[*follower.Follower](i),
+		do.MustInvoke[*tracker.Tracker](i), do.MustInvoke[*leader.Leader](i), do.MustInvoke[*peerclient.Pool](i)), nil
+}
+
+func provideIsolator(i do.Injector) (*isolator.Isolator, error) {
+	settings := do.MustInvoke[*settingsreader.Settings](i)
+	known := do.MustInvoke[*tracker.Tracker](i)
+	usable := func() []string { return known.Usable(settings.Zone()) }
+	return isolator.New(settings.Name(), do.MustInvoke[*poller](i).leaderClient, usable), nil
+}
+
+func provideAsker(i do.Injector) (*asker.Asker, error) {
+	settings := do.MustInvoke[*settingsreader.Settings](i)
+	known := do.MustInvoke[*tracker.Tracker](i)
+	configuration := do.MustInvoke[*follower.Follower](i)
+	ready := func(unit string, workers []string) {
+		for _, worker := range workers {
+			known.SetReady(worker, unit)
+		}
+	}
+	version := func() int64 { return configuration.Current().Version() }
+	return asker.New(settings.Name(), do.MustInvoke[*poller](i).leaderClient, ready, version), nil
+}
+
+func provideGateway(i do.Injector) (*gateway.Gateway, error) {
+	return gateway.New(gateway.Parts{
+		Settings:  do.MustInvoke[*settingsreader.Settings](i),
+		Follower:  do.MustInvoke[*follower.Follower](i),
+		Tracker:   do.MustInvoke[*tracker.Tracker](i),
+		Asker:     do.MustInvoke[*asker.Asker](i),
+		Queuer:    do.MustInvoke[*queuer.Queuer](i),
+		Claimer:   do.MustInvoke[*claimer.Claimer](i),
+		Isolator:  do.MustInvoke[*isolator.Isolator](i),
+		Recorder:  do.MustInvoke[*recorder.Recorder](i),
+		Incarnate: do.MustInvoke[*leader.Leader](i).Self().Incarnation,
+		Used:      do.MustInvoke[*poller](i).used,
+	}), nil
+}
+
+func provideServer(i do.Injector) (*Server, error) {
+	s := &Server{
+		settings: do.MustInvoke[*settingsreader.Settings](i),
+		platform: do.MustInvoke[*platformclient.Platform](i),
+		follower: do.MustInvoke[*follower.Follower](i),
+		tracker:  do.MustInvoke[*tracker.Tracker](i),
+		leader:   do.MustInvoke[*leader.Leader](i),
+		gateway:  do.MustInvoke[*gateway.Gateway](i),
+		isolator: do.MustInvoke[*isolator.Isolator](i),
+		peers:    do.MustInvoke[*peerclient.Pool](i),
+		poller:   do.MustInvoke[*poller](i),
+	}
+	s.poller.isolator = s.isolator
+	s.leader.SetQuarantines(s.isolator.Quarantines)
+	s.operator = operator.New(operator.Parts{
+		Settings: s.settings, Follower: s.follower, Tracker: s.tracker, Leader: s.leader,
+		InFlight: s.gateway.InFlight,
+	})
+	return s, nil
+}
+
+// Run serves until stop is closed, and then stops without cutting a request.
+func (s *Server) Run(stop <-chan struct{}) error {
+	callers, err := net.Listen("tcp", s.settings.Callers())
+	if err != nil {
+		return fmt.Errorf("listen for callers: %w", err)
+	}
+	operators, err := net.Listen("tcp", s.settings.Operators())
+	if err != nil {
+		return fmt.Errorf("listen for operators: %w", err)
+	}
+	nodes, err := net.Listen("tcp", s.settings.Nodes())
+	if err != nil {
+		return fmt.Errorf("listen for nodes: %w", err)
+	}
+	s.grpc = grpc.NewServer()
+	nodewire.RegisterNodeServer(s.grpc, &nodeService{server: s})
+	failed := make(chan error, 3)
+	go func() { failed <- s.grpc.Serve(nodes) }()
+	go func() { failed <- s.operator.Serve(operators) }()
+	go func() { failed <- s.gateway.Serve(callers) }()
+	s.poller.run()
+	s.leader.Run()
+	go s.sweepClaims()
+	log.Info().Str("node", s.settings.Name()).Str("zone", s.settings.Zone()).Str("callers", s.settings.Callers()).
+		Str("operators", s.settings.Operators()).Str("nodes", s.settings.Nodes()).Msg("node started")
+	select {
+	case err := <-failed:
+		return fmt.Errorf("node %q: listener ended: %w", s.settings.Name(), err)
+	case <-stop:
+		s.stop()
+		return nil
+	}
+}
+
+// balancerDelay is how long the balancer may take to notice that a node is not ready.
+const balancerDelay = 1 * time.Second
+
+// stop drains the node: first the health check fails, then the requests in
+// flight end while the lease is handed over, and last the listeners close.
+func (s *Server) stop() {
+	log.Info().Str("node", s.settings.Name()).Int64("in_flight", s.gateway.InFlight()).Msg("node stops")
+	now := time.Now()
+	s.leader.Stop()
+	s.gateway.Drain(now.Add(balancerDelay), now.Add(s.settings.DrainLimit()))
+	_ = s.gateway.Stop()
+	s.poller.stop()
+	s.grpc.Stop()
+	_ = s.operator.Stop()
+	s.peers.Close()
+	log.Info().Str("node", s.settings.Name()).Int64("in_flight", s.gateway.InFlight()).Msg("node stopped")
+}
--- /dev/null
+++ b/server/service.go
@@ -0,0 +1,130 @@
+package server
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/samber/do/v2"
+	"github.com/samber/lo"
+
+	"github.com/acaciaproxy/acaciaproxy/claimer"
+	"github.com/acaciaproxy/acaciaproxy/follower"
+	"github.com/acaciaproxy/acaciaproxy/nodewire"
+)
+
+// nodeService answers the other nodes.
+type nodeService struct {
+	nodewire.UnimplementedNodeServer
+	server *Server
+}
+
+// Ask implements nodewire.NodeServer.
+func (n *nodeService) Ask(ctx context.Context, request *nodewire.AskRequest) (*nodewire.AskReply, error) {
+	return n.server.leader.Ask(ctx, request), nil
+}
+
+// Pull implements nodewire.NodeServer.
+func (n *nodeService) Pull(_ context.Context, request *nodewire.PullRequest) (*nodewire.PullReply, error) {
+	return n.server.leader.Pull(request), nil
+}
+
+// Hold implements nodewire.NodeServer.
+func (n *nodeService) Hold(_ context.Context, request *nodewire.HoldRequest) (*nodewire.HoldReply, error) {
+	return n.server.leader.Hold(request), nil
+}
+
+// Collect implements nodewire.NodeServer.
+func (n *nodeService) Collect(context.Context, *nodewire.CollectRequest) (*nodewire.CollectReply, error) {
+	return n.server.leader.Collect(), nil
+}
+
+// Resign implements nodewire.NodeServer.
+func (n *nodeService) Resign(_ context.Context, request *nodewire.ResignRequest) (*nodewire.ResignReply, error) {
+	return n.server.leader.Resign(request), nil
+}
+
+// Invite implements nodewire.NodeServer.
+func (n *nodeService) Invite(_ context.Context, request *nodewire.InviteRequest) (*nodewire.InviteReply, error) {
+	return n.server.leader.Invite(request), nil
+}
+
+// Suspect implements nodewire.NodeServer.
+func (n *nodeService) Suspect(_ context.Context, request *nodewire.SuspectRequest) (*nodewire.SuspectReply, error) {
+	if _, leading := n.server.leader.Leading(); !leading {
+		return &nodewire.SuspectReply{}, nil
+	}
+	return &nodewire.SuspectReply{Leading: true, Verdicts: n.server.isolator.Rule(request)}, nil
+}
+
+// Changes implements nodewire.NodeServer.
+func (n *nodeService) Changes(_ context.Context, request *nodewire.ChangesRequest) (*nodewire.ChangesReply, error) {
+	changes, snapshot := n.server.follower.Since(request.GetAfter())
+	reply := &nodewire.ChangesReply{}
+	if snapshot != nil {
+		reply.Snapshot = string(snapshot.Configuration().Text())
+		reply.SnapshotVersion = snapshot.Version()
+	}
+	for _, change := range changes {
+		body, err := json.Marshal(change)
+		if err != nil {
+			return nil, fmt.Errorf("encode change %d: %w", change.Version, err)
+		}
+		reply.Changes = append(reply.Changes, &nodewire.Change{Version: change.Version, Body: string(body)})
+	}
+	return reply, nil
+}
+
+// takeChanges takes a peer's reply into a follower.
+func takeChanges(configuration *follower.Follower, reply *nodewire.ChangesReply) error {
+	if reply.GetSnapshot() != "" {
+		return configuration.TakeSnapshot(reply.GetSnapshotVersion(), []byte(reply.GetSnapshot()))
+	}
+	for _, body := range reply.GetChanges() {
+		var change follower.Change
+		if err := json.Unmarshal([]byte(body.GetBody()), &change); err != nil {
+			return fmt.Errorf("change %d from a peer: %w", body.GetVersion(), err)
+		}
+		if err := configuration.TakeChange(change); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// sweepRound is the time in which the leaders of all zones sweep every shard of claims once.
+const sweepRound = time.Hour
+
+// sweepClaims deletes expired claims while this node leads its zone. The zones
+// share the shards by their place in the deployment's list.
+func (s *Server) sweepClaims() {
+	keys := do.MustInvoke[*claimer.Claimer](s.injector)
+	for shard := 0; ; shard = (shard + 1) % claimer.Shards {
+		if !s.sweepsShard(shard) {
+			continue
+		}
+		select {
+		case <-s.poller.stopped:
+			return
+		case <-time.After(sweepRound / claimer.Shards):
+		}
+		if _, leading := s.leader.Leading(); !leading {
+			continue
+		}
+		if swept, err := keys.Sweep(shard, time.Now()); err != nil || swept > 0 {
+			log.Info().Str("zone", s.settings.Zone()).Int("shard", shard).Int("swept", swept).Err(err).Msg("claims swept")
+		}
+	}
+}
+
+func (s *Server) sweepsShard(shard int) bool {
+	configuration := s.follower.Current().Configuration()
+	if configuration == nil {
+		return true
+	}
+	deployment, _ := configuration.Deployment()
+	zones := deployment.Zones()
+	return len(zones) == 0 || shard%len(zones) == max(lo.IndexOf(zones, s.settings.Zone()), 0)
+}
--- /dev/null
+++ b/settingsreader/settings.go
@@ -0,0 +1,128 @@
+// Package settingsreader reads and checks a node's own settings: its name,
+// availability zone, addresses and limits. Settings are no part of the
+// configuration, which operators publish for all nodes together.
+package settingsreader
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/acaciaproxy/acaciaproxy/configurer"
+)
+
+// Log levels.
+const (
+	levelInfo  = "info"
+	levelDebug = "debug"
+	levelWarn  = "warn"
+	levelError = "error"
+)
+
+var fields = []configurer.Field{
+	configurer.NewTextField("zone", true, "", "availability zone of this node"),
+	configurer.NewTextField("callers", true, "", "IP and port for callers"),
+	configurer.NewTextField("operators", true, "", "IP and port for operators"),
+	configurer.NewTextField("nodes", true, "", "IP and port for other nodes"),
+	configurer.NewTextField("platform", true, "", "IP and port of the platform"),
+	configurer.NewTextField("token", false, "", "token that operators must send; none when empty"),
+	configurer.NewChoiceField("log", []string{levelInfo, levelDebug, levelWarn, levelError}, "least level that is logged"),
+	configurer.NewNumberField("body", 1, 1<<20, 4096, "largest request body in KiB"),
+	configurer.NewNumberField("header", 1, 1024, 32, "largest request header in KiB"),
+	configurer.NewNumberField("connections", 1, 1e6, 8192, "connections of callers at once"),
+	configurer.NewNumberField("streams", 1, 1e6, 4096, "requests in flight at once"),
+	configurer.NewNumberField("read", 1, 3600, 15, "seconds in which a caller must have sent a request"),
+	configurer.NewNumberField("drain", 1, 3600, 120, "seconds in which a planned stop finishes its requests"),
+}
+
+// Settings are one node's own. They never change while it runs.
+type Settings struct {
+	// object matches the fields above, and its addresses are valid.
+	object *configurer.Object
+}
+
+// AddressError says that an address of the settings is not an IP and a port.
+type AddressError struct {
+	// key and value are as written.
+	key, value string
+}
+
+// Error names the key and the value.
+func (e *AddressError) Error() string {
+	return fmt.Sprintf("%q must be an IP number and a port, such as 10.0.0.7:8080; it is %q", e.key, e.value)
+}
+
+// Read reads and checks a settings file.
+func Read(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("settings file: %w", err)
+	}
+	return Parse(path, text)
+}
+
+// Parse checks the text of a settings file.
+func Parse(path string, text []byte) (*Settings, error) {
+	object, err := configurer.ReadObject(path, text, "settings", fields)
+	if err != nil {
+		return nil, err
+	}
+	for _, key := range []string{"callers", "operators", "nodes", "platform"} {
+		if _, err := netip.ParseAddrPort(object.Text(key)); err != nil {
+			return nil, fmt.Errorf("settings file %s: %w", path, &AddressError{key: key, value: object.Text(key)})
+		}
+	}
+	return &Settings{object: object}, nil
+}
+
+// Fields returns the keys that a settings file may have besides "name".
+func Fields() []configurer.Field { return fields }
+
+// Name returns the host's name in the host list.
+func (s *Settings) Name() string { return s.object.Name() }
+
+// Zone returns the availability zone.
+func (s *Settings) Zone() string { return s.object.Text("zone") }
+
+// Callers returns the address for callers.
+func (s *Settings) Callers() string { return s.object.Text("callers") }
+
+// Operators returns the address for operators.
+func (s *Settings) Operators() string { return s.object.Text("operators") }
+
+// Nodes returns the address for other nodes.
+func (s *Settings) Nodes() string { return s.object.Text("nodes") }
+
+// Platform returns the address of the platform.
+func (s *Settings) Platform() string { return s.object.Text("platform") }
+
+// Token returns the operators' token. It must not be logged or shown.
+func (s *Settings) Token() string { return s.object.Text("token") }
+
+// LogLevel returns the least level that is logged.
+func (s *Settings) LogLevel() string { return s.object.Text("log") }
+
+const bytesPerKiB = 1 << 10
+
+// BodyLimit returns the largest request body in bytes.
+func (s *Settings) BodyLimit() int { return int(s.object.Number("body")) * bytesPerKiB }
+
+// HeaderLimit returns the largest request header in bytes.
+func (s *Settings) HeaderLimit() int { return int(s.object.Number("header")) * bytesPerKiB }
+
+// Connections returns how many connections callers may have open.
+func (s *Settings) Connections() int { return int(s.object.Number("connections")) }
+
+// Streams returns how many requests may be in flight.
+func (s *Settings) Streams() int { return int(s.object.Number("streams")) }
+
+// ReadLimit returns the time in which a caller must have sent a request.
+func (s *Settings) ReadLimit() time.Duration {
+	return time.Duration(s.object.Number("read") * float64(time.Second))
+}
+
+// DrainLimit returns the time in which a planned stop finishes its requests.
+func (s *Settings) DrainLimit() time.Duration {
+	return time.Duration(s.object.Number("drain") * float64(time.Second))
+}
