--- /dev/null
+++ b/claimer/claimer_test.go
@@ -0,0 +1,125 @@
+package claimer
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/acaciaproxy/acaciaproxy/platformstandin"
+)
+
+var seeds = flag.Int("seeds", 40, "number of seeds of the randomised claims")
+
+func newPlatform() *platformstandin.Platform {
+	return platformstandin.New(platformstandin.Settings{Rate: 12, Parallel: 4, Transit: 32})
+}
+
+// calls records what ran and what callers were told.
+type calls struct {
+	mu sync.Mutex
+	// runs counts the runs of each key, and answers holds what the first run returned.
+	runs    map[string]int
+	answers map[string]string
+	// notRun counts callers that were told that their attempt did not run.
+	told int
+}
+
+// request plays one caller's request at a node: claim, run, record.
+func (c *calls) request(g *gomega.WithT, node *Claimer, random *rand.Rand, key, attempt string) {
+	deadline := time.Now().Add(3 * time.Second)
+	claim, err := node.Take(Key{Tenant: "t", Route: "r", Key: key}, attempt, "same", time.Now().Add(time.Hour), deadline)
+	var unresolved *UnresolvedError
+	if taken := IsTaken(err); taken != nil {
+		if taken.Answer() != nil {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			g.Expect(string(taken.Answer().Body)).To(gomega.Equal(c.answers[key]))
+			c.told++
+		}
+		return
+	}
+	if errors.As(err, &unresolved) {
+		return
+	}
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	switch random.Intn(4) {
+	case 0: // The endpoint refuses before it runs.
+		claim.Release(time.Now().Add(time.Second))
+	case 1: // The endpoint's answer is lost.
+		c.run(key, attempt)
+		claim.Unknown(time.Now().Add(time.Second))
+	default:
+		c.run(key, attempt)
+		claim.Done(Answer{Status: 200, Body: []byte(attempt)}, time.Now().Add(time.Second))
+	}
+}
+
+func (c *calls) run(key, answer string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.runs[key]++
+	c.answers[key] = answer
+}
+
+func TestRandomisedClaims(t *testing.T) {
+	for seed := int64(1); seed <= int64(*seeds); seed++ {
+		t.Run(fmt.Sprintf("seed=%d", seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { randomisedClaims(t, seed) })
+		})
+	}
+}
+
+func randomisedClaims(t *testing.T, seed int64) {
+	g := gomega.NewWithT(t)
+	random := rand.New(rand.NewSource(seed))
+	platform := newPlatform()
+	nodes := []*Claimer{New(platform.Direct("a")), New(platform.Direct("a")), New(platform.Direct("b"))}
+	c := &calls{runs: map[string]int{}, answers: map[string]string{}}
+	var group sync.WaitGroup
+	for number := range 300 {
+		key, attempt, node := fmt.Sprint("key-", random.Intn(40)), fmt.Sprint("attempt-", number), nodes[random.Intn(len(nodes))]
+		own := rand.New(rand.NewSource(seed*1000 + int64(number)))
+		group.Go(func() { c.request(g, node, own, key, attempt) })
+		time.Sleep(time.Duration(random.Intn(60)) * time.Millisecond)
+		if random.Intn(20) == 0 {
+			platform.SetFaults(platformstandin.Faults{LoseWrites: int64(random.Intn(5)), Outage: random.Intn(3) == 0, SlowMS: int64(random.Intn(400))})
+		}
+	}
+	platform.SetFaults(platformstandin.Faults{})
+	group.Wait()
+	time.Sleep(time.Minute)
+	for key, runs := range c.runs {
+		g.Expect(runs).To(gomega.Equal(1), "key %s ran %d times", key, runs)
+	}
+	g.Expect(c.told).To(gomega.BeNumerically(">", 0))
+}
+
+func TestSweepDeletesOnlyExpiredClaims(t *testing.T) {
+	g := gomega.NewWithT(t)
+	platform := newPlatform()
+	node := New(platform.Direct("a"))
+	deadline := time.Now().Add(time.Minute)
+	expired, kept := Key{"t", "r", "expired"}, Key{"t", "r", "kept"}
+	_, err := node.Take(expired, "1", "f", time.Now().Add(-time.Hour), deadline)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	_, err = node.Take(kept, "2", "f", time.Now().Add(time.Hour), deadline)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	total := 0
+	for shard := range Shards {
+		swept, err := node.Sweep(shard, time.Now())
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		total += swept
+	}
+	g.Expect(total).To(gomega.Equal(1))
+	_, err = node.Take(kept, "3", "f", time.Now().Add(time.Hour), deadline)
+	g.Expect(IsTaken(err)).NotTo(gomega.BeNil())
+	_, err = node.Take(expired, "4", "f", time.Now().Add(time.Hour), deadline)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+}
--- a/follower/follower.go
+++ b/follower/follower.go
@@ -94,6 +94,9 @@
 	return f
 }
 
+// Platform returns the platform from which the follower reads.
+func (f *Follower) Platform() *platformclient.Platform { return f.platform }
+
 // Current returns the configuration in force at this node.
 func (f *Follower) Current() *Pinned { return f.current.Load() }
 
--- /dev/null
+++ b/queuer/queuer_test.go
@@ -0,0 +1,98 @@
+package queuer
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/acaciaproxy/acaciaproxy/configurer"
+)
+
+func enter(t *testing.T, q *Queuer, now time.Time, class, tenant string, weight float64) *Ticket {
+	t.Helper()
+	ticket, err := q.Enter(now, Request{Unit: "u", Class: class, Tenant: tenant, Weight: weight, Deadline: now.Add(time.Hour)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return ticket
+}
+
+func isGranted(ticket *Ticket) bool {
+	select {
+	case <-ticket.Granted():
+		return true
+	default:
+		return false
+	}
+}
+
+// TestLowClassIsNotStarved keeps urgent requests waiting all the time; a batch
+// request is still served within two aging steps and one grant.
+func TestLowClassIsNotStarved(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := New()
+	batch := enter(t, q, now, configurer.ClassBatch, "t", 1)
+	began := now
+	for !isGranted(batch) {
+		enter(t, q, now, configurer.ClassUrgent, fmt.Sprint(now), 1)
+		now = now.Add(100 * time.Millisecond)
+		q.Release(now, "u")
+		if now.Sub(began) > 3*agingStep {
+			t.Fatalf("batch request still waits after %s", now.Sub(began))
+		}
+	}
+	if now.Sub(began) < 2*agingStep {
+		t.Fatalf("batch request passed urgent ones after %s", now.Sub(began))
+	}
+}
+
+// TestTenantsShareByWeight lets a tenant of weight 3 and one of weight 1 queue
+// up; grants follow the weights.
+func TestTenantsShareByWeight(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := New()
+	var heavy, light []*Ticket
+	for range 40 {
+		heavy = append(heavy, enter(t, q, now, configurer.ClassNormal, "heavy", 3))
+		light = append(light, enter(t, q, now, configurer.ClassNormal, "light", 1))
+	}
+	for range 40 {
+		q.Release(now, "u")
+	}
+	count := func(tickets []*Ticket) (granted int) {
+		for _, ticket := range tickets {
+			if isGranted(ticket) {
+				granted++
+			}
+		}
+		return granted
+	}
+	if got := count(heavy); got < 28 || got > 32 {
+		t.Fatalf("the tenant of weight 3 got %d of 40 grants, not about 30", got)
+	}
+	if got := count(light); got == 0 {
+		t.Fatal("the tenant of weight 1 got nothing")
+	}
+}
+
+// TestHopelessRequestIsRefusedAtOnce fills a queue that moves once a second.
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	now := time.Unix(1000, 0)
+	q := New()
+	for range 60 {
+		enter(t, q, now, configurer.ClassNormal, "t", 1)
+	}
+	for range 30 {
+		now = now.Add(time.Second)
+		q.Release(now, "u")
+	}
+	_, err := q.Enter(now, Request{Unit: "u", Class: configurer.ClassNormal, Tenant: "t", Weight: 1, Deadline: now.Add(5 * time.Second)})
+	var full *FullError
+	if !errors.As(err, &full) || !full.RetryAt().After(now.Add(5*time.Second)) {
+		t.Fatalf("a request with 5 s behind 30 others got %v", err)
+	}
+	if _, err := q.Enter(now, Request{Unit: "u", Class: configurer.ClassUrgent, Tenant: "t", Weight: 1, Deadline: now.Add(5 * time.Second)}); err != nil {
+		t.Fatalf("an urgent request, which goes first, got %v", err)
+	}
+}
--- a/router/router.go
+++ b/router/router.go
@@ -96,8 +96,11 @@
 // least loaded would send every node to the same worker.
 func lessLoadedOfTwo(candidates []Candidate, open []int, seed uint64) int {
 	count := uint64(len(open))
+	if count == 1 {
+		return open[0]
+	}
 	first := open[seed%count]
-	second := open[(seed/count+1+seed%count)%count]
+	second := open[(seed%count+1+(seed/count)%(count-1))%count]
 	if cost(candidates[second]) < cost(candidates[first]) {
 		return second
 	}
