Hold the lease over while the platform is away

Cause: TestHoldOver failed: the leader never held its lease over. It pulls from itself like any node and so named itself as a successor, which never promises.

Ruled out: the successors' refusal while they reach the platform (1.5 s), which still leaves two attempts before the lease lapses.

Change: a leader is not its own successor; the stand-in's weight store has an outage switch of its own, since it is another service.

Before: TestHoldOver and the scenario platform-outage failed, the latter once it asked for an answer. After: both pass; so do TestPausedLeader* and TestDeadLeadersOrder* on engines that check fencing and engines that do not.

Conclusion: with every promise a zone goes on loading for up to a minute without the platform; without one it stops (TestHoldOverEndsWithoutEveryPromise).

--- a/leader/lease.go
+++ b/leader/lease.go
@@ -144,7 +144,7 @@
 	}
 	var fresh []elector.Member
 	for _, candidate := range l.members {
-		if now.Sub(candidate.seenAt) < freshMember {
+		if candidate.Incarnation != l.Self().Incarnation && now.Sub(candidate.seenAt) < freshMember {
 			fresh = append(fresh, candidate.Member)
 		}
 	}
--- a/platformstandin/platform.go
+++ b/platformstandin/platform.go
@@ -30,8 +30,10 @@
 
 // Faults is the state of the fault switches.
 type Faults struct {
-	// Outage makes every call fail with status 503.
+	// Outage makes every call but weight fetches fail with status 503.
 	Outage bool `json:"outage"`
+	// WeightsOutage makes weight fetches fail with status 503.
+	WeightsOutage bool `json:"weights_outage"`
 	// Hang makes every call wait until the switch is off.
 	Hang bool `json:"hang"`
 	// SlowMS delays every call.
@@ -93,13 +95,13 @@
 	p.app.Get("/stats", p.stats)
 	p.app.Put("/hosts/:id", p.putHost)
 	p.app.Delete("/hosts/:id", p.deleteHost)
+	p.app.Post("/weights/fetch", p.fetchWeights)
 	p.app.Use(p.applyFaults)
 	p.app.Post("/table/read", p.readTable)
 	p.app.Post("/table/write", p.writeTable)
 	p.app.Get("/objects/*", p.getObject)
 	p.app.Put("/objects/*", p.putObject)
 	p.app.Get("/hosts", p.listHosts)
-	p.app.Post("/weights/fetch", p.fetchWeights)
 }
 
 // Serve answers calls until the listener is closed.
@@ -302,6 +304,9 @@
 }
 
 func (p *Platform) fetchWeights(c fiber.Ctx) error {
+	if p.currentFaults().WeightsOutage {
+		return fiber.NewError(fiber.StatusServiceUnavailable, "outage")
+	}
 	var request Fetch
 	if err := c.Bind().JSON(&request); err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, err.Error())
--- a/server/zone_test.go
+++ b/server/zone_test.go
@@ -50,6 +50,40 @@
 	mu     sync.Mutex
 	paused chan struct{} // Closed on resume; nil while running.
 	dead   bool
+	// trapped is the unit whose next load order pauses the process, and trap holds that order back.
+	trapped string
+	trap    chan struct{}
+}
+
+// trapOrder makes the next load order of a unit pause the process just before it is sent.
+func (g *gate) trapOrder(unit string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.trapped, g.trap = unit, make(chan struct{})
+}
+
+// springTrap holds an order back if it is the trapped one.
+func (g *gate) springTrap(order engineclient.Order) {
+	g.mu.Lock()
+	trap := g.trap
+	sprung := g.trapped != "" && order.Unit == g.trapped && order.Verb == "load"
+	if sprung {
+		g.trapped = ""
+	}
+	g.mu.Unlock()
+	if sprung {
+		g.pause()
+		<-trap
+	}
+}
+
+// releaseOrder lets the trapped order go out.
+func (g *gate) releaseOrder() { close(g.trap) }
+
+func (g *gate) isPaused() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.paused != nil
 }
 
 var errDead = errors.New("process is dead")
@@ -186,6 +220,9 @@
 	n := z.node(name)
 	n.gate.kill()
 	n.server.stopLoops()
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	delete(z.nodes, name)
 }
 
 // close ends every node, so that the test's bubble can end.
@@ -211,12 +248,16 @@
 	return waiting.Wait(asker.Request{Unit: unit, Class: configurer.ClassNormal, ID: "test", Deadline: deadline})
 }
 
+func (z *zone) setOutage(on bool) {
+	z.platform.SetFaults(platformstandin.Faults{Outage: on, Slowness: 1})
+}
+
 // leaderName returns the node that believes to lead, or "".
 func (z *zone) leaderName() string {
 	z.mu.Lock()
 	defer z.mu.Unlock()
 	for name, n := range z.nodes {
-		if _, leading := n.server.leader.Leading(); leading && !n.gate.dead {
+		if _, leading := n.server.leader.Leading(); leading && !n.gate.dead && !n.gate.isPaused() {
 			return name
 		}
 	}
@@ -289,6 +330,7 @@
 			if err := g.pass(); err != nil {
 				return engineclient.OrderAnswer{}, engineclient.NewBrokenError(err)
 			}
+			g.springTrap(order)
 			answer, err := inner.Order(deadline, order)
 			return answer, errors.Join(err, g.pass())
 		},
