Keep by worker, weighed by each unit's own history; replay long loads

Cause: the planner unloaded each unit after a fixed time, and nothing measured cold starts against idle accelerators.

Change: a policy is a set of functions; the one in use gives a whole worker up when the cold starts that its units are expected to save fall below the cost of its accelerators. loadgen policy replays hours of load through the real planner for it and for the baselines.

--- a/leader/answer.go
+++ b/leader/answer.go
@@ -100,11 +100,11 @@
 func (l *Leader) takeUses(now time.Time, uses []*nodewire.Use) {
 	configuration := l.follower.Current().Configuration()
 	for _, use := range uses {
-		spec, found := unitSpec(configuration, use.GetUnit())
+		spec, found := UnitSpec(configuration, use.GetUnit())
 		if !found {
 			continue
 		}
-		l.planner.Use(spec, now)
+		l.planner.Use(spec, now, int(use.GetRequests()))
 		if use.GetSaturated() {
 			l.planner.Pressure(now, spec)
 		}
@@ -158,7 +158,7 @@
 		return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_NOT_LEADING}, nil
 	}
 	configuration := l.follower.Current().Configuration()
-	spec, found := unitSpec(configuration, request.GetUnit())
+	spec, found := UnitSpec(configuration, request.GetUnit())
 	if !found {
 		return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_REFUSED, Reason: "unit is not in the configuration", RetryMs: 1000}, nil
 	}
@@ -166,7 +166,7 @@
 		l.planner.Pin(now, spec, worker)
 	}
 	if spec.Adapter() {
-		if base, found := unitSpec(configuration, spec.Base); found {
+		if base, found := UnitSpec(configuration, spec.Base); found {
 			l.planner.Want(now, base, deadline, classWeight(request.GetClass()))
 		}
 	}
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -119,7 +119,6 @@
 	retryPersistAt map[string]time.Time
 	// quarantines lists what is quarantined in the zone, with the remaining time.
 	quarantines func(now time.Time) []*nodewire.Quarantine
-	keep        func(unit string, lastUse time.Time) time.Time
 }
 
 // Parts are what a leader needs from the rest of the node.
@@ -148,15 +147,9 @@
 		absentSince:    map[string]time.Time{},
 		replicatedOnly: map[string]bool{},
 		retryPersistAt: map[string]time.Time{},
-		keep:           keepFixed,
 	}
 }
 
-// fixedKeep is how long a unit stays loaded after its last use.
-const fixedKeep = 10 * time.Minute
-
-func keepFixed(_ string, lastUse time.Time) time.Time { return lastUse.Add(fixedKeep) }
-
 // Self returns the member that this node is.
 func (l *Leader) Self() elector.Member { return l.elector.Self() }
 
@@ -249,6 +242,7 @@
 	if !found {
 		return
 	}
+	l.planner.SetWeights(deployment.ColdWeight(), deployment.IdleWeight())
 	zones := max(len(deployment.Zones()), 1)
 	l.planner.SetLimits(planner.Limits{
 		Rate:     deployment.Rate() / float64(zones),
@@ -257,8 +251,8 @@
 	})
 }
 
-// unitSpec returns the spec of a unit by the configuration.
-func unitSpec(configuration *configurer.Configuration, unit string) (planner.UnitSpec, bool) {
+// UnitSpec returns the spec of a unit by the configuration.
+func UnitSpec(configuration *configurer.Configuration, unit string) (planner.UnitSpec, bool) {
 	if configuration == nil {
 		return planner.UnitSpec{}, false
 	}
--- a/leader/lease.go
+++ b/leader/lease.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/acaciaproxy/acaciaproxy/elector"
+	"github.com/acaciaproxy/acaciaproxy/keeper"
 	"github.com/acaciaproxy/acaciaproxy/nodewire"
 	"github.com/acaciaproxy/acaciaproxy/peerclient"
 	"github.com/acaciaproxy/acaciaproxy/planner"
@@ -127,9 +128,10 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.epochVersion = epochVersion
-	l.planner = planner.New(time.Now(), l.zone, l.Self().Incarnation, lease.Epoch, l.keep)
+	configuration := l.follower.Current().Configuration()
+	l.planner = planner.New(time.Now(), l.zone, l.Self().Incarnation, lease.Epoch, keeper.NewHazard(1, 1))
 	l.planner.SetWorkers(l.specs)
-	l.setLimits(l.follower.Current().Configuration())
+	l.setLimits(configuration)
 	l.replicatedOnly = map[string]bool{}
 	l.view.reset(lease.Epoch)
 	l.kick()
--- a/loadgenerator/main.go
+++ b/loadgenerator/main.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/acaciaproxy/acaciaproxy/configurer"
+	"github.com/acaciaproxy/acaciaproxy/replayer"
 )
 
 // mode is one thing that the program does.
@@ -22,6 +23,7 @@
 	return []mode{
 		{"offer", "offers the load of a configuration and checks every answer", prepareOffer},
 		{"overhead", "compares answers through a node with answers straight from an engine", prepareOverhead},
+		{"policy", "replays a long load under the policy in use and the baselines, on a clock of its own", preparePolicy},
 	}
 }
 
@@ -85,6 +87,22 @@
 	}
 }
 
+func preparePolicy(flags *flag.FlagSet) func(io.Writer) error {
+	folder := flags.String("configuration", "examples/klasifikators", "`folder` with the deployment")
+	seed := flags.Int64("seed", 1, "seed of the load")
+	rate := flags.Float64("rate", 2, "requests a second over all zones")
+	hours := flags.Float64("hours", 8, "length of the load")
+	return func(out io.Writer) error {
+		configuration, err := configurer.ReadFolder(*folder)
+		if err != nil {
+			return err
+		}
+		results := replayer.Compare(configuration, *seed, *rate, time.Duration(*hours*float64(time.Hour)))
+		replayer.Print(out, results)
+		return nil
+	}
+}
+
 func addresses(list string) []string {
 	if list == "" {
 		return nil
--- a/planner/decide.go
+++ b/planner/decide.go
@@ -4,6 +4,8 @@
 	"sort"
 	"strings"
 	"time"
+
+	"github.com/acaciaproxy/acaciaproxy/keeper"
 )
 
 // Tick decides what is due: fence orders, loads, evictions and unloads.
@@ -177,8 +179,8 @@
 }
 
 // choose returns the worker that can load a unit at the least cost, or nil.
-// A nearer checkpoint comes first; among equals the fullest worker, so that
-// rarely used units share workers and others stay empty.
+// Among equals it is the fullest one, so that rarely used units share workers
+// and others stay empty.
 func (p *Planner) choose(spec UnitSpec) *worker {
 	var best *worker
 	for _, id := range p.workerIDs() {
@@ -205,13 +207,27 @@
 }
 
 func (p *Planner) better(a, b *worker, spec UnitSpec) bool {
-	timeA, timeB := p.loadTime(spec, a), p.loadTime(spec, b)
-	if timeA != timeB {
-		return timeA < timeB
+	costA, costB := p.loadCost(spec, a), p.loadCost(spec, b)
+	if costA != costB {
+		return costA < costB
 	}
 	return a.free() < b.free()
 }
 
+// openSeconds is how long a worker that holds nothing is expected to be held
+// after a load there.
+const openSeconds = 30
+
+// loadCost weighs the time of a load at a worker against the accelerators that
+// it would hold and that are free now.
+func (p *Planner) loadCost(spec UnitSpec, w *worker) float64 {
+	cost := p.policy.ColdWeight * p.loadTime(spec, w).Seconds()
+	if len(w.row.Charges) == 0 {
+		cost += p.policy.IdleWeight * keeper.IdleCostScale * float64(w.spec.Accelerators) * openSeconds
+	}
+	return cost
+}
+
 func (w *worker) free() int64 { return w.spec.Memory - w.row.memory() }
 
 // Shares of the remote load time that a load from a nearer tier takes.
@@ -273,8 +289,7 @@
 // reloadWindow is the age of an unload within which a load counts as a reload.
 const reloadWindow = time.Minute
 
-// makeRoom evicts the least recently used units of one worker, as few as
-// needed, if none of them is younger in use than the waiting unit's demand.
+// makeRoom evicts the least valuable units of one worker, as few as needed.
 func (p *Planner) makeRoom(now time.Time, waiting *want) {
 	var best *worker
 	var bestVictims []string
@@ -328,20 +343,34 @@
 	return victims
 }
 
-// evictable returns the ready charges of a worker, least recently used first.
+// evictable returns the ready charges of a worker, least valuable first.
 func (p *Planner) evictable(now time.Time, w *worker, base string) []Charge {
 	var candidates []Charge
+	values := map[string]float64{}
 	for _, charge := range w.row.Charges {
 		if charge.Phase == PhaseReady && charge.Unit != base && now.Sub(p.lastUse(charge.Unit)) > minResidence {
 			candidates = append(candidates, charge)
+			values[charge.Unit] = p.policy.Value(now, p.resident(w, charge))
 		}
 	}
-	sort.Slice(candidates, func(i, j int) bool {
-		return p.lastUse(candidates[i].Unit).Before(p.lastUse(candidates[j].Unit))
-	})
+	sort.SliceStable(candidates, func(i, j int) bool { return values[candidates[i].Unit] < values[candidates[j].Unit] })
 	return candidates
 }
 
+// resident describes a ready unit for the policy.
+func (p *Planner) resident(w *worker, charge Charge) keeper.Resident {
+	reload := 0.0
+	if want, known := p.wants[charge.Unit]; known {
+		reload = diskTierShare * float64(want.spec.LoadMS) / millisecondsPerSecond
+	}
+	return keeper.Resident{
+		Unit: charge.Unit, LastUse: p.lastUse(charge.Unit), ReloadSeconds: reload, Memory: charge.Memory,
+		Elsewhere: len(p.holders(charge.Unit, PhaseReady)) > 1,
+	}
+}
+
+const millisecondsPerSecond = 1000
+
 // lastUse returns the last use of a unit, or of any adapter on it.
 func (p *Planner) lastUse(unit string) time.Time {
 	last := p.startedAt
@@ -366,29 +395,40 @@
 	p.persist(w)
 }
 
-// unloadIdle unloads the units that the keep policy gives up, and replicas above the target.
+// unloadIdle unloads what the policy gives up at workers where nothing happens.
 func (p *Planner) unloadIdle(now time.Time) {
 	for _, id := range p.workerIDs() {
 		w := p.workers[id]
-		if !w.adopted || w.gone || w.writing != 0 {
+		if !w.adopted || w.gone || w.writing != 0 || w.report.Running+w.report.Queued > 0 {
 			continue
 		}
-		var idle []string
-		for _, charge := range w.row.Charges {
-			if charge.Phase == PhaseReady && p.isIdle(now, charge.Unit) {
-				idle = append(idle, charge.Unit)
-			}
+		holding, settled := p.holding(now, w)
+		if !settled || len(holding.Residents) == 0 {
+			continue
 		}
-		if len(idle) > 0 {
-			p.unload(w, idle)
+		if units := p.policy.Idle(now, holding); len(units) > 0 {
+			p.unload(w, units)
+		}
+	}
+}
+
+// holding describes an idle worker for the policy. It is not settled while
+// something is loading or unloading there, or was used a moment ago.
+func (p *Planner) holding(now time.Time, w *worker) (holding keeper.Holding, settled bool) {
+	holding.Accelerators = w.spec.Accelerators
+	for _, charge := range w.row.Charges {
+		if charge.Phase != PhaseReady || p.isWanted(now, charge.Unit) {
+			return holding, false
 		}
+		holding.Residents = append(holding.Residents, p.resident(w, charge))
 	}
+	return holding, true
 }
 
-func (p *Planner) isIdle(now time.Time, unit string) bool {
+// isWanted reports whether a unit is asked for now or was used a moment ago.
+func (p *Planner) isWanted(now time.Time, unit string) bool {
 	if want, known := p.wants[unit]; known && want.target > 0 {
-		return false
+		return true
 	}
-	last := p.lastUse(unit)
-	return now.Sub(last) > minResidence && now.After(p.keep(unit, last))
+	return now.Sub(p.lastUse(unit)) <= minResidence
 }
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -12,6 +12,8 @@
 	"sort"
 	"strconv"
 	"time"
+
+	"github.com/acaciaproxy/acaciaproxy/keeper"
 )
 
 // Verbs of orders.
@@ -181,8 +183,8 @@
 	workers map[string]*worker
 	wants   map[string]*want
 	limits  Limits
-	// keep says until when a ready unit that was last used at a time is kept.
-	keep    func(unit string, lastUse time.Time) time.Time
+	// policy decides what is kept and what is evicted.
+	policy  *keeper.Policy
 	actions []Action
 	// issuersGone holds the incarnations whose orders can take effect no more.
 	issuersGone map[string]bool
@@ -211,11 +213,10 @@
 // warmTime is how long a new leader may take to learn of all workers.
 const warmTime = 3 * time.Second
 
-// New returns the planner of a leader. The keep function decides until when
-// a unit that was last used at a time stays loaded.
-func New(now time.Time, zone, issuer string, epoch int64, keep func(unit string, lastUse time.Time) time.Time) *Planner {
+// New returns the planner of a leader.
+func New(now time.Time, zone, issuer string, epoch int64, policy *keeper.Policy) *Planner {
 	return &Planner{
-		zone: zone, issuer: issuer, epoch: epoch, keep: keep, warmUntil: now.Add(warmTime),
+		zone: zone, issuer: issuer, epoch: epoch, policy: policy, warmUntil: now.Add(warmTime),
 		workers:     map[string]*worker{},
 		wants:       map[string]*want{},
 		issuersGone: map[string]bool{},
@@ -230,6 +231,11 @@
 // SetLimits sets the zone's share of the weight store.
 func (p *Planner) SetLimits(limits Limits) { p.limits = limits }
 
+// SetWeights sets the costs of a second of cold-start wait and of an idle accelerator second.
+func (p *Planner) SetWeights(cold, idle float64) {
+	p.policy.ColdWeight, p.policy.IdleWeight = cold, idle
+}
+
 // Actions returns and forgets the actions decided since the last call.
 func (p *Planner) Actions() []Action {
 	actions := p.actions
--- a/planner/want.go
+++ b/planner/want.go
@@ -40,10 +40,14 @@
 const wantMemory = 2 * time.Hour
 
 // Use takes in that requests named a unit, which need not be loaded for them.
-func (p *Planner) Use(spec UnitSpec, at time.Time) {
+// A request for an adapter is one for its model too.
+func (p *Planner) Use(spec UnitSpec, at time.Time, requests int) {
 	w := p.wantOf(spec)
-	if at.After(w.lastUse) {
-		w.lastUse = at
+	w.lastUse = maxTime(w.lastUse, at)
+	p.policy.Used(spec.Unit, at, requests)
+	if base, known := p.wants[spec.Base]; known {
+		base.lastUse = maxTime(base.lastUse, at)
+		p.policy.Used(spec.Base, at, requests)
 	}
 }
 
