Serve from warm replicas of other zones; one home zone decides a load

Cause: each zone loaded the same rarely used models for itself; a burst in three zones gave three loads, and three zones held accelerators for one model.

Ruled out: nodes that ask every zone's leader (400 nodes to 8 leaders); leaders ask each other and pass on what changed with their own view.

Uses go to the leader of the zone that serves.

--- a/asker/asker.go
+++ b/asker/asker.go
@@ -15,6 +15,8 @@
 const (
 	questionTime = 1500 * time.Millisecond
 	questionGap  = 50 * time.Millisecond
+	// homeTime bounds a question to another zone, which may be cut off; a leader answers within 250 ms.
+	homeTime = 500 * time.Millisecond
 	// leaderlessTime is how long requests wait for a zone to have a leader.
 	leaderlessTime = 5 * time.Second
 	// leaderlessRetry is when a request refused for want of a leader may come back.
@@ -57,13 +59,17 @@
 	waiters map[*waiter]bool
 	// leaderSeenAt is when a leader last answered.
 	leaderSeenAt time.Time
+	// alone is set once the home zone's leader did not answer, or refused; the own zone's leader decides then.
+	alone bool
 }
 
 // Asker is safe for use by several goroutines.
 type Asker struct {
 	node string
-	// leader returns the client of the zone's leader, or an error when there is none.
-	leader func() (nodewire.NodeClient, error)
+	// own returns the client of the own zone's leader, and home that of the leader
+	// of a unit's home zone; both return an error when there is none.
+	own  func() (nodewire.NodeClient, error)
+	home func(unit string) (nodewire.NodeClient, error)
 	// ready is told which workers have a unit ready.
 	ready func(unit string, workers []string)
 	// version returns the configuration version in force.
@@ -74,8 +80,8 @@
 }
 
 // New returns an asker for a node.
-func New(node string, leader func() (nodewire.NodeClient, error), ready func(unit string, workers []string), version func() int64) *Asker {
-	return &Asker{node: node, leader: leader, ready: ready, version: version, flights: map[target]*flight{}}
+func New(node string, own func() (nodewire.NodeClient, error), home func(unit string) (nodewire.NodeClient, error), ready func(unit string, workers []string), version func() int64) *Asker {
+	return &Asker{node: node, own: own, home: home, ready: ready, version: version, flights: map[target]*flight{}}
 }
 
 // Request describes a request that waits.
@@ -122,13 +128,18 @@
 
 // fly asks until no request waits for the unit.
 func (a *Asker) fly(about target, f *flight) {
+	f.alone = about.worker != ""
 	for {
 		latest, class, id, waiting := a.furthest(about, f)
 		if !waiting {
 			return
 		}
 		asked := time.Now()
-		reply, err := a.ask(about, latest, class, id)
+		reply, err := a.ask(about, f, latest, class, id)
+		if !f.alone && (err != nil || reply.GetVerdict() == nodewire.Verdict_VERDICT_NOT_LEADING || reply.GetElsewhere()) {
+			f.alone = true
+			continue
+		}
 		a.take(about.unit, f, reply, err)
 		time.Sleep(questionGap - time.Since(asked))
 	}
@@ -151,12 +162,18 @@
 	return latest, class, id, true
 }
 
-func (a *Asker) ask(about target, deadline time.Time, class, id string) (*nodewire.AskReply, error) {
-	client, err := a.leader()
+// ask puts the question to the leader of the unit's home zone, or to the own zone's.
+func (a *Asker) ask(about target, f *flight, deadline time.Time, class, id string) (*nodewire.AskReply, error) {
+	client, err := a.own()
+	limit := questionTime
+	if !f.alone {
+		client, err = a.home(about.unit)
+		limit = homeTime
+	}
 	if err != nil {
 		return nil, err
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), questionTime)
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
 	return client.Ask(ctx, &nodewire.AskRequest{
 		Unit: about.unit, Worker: about.worker, Node: a.node, RemainingMs: time.Until(deadline).Milliseconds(),
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -65,8 +65,8 @@
 	Isolator  *isolator.Isolator
 	Recorder  *recorder.Recorder
 	Incarnate string
-	// Used is told that a request named a unit, and whether all its workers were saturated.
-	Used func(unit string, saturated bool)
+	// Used is told that a request named a unit, which worker serves it, and whether all its workers were saturated.
+	Used func(unit, worker string, saturated bool)
 }
 
 // Gateway is safe for use by several goroutines.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -332,7 +332,7 @@
 		chosen := router.Choose(candidates, a.prefix, uint64(now.UnixNano())^uint64(g.requests.Load()))
 		if chosen >= 0 {
 			a.worker = candidates[chosen].ID
-			g.parts.Used(a.unit, false)
+			g.parts.Used(a.unit, a.worker, false)
 			return nil
 		}
 		if err := g.waitSaturated(a); err != nil {
@@ -377,7 +377,7 @@
 // waitSaturated waits until a worker of the unit has a free slot.
 func (g *Gateway) waitSaturated(a *attempt) error {
 	began := time.Now()
-	g.parts.Used(a.unit, true)
+	g.parts.Used(a.unit, "", true)
 	ticket, err := g.parts.Queuer.Enter(began, queuer.Request{
 		Unit: a.unit, Class: a.request.class, Tenant: a.request.name, Weight: a.request.weight(), Deadline: a.request.deadline,
 	})
--- a/leader/answer.go
+++ b/leader/answer.go
@@ -18,6 +18,8 @@
 	epoch    int64
 	sequence int64
 	workers  map[string]viewedWorker
+	// remote holds the workers of other zones as their leaders describe them.
+	remote map[string]viewedWorker
 }
 
 // viewedWorker is a worker's view with the sequence of its last change.
@@ -28,7 +30,15 @@
 }
 
 func (v *zoneView) reset(epoch int64) {
-	*v = zoneView{epoch: epoch, workers: map[string]viewedWorker{}}
+	*v = zoneView{epoch: epoch, workers: map[string]viewedWorker{}, remote: map[string]viewedWorker{}}
+}
+
+// updateRemote takes in what changed in another zone.
+func (v *zoneView) updateRemote(states []*nodewire.WorkerState) {
+	for _, state := range states {
+		v.sequence++
+		v.remote[state.GetId()] = viewedWorker{state: state, sequence: v.sequence}
+	}
 }
 
 // update takes in the planner's view and reports whether anything changed.
@@ -69,9 +79,12 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.follower.Hear(request.GetConfig())
-	l.members[request.GetIncarnation()] = member{
-		Member: elector.Member{Node: request.GetNode(), Incarnation: request.GetIncarnation(), Address: request.GetAddress()},
-		seenAt: now,
+	fromOwnZone := request.GetIncarnation() != ""
+	if fromOwnZone {
+		l.members[request.GetIncarnation()] = member{
+			Member: elector.Member{Node: request.GetNode(), Incarnation: request.GetIncarnation(), Address: request.GetAddress()},
+			seenAt: now,
+		}
 	}
 	reply := &nodewire.PullReply{Config: l.follower.Current().Version(), Incarnation: l.Self().Incarnation}
 	epoch, leading := l.elector.Leading(now)
@@ -93,6 +106,14 @@
 	if l.quarantines != nil {
 		reply.Quarantines = l.quarantines(now)
 	}
+	if !fromOwnZone {
+		return reply
+	}
+	for _, worker := range l.view.remote {
+		if worker.sequence > since {
+			reply.Workers = append(reply.Workers, worker.state)
+		}
+	}
 	return reply
 }
 
@@ -100,6 +121,10 @@
 func (l *Leader) takeUses(now time.Time, uses []*nodewire.Use) {
 	configuration := l.follower.Current().Configuration()
 	for _, use := range uses {
+		if use.GetZone() != "" && use.GetZone() != l.zone {
+			l.forwardUse(use)
+			continue
+		}
 		spec, found := UnitSpec(configuration, use.GetUnit())
 		if !found {
 			continue
@@ -178,7 +203,7 @@
 	case planner.VerdictRefuse:
 		log.Info().Str("zone", l.zone).Int64("epoch", l.planner.Epoch()).Str("request", request.GetRequest()).
 			Str("unit", request.GetUnit()).Str("reason", verdict.Reason).Msg("cold request refused")
-		return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_REFUSED, Reason: verdict.Reason, RetryMs: max(verdict.RetryAt.Sub(now).Milliseconds(), 1)}, nil
+		return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_REFUSED, Reason: verdict.Reason, Elsewhere: verdict.Elsewhere, RetryMs: max(verdict.RetryAt.Sub(now).Milliseconds(), 1)}, nil
 	}
 	l.kick()
 	return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_WAIT, RetryMs: max(verdict.RetryAt.Sub(now).Milliseconds(), 1)}, l.changed
--- a/leader/leader.go
+++ b/leader/leader.go
@@ -106,6 +106,8 @@
 	// changed is closed and replaced whenever the planner's state may have changed.
 	changed chan struct{}
 	view    zoneView
+	// remotes are the other zones by name.
+	remotes map[string]*remoteZone
 	held    heldRows
 	// issued says for each lease epoch which of this node's orders may still take effect.
 	issued map[int64]*issuedOrders
@@ -119,6 +121,8 @@
 	retryPersistAt map[string]time.Time
 	// quarantines lists what is quarantined in the zone, with the remaining time.
 	quarantines func(now time.Time) []*nodewire.Quarantine
+	// restore takes in a quarantine of another zone.
+	restore func(fingerprint string, until time.Time)
 }
 
 // Parts are what a leader needs from the rest of the node.
@@ -144,6 +148,7 @@
 		members:        map[string]member{},
 		changed:        make(chan struct{}),
 		issued:         map[int64]*issuedOrders{},
+		remotes:        map[string]*remoteZone{},
 		absentSince:    map[string]time.Time{},
 		replicatedOnly: map[string]bool{},
 		retryPersistAt: map[string]time.Time{},
@@ -153,8 +158,11 @@
 // Self returns the member that this node is.
 func (l *Leader) Self() elector.Member { return l.elector.Self() }
 
-// LeaseKey returns the key of the zone's lease row.
-func (l *Leader) LeaseKey() string { return "zone/" + l.zone + "/lease" }
+// LeaseKeyOf returns the key of a zone's lease row.
+func LeaseKeyOf(zone string) string { return "zone/" + zone + "/lease" }
+
+// LeaseKey returns the key of the own zone's lease row.
+func (l *Leader) LeaseKey() string { return LeaseKeyOf(l.zone) }
 
 func (l *Leader) epochKey() string { return "zone/" + l.zone + "/epoch" }
 
@@ -164,6 +172,7 @@
 func (l *Leader) Run() {
 	go l.loop(leaseInterval, l.keepLease)
 	go l.loop(issuerInterval, l.settleIssuers)
+	go l.loop(remoteInterval, l.pullRemotes)
 	go l.planLoop()
 }
 
@@ -334,9 +343,10 @@
 	return l.planner.View()
 }
 
-// SetQuarantines sets the source of the quarantines that go out with each pull.
-func (l *Leader) SetQuarantines(quarantines func(now time.Time) []*nodewire.Quarantine) {
+// SetQuarantines sets the source of the quarantines that go out with each pull,
+// and what takes in those of other zones.
+func (l *Leader) SetQuarantines(quarantines func(now time.Time) []*nodewire.Quarantine, restore func(fingerprint string, until time.Time)) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.quarantines = quarantines
+	l.quarantines, l.restore = quarantines, restore
 }
--- a/loadgenerator/main.go
+++ b/loadgenerator/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"io"
+	"strconv"
 	"strings"
 	"time"
 
@@ -92,17 +93,38 @@
 	seed := flags.Int64("seed", 1, "seed of the load")
 	rate := flags.Float64("rate", 2, "requests a second over all zones")
 	hours := flags.Float64("hours", 8, "length of the load")
+	sweep := flags.String("idle", "", "`weights` of an idle accelerator second to compare, with commas between, instead of the baselines")
 	return func(out io.Writer) error {
 		configuration, err := configurer.ReadFolder(*folder)
 		if err != nil {
 			return err
 		}
-		results := replayer.Compare(configuration, *seed, *rate, time.Duration(*hours*float64(time.Hour)))
-		replayer.Print(out, results)
+		span := time.Duration(*hours * float64(time.Hour))
+		if *sweep == "" {
+			replayer.Print(out, replayer.Compare(configuration, *seed, *rate, span))
+			return nil
+		}
+		weights, err := numbers(*sweep)
+		if err != nil {
+			return err
+		}
+		replayer.Print(out, replayer.Sweep(configuration, *seed, *rate, span, weights))
 		return nil
 	}
 }
 
+func numbers(list string) ([]float64, error) {
+	var parsed []float64
+	for _, word := range strings.Split(list, ",") {
+		number, err := strconv.ParseFloat(word, 64)
+		if err != nil {
+			return nil, fmt.Errorf("number %q: %w", word, err)
+		}
+		parsed = append(parsed, number)
+	}
+	return parsed, nil
+}
+
 func addresses(list string) []string {
 	if list == "" {
 		return nil
--- a/planner/want.go
+++ b/planner/want.go
@@ -150,6 +150,8 @@
 	RetryAt time.Time
 	// Reason says why the request is refused.
 	Reason string
+	// Elsewhere is set when another zone may do what this one refuses.
+	Elsewhere bool
 }
 
 // returnGrace is how long a unit stays wanted for a refused request to come back.
@@ -182,12 +184,12 @@
 		return Verdict{Kind: VerdictRefuse, RetryAt: now.Add(time.Second), Reason: "unit is not wanted"}
 	}
 	if w.failures >= maxFailures && now.Before(w.retryAt) {
-		return Verdict{Kind: VerdictRefuse, RetryAt: w.retryAt.Add(p.loadTime(w.spec, nil)), Reason: "loads keep failing"}
+		return Verdict{Kind: VerdictRefuse, RetryAt: w.retryAt.Add(p.loadTime(w.spec, nil)), Reason: "loads keep failing", Elsewhere: true}
 	}
 	estimate, reason := p.estimate(now, w)
 	if estimate.After(deadline) {
 		w.until = maxTime(w.until, estimate.Add(returnGrace))
-		return Verdict{Kind: VerdictRefuse, RetryAt: estimate, Reason: reason}
+		return Verdict{Kind: VerdictRefuse, RetryAt: estimate, Reason: reason, Elsewhere: !p.fits(now, w.spec)}
 	}
 	return Verdict{Kind: VerdictWait, RetryAt: estimate}
 }
--- a/replayer/compare.go
+++ b/replayer/compare.go
@@ -23,16 +23,39 @@
 	policies = append(policies, keeper.NewLeastRecent, func() *keeper.Policy {
 		return keeper.NewHazard(deployment.ColdWeight(), deployment.IdleWeight())
 	})
+	// The last entry is the policy in use with zones that know nothing of each other.
+	policies = append(policies, policies[len(policies)-1])
 	results := make([]Result, len(policies))
 	var group sync.WaitGroup
 	for i, newPolicy := range policies {
 		group.Go(func() {
 			results[i] = Run(Options{
 				Configuration: configuration, Seed: seed, Rate: rate, Span: span, WarmUp: span / 4, NewPolicy: newPolicy,
+				ZonesAlone: i == len(policies)-1,
 			})
 		})
 	}
 	group.Wait()
+	results[len(results)-1].Policy += " zones alone"
+	return results
+}
+
+// Sweep replays the same load under the policy in use with several weights of
+// an idle accelerator second.
+func Sweep(configuration *configurer.Configuration, seed int64, rate float64, span time.Duration, weights []float64) []Result {
+	deployment, _ := configuration.Deployment()
+	results := make([]Result, len(weights))
+	var group sync.WaitGroup
+	for i, weight := range weights {
+		group.Go(func() {
+			results[i] = Run(Options{
+				Configuration: configuration, Seed: seed, Rate: rate, Span: span, WarmUp: span / 4,
+				NewPolicy: func() *keeper.Policy { return keeper.NewHazard(deployment.ColdWeight(), weight) },
+			})
+			results[i].Policy += fmt.Sprintf(" idle %v", weight)
+		})
+	}
+	group.Wait()
 	return results
 }
 
--- a/replayer/replayer.go
+++ b/replayer/replayer.go
@@ -8,6 +8,7 @@
 	"container/heap"
 	"fmt"
 	"math"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -18,6 +19,7 @@
 	"github.com/acaciaproxy/acaciaproxy/keeper"
 	"github.com/acaciaproxy/acaciaproxy/leader"
 	"github.com/acaciaproxy/acaciaproxy/planner"
+	"github.com/acaciaproxy/acaciaproxy/router"
 )
 
 // Options describe a replay.
@@ -28,6 +30,8 @@
 	Span          time.Duration
 	// WarmUp is the beginning of the span that does not count.
 	WarmUp time.Duration
+	// ZonesAlone keeps each zone to its own workers, as if all were cut off from each other.
+	ZonesAlone bool
 	// NewPolicy returns a policy for one zone.
 	NewPolicy func() *keeper.Policy
 }
@@ -127,8 +131,10 @@
 
 // waiting is one request that waits for a unit.
 type waiting struct {
-	arrival  arriver.Arrival
-	unit     string
+	arrival arriver.Arrival
+	unit    string
+	// own is the zone where the request arrived.
+	own      *zone
 	at       time.Time
 	deadline time.Time
 	// estimate is when the leader expected the unit.
@@ -143,6 +149,7 @@
 	queue   events
 	order   int
 	zones   []*zone
+	names   []string
 	// fetching counts the model loads from the weight store under way.
 	fetching int
 	parallel int
@@ -185,6 +192,7 @@
 	deployment, _ := r.options.Configuration.Deployment()
 	r.parallel = deployment.Parallel()
 	names := deployment.Zones()
+	r.names = names
 	for i, name := range names {
 		policy := r.options.NewPolicy()
 		r.result.Policy = policy.Name
@@ -255,32 +263,67 @@
 	if r.counts() {
 		r.result.Requests++
 	}
-	z := r.zones[arrival.Node%len(r.zones)]
-	spec, _ := leader.UnitSpec(r.options.Configuration, unit)
-	if base, found := leader.UnitSpec(r.options.Configuration, spec.Base); found {
-		z.planner.Use(base, r.now, 1)
-	}
-	z.planner.Use(spec, r.now, 1)
-	w := &waiting{arrival: arrival, unit: unit, at: r.now, deadline: r.now.Add(route.Timeout())}
-	if z.serve(w) {
+	w := &waiting{arrival: arrival, unit: unit, at: r.now, deadline: r.now.Add(route.Timeout()), own: r.zones[arrival.Node%len(r.zones)]}
+	if r.serve(w) {
 		return
 	}
-	z.waiting[unit] = append(z.waiting[unit], w)
-	z.ask(w)
+	home := r.home(w)
+	home.use(unit)
+	home.waiting[unit] = append(home.waiting[unit], w)
+	home.ask(w)
+}
+
+// home returns the zone that decides where a unit is loaded.
+func (r *replay) home(w *waiting) *zone {
+	if r.options.ZonesAlone {
+		return w.own
+	}
+	base, _, _ := strings.Cut(w.unit, "/")
+	name := router.Home(r.names, base)
+	return r.zones[slices.Index(r.names, name)]
+}
+
+// use tells the zone's planner that a request named a unit.
+func (z *zone) use(unit string) {
+	configuration := z.replay.options.Configuration
+	spec, _ := leader.UnitSpec(configuration, unit)
+	if base, found := leader.UnitSpec(configuration, spec.Base); found {
+		z.planner.Use(base, z.replay.now, 1)
+	}
+	z.planner.Use(spec, z.replay.now, 1)
+}
+
+// serve runs a request at a ready engine, in its own zone if possible, and
+// reports whether there was one.
+func (r *replay) serve(w *waiting) bool {
+	at, chosen := w.own, w.own.readyEngine(w.unit)
+	for _, z := range r.zones {
+		if chosen == nil && !r.options.ZonesAlone {
+			at, chosen = z, z.readyEngine(w.unit)
+		}
+	}
+	if chosen == nil {
+		return false
+	}
+	at.use(w.unit)
+	at.run(chosen, w)
+	return true
 }
 
-// serve runs a request at a ready engine and reports whether there was one.
-func (z *zone) serve(w *waiting) bool {
+// readyEngine returns the zone's engine with the least running that has a unit ready, or nil.
+func (z *zone) readyEngine(unit string) *engine {
 	var chosen *engine
 	for _, id := range z.ids {
 		e := z.engines[id]
-		if e.units[w.unit] && (chosen == nil || e.running < chosen.running) {
+		if e.units[unit] && (chosen == nil || e.running < chosen.running) {
 			chosen = e
 		}
 	}
-	if chosen == nil {
-		return false
-	}
+	return chosen
+}
+
+// run runs a request at an engine.
+func (z *zone) run(chosen *engine, w *waiting) {
 	r := z.replay
 	base, _, _ := strings.Cut(w.unit, "/")
 	r.usedSince[chosen.spec.ID+w.unit] = true
@@ -299,7 +342,6 @@
 		z.change(chosen, func() { chosen.running--; chosen.using[w.unit]-- })
 		z.report(chosen)
 	})
-	return true
 }
 
 // ask asks the planner for a request's unit, again until it is ready or refused.
@@ -433,7 +475,7 @@
 	queue := z.waiting[unit]
 	z.waiting[unit] = nil
 	for _, w := range queue {
-		if !z.serve(w) {
+		if !z.replay.serve(w) {
 			z.waiting[unit] = append(z.waiting[unit], w)
 		}
 	}
--- a/router/router.go
+++ b/router/router.go
@@ -87,6 +87,18 @@
 	return best
 }
 
+// Home returns the zone that rendezvous hashing assigns to a unit, or "" when there is no zone.
+func Home(zones []string, unit string) string {
+	hash := xxhash.Sum64String(unit)
+	home, bestScore := "", uint64(0)
+	for _, zone := range zones {
+		if score := rendezvous(zone, hash); home == "" || score > bestScore {
+			home, bestScore = zone, score
+		}
+	}
+	return home
+}
+
 func rendezvous(id string, prefix uint64) uint64 {
 	return xxhash.Sum64String(id + strconv.FormatUint(prefix, 16))
 }
--- a/server/poller.go
+++ b/server/poller.go
@@ -1,11 +1,14 @@
 package server
 
 import (
+	"encoding/json"
 	"fmt"
+	"strings"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/elector"
 	"github.com/acaciaproxy/acaciaproxy/follower"
@@ -14,6 +17,7 @@
 	"github.com/acaciaproxy/acaciaproxy/nodewire"
 	"github.com/acaciaproxy/acaciaproxy/peerclient"
 	"github.com/acaciaproxy/acaciaproxy/platformclient"
+	"github.com/acaciaproxy/acaciaproxy/router"
 	"github.com/acaciaproxy/acaciaproxy/settingsreader"
 	"github.com/acaciaproxy/acaciaproxy/tracker"
 )
@@ -28,6 +32,9 @@
 	fetchTime     = 3 * time.Second
 )
 
+// useKey is a unit with the zone that served it.
+type useKey struct{ unit, zone string }
+
 // poller keeps a node's view up to date: configuration, hosts and residency.
 type poller struct {
 	settings *settingsreader.Settings
@@ -42,12 +49,12 @@
 	fetching sync.Mutex
 	// mu guards everything below.
 	mu sync.Mutex
-	// holder is the zone's leader by the last lease or pull.
-	holder elector.Member
+	// holders maps each zone to its leader by the last lease row.
+	holders map[string]elector.Member
 	// epoch and sequence say up to where the leader's view is known.
 	epoch, sequence int64
-	// uses counts the requests that named each unit since the last pull.
-	uses map[string]*nodewire.Use
+	// uses counts the requests that each unit got in each zone since the last pull.
+	uses map[useKey]*nodewire.Use
 	// nodes are the listed nodes.
 	nodes []platformclient.Host
 	// nextPeer is the node asked next for its configuration version.
@@ -57,7 +64,7 @@
 func newPoller(settings *settingsreader.Settings, platform *platformclient.Platform, configuration *follower.Follower, known *tracker.Tracker, zoneLeader *leader.Leader, peers *peerclient.Pool) *poller {
 	return &poller{
 		settings: settings, platform: platform, follower: configuration, tracker: known, leader: zoneLeader, peers: peers,
-		stopped: make(chan struct{}), uses: map[string]*nodewire.Use{},
+		stopped: make(chan struct{}), uses: map[useKey]*nodewire.Use{}, holders: map[string]elector.Member{},
 	}
 }
 
@@ -83,25 +90,50 @@
 	}
 }
 
-// pollRows reads the head of the configuration and the zone's lease in one call.
+// pollRows reads the head of the configuration and the leases of all zones in one call.
 func (p *poller) pollRows() {
 	sentAt := time.Now()
-	rows, err := p.platform.ReadRows(sentAt.Add(pollTime), []string{follower.HeadKey, p.leader.LeaseKey()}, "")
+	keys := []string{follower.HeadKey}
+	zoneOf := map[string]string{}
+	for _, zone := range p.zones() {
+		key := leader.LeaseKeyOf(zone)
+		keys = append(keys, key)
+		zoneOf[key] = zone
+	}
+	rows, err := p.platform.ReadRows(sentAt.Add(pollTime), keys, "")
 	if err != nil {
 		return
 	}
-	var lease platformclient.Row
+	var own platformclient.Row
+	holders := map[string]elector.Member{}
 	for _, row := range rows {
-		switch row.Key {
-		case follower.HeadKey:
+		if row.Key == follower.HeadKey {
 			p.takeHead(row)
-		case p.leader.LeaseKey():
-			lease = row
+			continue
+		}
+		if row.Key == p.leader.LeaseKey() {
+			own = row
+		}
+		var lease elector.Lease
+		if err := json.Unmarshal([]byte(row.Value), &lease); err == nil {
+			holders[zoneOf[row.Key]] = lease.Holder
+		}
+	}
+	p.leader.ObserveRow(sentAt, own)
+	p.leader.SetHolders(holders)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.holders = holders
+}
+
+// zones returns the zones of the deployment, at least the own one.
+func (p *poller) zones() []string {
+	if configuration := p.follower.Current().Configuration(); configuration != nil {
+		if deployment, found := configuration.Deployment(); found {
+			return lo.Union(deployment.Zones(), []string{p.settings.Zone()})
 		}
 	}
-	p.leader.ObserveRow(sentAt, lease)
-	seen, _ := p.leader.Leading()
-	p.setHolder(seen.Holder)
+	return []string{p.settings.Zone()}
 }
 
 func (p *poller) takeHead(row platformclient.Row) {
@@ -123,12 +155,6 @@
 	go p.pollHosts() // What a worker is depends on the configuration.
 }
 
-func (p *poller) setHolder(holder elector.Member) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.holder = holder
-}
-
 // LeaderlessError says that a zone has no known leader.
 type LeaderlessError struct {
 	// zone is the availability zone.
@@ -138,17 +164,29 @@
 // Error names the zone.
 func (e *LeaderlessError) Error() string { return fmt.Sprintf("zone %q has no known leader", e.zone) }
 
-// leaderClient returns the client of the zone's leader.
+// leaderClient returns the client of the own zone's leader.
 func (p *poller) leaderClient() (nodewire.NodeClient, error) {
+	return p.leaderOf(p.settings.Zone())
+}
+
+func (p *poller) leaderOf(zone string) (nodewire.NodeClient, error) {
 	p.mu.Lock()
-	holder := p.holder
+	holder := p.holders[zone]
 	p.mu.Unlock()
 	if holder.Incarnation == "" {
-		return nil, &LeaderlessError{zone: p.settings.Zone()}
+		return nil, &LeaderlessError{zone: zone}
 	}
 	return p.peers.Node(holder.Address)
 }
 
+// homeLeader returns the client of the leader that decides where a unit is
+// loaded while all zones are reachable: rendezvous hashing gives each unit one
+// home zone, so that a burst in several zones gives one load.
+func (p *poller) homeLeader(unit string) (nodewire.NodeClient, error) {
+	base, _, _ := strings.Cut(unit, "/")
+	return p.leaderOf(router.Home(p.zones(), base))
+}
+
 // pollHosts reads the host list.
 func (p *poller) pollHosts() {
 	hosts, err := p.platform.ListHosts(time.Now().Add(pollTime))
@@ -178,19 +216,30 @@
 	p.mu.Unlock()
 }
 
-// used counts a request that named a unit, for the next pull.
-func (p *poller) used(unit string, saturated bool) {
+// used counts a request that named a unit, for the next pull. Worker is the one
+// that serves it, or empty when none does yet.
+func (p *poller) used(unit, worker string, saturated bool) {
+	zone := ""
+	if worker != "" {
+		zone = p.tracker.Zone(worker)
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	use, known := p.uses[unit]
-	if !known {
-		use = &nodewire.Use{Unit: unit}
-		p.uses[unit] = use
-	}
+	use := p.useOf(useKey{unit: unit, zone: zone})
 	use.Requests++
 	use.Saturated = use.Saturated || saturated
 }
 
+// useOf returns the count for a unit and zone; the caller holds mu.
+func (p *poller) useOf(key useKey) *nodewire.Use {
+	use, known := p.uses[key]
+	if !known {
+		use = &nodewire.Use{Unit: key.unit, Zone: key.zone}
+		p.uses[key] = use
+	}
+	return use
+}
+
 // pull fetches what changed in the leader's view.
 func (p *poller) pull() {
 	client, err := p.leaderClient()
@@ -224,7 +273,7 @@
 	for _, use := range p.uses {
 		request.Uses = append(request.Uses, use)
 	}
-	p.uses = map[string]*nodewire.Use{}
+	p.uses = map[useKey]*nodewire.Use{}
 	return request
 }
 
@@ -233,12 +282,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, use := range uses {
-		if newer, known := p.uses[use.GetUnit()]; known {
-			newer.Requests += use.GetRequests()
-			newer.Saturated = newer.GetSaturated() || use.GetSaturated()
-			continue
-		}
-		p.uses[use.GetUnit()] = use
+		kept := p.useOf(useKey{unit: use.GetUnit(), zone: use.GetZone()})
+		kept.Requests += use.GetRequests()
+		kept.Saturated = kept.GetSaturated() || use.GetSaturated()
 	}
 }
 
--- a/server/server.go
+++ b/server/server.go
@@ -129,7 +129,8 @@
 		}
 	}
 	version := func() int64 { return configuration.Current().Version() }
-	return asker.New(settings.Name(), do.MustInvoke[*poller](i).leaderClient, ready, version), nil
+	leaders := do.MustInvoke[*poller](i)
+	return asker.New(settings.Name(), leaders.leaderClient, leaders.homeLeader, ready, version), nil
 }
 
 func provideGateway(i do.Injector) (*gateway.Gateway, error) {
@@ -160,7 +161,7 @@
 		poller:   do.MustInvoke[*poller](i),
 	}
 	s.poller.isolator = s.isolator
-	s.leader.SetQuarantines(s.isolator.Quarantines)
+	s.leader.SetQuarantines(s.isolator.Quarantines, s.isolator.Restore)
 	s.operator = operator.New(operator.Parts{
 		Settings: s.settings, Follower: s.follower, Tracker: s.tracker, Leader: s.leader,
 		InFlight: s.gateway.InFlight,
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -238,6 +238,14 @@
 	return s.worker(id).address
 }
 
+// Zone returns a worker's availability zone.
+func (t *Tracker) Zone(id string) string {
+	s := t.shardOf(id)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.worker(id).zone
+}
+
 // Usable returns the IDs of the workers of a zone that may get new work.
 func (t *Tracker) Usable(zone string) []string {
 	var ids []string
