--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -240,15 +240,15 @@
 func (r *relay) accept(events []byte) error {
 	tokens := 0
 	for rest := events; len(rest) > 0; {
-		at := bytes.Index(rest, eventEnd)
-		isToken, err := r.inspect(rest[:at])
+		var event []byte
+		event, rest, _ = bytes.Cut(rest, eventEnd)
+		isToken, err := r.inspect(event)
 		if err != nil {
 			return engineclient.NewBrokenError(err)
 		}
 		if isToken {
 			tokens++
 		}
-		rest = rest[at+len(eventEnd):]
 	}
 	if r.attempt.request.claim != nil {
 		r.kept = append(r.kept, events...)
--- a/leader/answer.go
+++ b/leader/answer.go
@@ -17,52 +17,91 @@
 type zoneView struct {
 	epoch    int64
 	sequence int64
-	workers  map[string]viewedWorker
+	workers  map[string]*viewedWorker
 	// remote holds the workers of other zones as their leaders describe them.
-	remote map[string]viewedWorker
+	remote map[string]*viewedWorker
 }
 
-// viewedWorker is a worker's view with the sequence of its last change.
+// viewedWorker is a worker's view with the sequences of its last changes.
 type viewedWorker struct {
-	text     string
-	state    *nodewire.WorkerState
-	sequence int64
+	// residents and load are what the last change was found by.
+	residents, load string
+	state           *nodewire.WorkerState
+	// residentsAt and loadAt are the sequences at which each last changed.
+	residentsAt, loadAt int64
 }
 
 func (v *zoneView) reset(epoch int64) {
-	*v = zoneView{epoch: epoch, workers: map[string]viewedWorker{}, remote: map[string]viewedWorker{}}
+	*v = zoneView{epoch: epoch, workers: map[string]*viewedWorker{}, remote: map[string]*viewedWorker{}}
+}
+
+// since returns what changed in a set of workers after a sequence. Residents,
+// which are most of a worker's bytes, are sent only when they changed.
+func since(workers map[string]*viewedWorker, sequence int64) []*nodewire.WorkerState {
+	var states []*nodewire.WorkerState
+	for _, worker := range workers {
+		switch {
+		case worker.residentsAt > sequence:
+			states = append(states, worker.state)
+		case worker.loadAt > sequence:
+			states = append(states, &nodewire.WorkerState{
+				Id: worker.state.GetId(), Leaving: worker.state.GetLeaving(), Running: worker.state.GetRunning(), Queued: worker.state.GetQueued(),
+				Incarnation: worker.state.GetIncarnation(), LoadOnly: true,
+			})
+		}
+	}
+	return states
 }
 
 // updateRemote takes in what changed in another zone.
 func (v *zoneView) updateRemote(states []*nodewire.WorkerState) {
 	for _, state := range states {
 		v.sequence++
-		v.remote[state.GetId()] = viewedWorker{state: state, sequence: v.sequence}
+		known, found := v.remote[state.GetId()]
+		if !found {
+			known = &viewedWorker{}
+			v.remote[state.GetId()] = known
+		}
+		known.loadAt = v.sequence
+		if !state.GetLoadOnly() {
+			known.residentsAt = v.sequence
+		} else if known.state != nil {
+			state.Residents, state.LoadOnly = known.state.GetResidents(), false
+		}
+		known.state = state
 	}
 }
 
 // update takes in the planner's view and reports whether anything changed.
 func (v *zoneView) update(views []planner.WorkerView) bool {
-	changed := false
+	before := v.sequence
 	listed := map[string]bool{}
 	for _, view := range views {
 		listed[view.ID] = true
-		text := fmt.Sprintf("%v %d %d %d %v", view.Leaving, view.Running, view.Queued, view.Incarnation, view.Units)
-		if v.workers[view.ID].text == text {
-			continue
-		}
-		v.sequence++
-		v.workers[view.ID] = viewedWorker{text: text, state: workerState(view), sequence: v.sequence}
-		changed = true
+		v.updateWorker(view)
 	}
 	for id, known := range v.workers {
 		if !listed[id] && !known.state.GetRemoved() {
 			v.sequence++
-			v.workers[id] = viewedWorker{state: &nodewire.WorkerState{Id: id, Removed: true}, sequence: v.sequence}
-			changed = true
+			v.workers[id] = &viewedWorker{state: &nodewire.WorkerState{Id: id, Removed: true}, residentsAt: v.sequence, loadAt: v.sequence}
 		}
 	}
-	return changed
+	return v.sequence != before
+}
+
+func (v *zoneView) updateWorker(view planner.WorkerView) {
+	residents := fmt.Sprint(view.Units)
+	load := fmt.Sprint(view.Leaving, view.Running, view.Queued, view.Incarnation)
+	known, found := v.workers[view.ID]
+	if found && known.residents == residents && known.load == load {
+		return
+	}
+	v.sequence++
+	updated := &viewedWorker{residents: residents, load: load, state: workerState(view), residentsAt: v.sequence, loadAt: v.sequence}
+	if found && known.residents == residents {
+		updated.residentsAt = known.residentsAt
+	}
+	v.workers[view.ID] = updated
 }
 
 func workerState(view planner.WorkerView) *nodewire.WorkerState {
@@ -93,26 +132,16 @@
 	}
 	l.takeUses(now, request.GetUses())
 	reply.Leading, reply.Epoch, reply.Sequence = true, epoch, l.view.sequence
-	since := request.GetSince()
+	known := request.GetSince()
 	if request.GetEpoch() != l.view.epoch {
-		since = 0
-	}
-	reply.Whole = since == 0
-	for _, worker := range l.view.workers {
-		if worker.sequence > since {
-			reply.Workers = append(reply.Workers, worker.state)
-		}
+		known = 0
 	}
+	reply.Workers = since(l.view.workers, known)
 	if l.quarantines != nil {
 		reply.Quarantines = l.quarantines(now)
 	}
-	if !fromOwnZone {
-		return reply
-	}
-	for _, worker := range l.view.remote {
-		if worker.sequence > since {
-			reply.Workers = append(reply.Workers, worker.state)
-		}
+	if fromOwnZone {
+		reply.Workers = append(reply.Workers, since(l.view.remote, known)...)
 	}
 	return reply
 }
--- a/server/poller.go
+++ b/server/poller.go
@@ -292,7 +292,7 @@
 	for _, worker := range reply.GetWorkers() {
 		digest := tracker.Digest{
 			ID: worker.GetId(), Leaving: worker.GetLeaving() || worker.GetRemoved(), Running: int(worker.GetRunning()), Queued: int(worker.GetQueued()),
-			Incarnation: worker.GetIncarnation(), Units: map[string]string{},
+			Incarnation: worker.GetIncarnation(), Units: map[string]string{}, LoadOnly: worker.GetLoadOnly(),
 		}
 		for _, resident := range worker.GetResidents() {
 			digest.Units[resident.GetUnit()] = resident.GetPhase()
--- a/tracker/tracker.go
+++ b/tracker/tracker.go
@@ -123,6 +123,8 @@
 	Incarnation     int64
 	// Units maps each unit to its phase.
 	Units map[string]string
+	// LoadOnly is set when Units is left out because it did not change.
+	LoadOnly bool
 }
 
 // SetDigest takes in what the leader says of a worker.
@@ -135,7 +137,9 @@
 	w.running, w.queued = digest.Running, digest.Queued
 	w.sentAtDigest = w.sent
 	w.incarnation = digest.Incarnation
-	w.units = digest.Units
+	if !digest.LoadOnly {
+		w.units = digest.Units
+	}
 }
 
 // SetReady records that a unit is ready at a worker.
