--- a/follower/follower.go
+++ b/follower/follower.go
@@ -110,9 +110,6 @@
 	}
 }
 
-// Behind reports whether a newer version than the one in force is known.
-func (f *Follower) Behind() bool { return f.known.Load() > f.Current().version }
-
 // Fetch brings the node up to the head as read from the platform.
 func (f *Follower) Fetch(deadline time.Time, head Head) error {
 	f.Hear(head.Version)
