Keep a waiting request's place in the queue

Cause: a request that waited for a slot left the queue every 100 ms to look for itself and entered it again at the end, so that order, class and the estimate at entry meant little and refusals came late.

Change: a request keeps its ticket; when it finds a free slot, the queue's next gets it.

--- a/gateway/wait.go
+++ b/gateway/wait.go
@@ -35,18 +35,14 @@
 		if err := g.waitAssigned(a); err != nil {
 			return err
 		}
-		now := time.Now()
-		candidates := g.parts.Tracker.Candidates(now, a.unit, g.parts.Settings.Zone(), a.excluded)
-		if a.assigned != "" {
-			candidates = onlyAssigned(candidates, a.assigned)
-		}
+		candidates := g.candidates(a)
 		if len(candidates) == 0 {
 			if err := g.waitCold(a); err != nil {
 				return err
 			}
 			continue
 		}
-		chosen := router.Choose(candidates, a.prefix, uint64(now.UnixNano())^uint64(g.requests.Load()))
+		chosen := router.Choose(candidates, a.prefix, uint64(time.Now().UnixNano())^uint64(g.requests.Load()))
 		if chosen >= 0 {
 			a.worker = candidates[chosen].ID
 			g.parts.Used(a.unit, a.worker, false)
@@ -58,6 +54,15 @@
 	}
 }
 
+// candidates returns the workers that may run the request now.
+func (g *Gateway) candidates(a *attempt) []router.Candidate {
+	found := g.parts.Tracker.Candidates(time.Now(), a.unit, g.parts.Settings.Zone(), a.excluded)
+	if a.assigned != "" {
+		return onlyAssigned(found, a.assigned)
+	}
+	return found
+}
+
 func onlyAssigned(candidates []router.Candidate, assigned string) []router.Candidate {
 	for _, candidate := range candidates {
 		if candidate.ID == assigned {
@@ -88,10 +93,12 @@
 	return err
 }
 
-// slotPoll is how often a request that waits for a slot looks for itself.
+// slotPoll is how often a request that waits looks whether a worker has a slot
+// that other nodes' requests have left.
 const slotPoll = 100 * time.Millisecond
 
-// waitSaturated waits until a worker of the unit has a free slot.
+// waitSaturated waits until it is this request's turn for a slot. It is refused
+// when it enters the queue or not before its deadline, and keeps its place.
 func (g *Gateway) waitSaturated(a *attempt) error {
 	began := time.Now()
 	g.parts.Used(a.unit, "", true)
@@ -103,15 +110,21 @@
 		return g.refuseSaturated(a, full.Error(), full.RetryAt())
 	}
 	defer g.parts.Queuer.Leave(ticket)
-	select {
-	case <-ticket.Granted():
-	case <-time.After(slotPoll):
-	}
-	g.observe(a.request, recorder.MeasureQueue, time.Since(began))
-	if !time.Now().Before(a.request.deadline) {
-		return g.refuseSaturated(a, "deadline passed in the queue", time.Now().Add(busyRetry))
+	defer func() { g.observe(a.request, recorder.MeasureQueue, time.Since(began)) }()
+	for {
+		select {
+		case <-ticket.Granted():
+			return nil
+		case <-time.After(slotPoll):
+		}
+		now := time.Now()
+		if !now.Before(a.request.deadline) {
+			return g.refuseSaturated(a, "deadline passed in the queue", now.Add(busyRetry))
+		}
+		if candidates := g.candidates(a); len(candidates) == 0 || router.Choose(candidates, 0, 0) >= 0 {
+			g.parts.Queuer.Release(now, a.unit)
+		}
 	}
-	return nil
 }
 
 func (g *Gateway) refuseSaturated(a *attempt, message string, retryAt time.Time) error {
