Give model requests that must not run twice a connection of their own

Cause: only services did; a model route that is not idempotent used the pool, so that a silent connection there ended as unknown where a look would have avoided it.

Ruled out: probing pooled connections, since a probe says nothing of the next packet.

Change: Call.Once opens a connection and probes the engine over it first.

--- a/engineclient/engine.go
+++ b/engineclient/engine.go
@@ -113,8 +113,11 @@
 	Body []byte
 	// Deadline bounds the whole answer.
 	Deadline time.Time
-	// Priority is sent to the engine: lower is more urgent.
+	// Priority is the request's class, for the engine's own queue.
 	Priority string
+	// Once is set for a request that must not run twice: it gets a connection of
+	// its own, over which the engine is probed first.
+	Once bool
 }
 
 // Answer is an engine's answer whose body is still to be read.
@@ -125,6 +128,8 @@
 	id          string
 	request     *fasthttp.Request
 	response    *fasthttp.Response
+	// own is the client of this answer alone, or nil.
+	own *fasthttp.HostClient
 }
 
 // Status returns the HTTP status.
@@ -142,6 +147,9 @@
 	_ = a.response.CloseBodyStream()
 	fasthttp.ReleaseResponse(a.response)
 	fasthttp.ReleaseRequest(a.request)
+	if a.own != nil {
+		a.own.CloseIdleConnections()
+	}
 }
 
 // Complete sends a completion and returns its answer once the header is here.
@@ -155,7 +163,17 @@
 	request.SetBodyRaw(call.Body)
 	response.StreamBody = true
 	answer := &Answer{id: call.ID, request: request, response: response}
-	if err := c.http.DoDeadline(request, response, call.Deadline); err != nil {
+	client := c.http
+	if call.Once {
+		client = dialer.New(c.address, progressTime)
+		client.MaxConns = 1
+		answer.own = client
+		if err := c.probe(client, call.Deadline); err != nil {
+			answer.Close()
+			return nil, &NotRunError{reason: "probe failed", cause: err}
+		}
+	}
+	if err := client.DoDeadline(request, response, call.Deadline); err != nil {
 		answer.Close()
 		return nil, sendError(err)
 	}
@@ -169,6 +187,27 @@
 	return answer, nil
 }
 
+// probeTime bounds the probe before a request that must not run twice.
+const probeTime = 1 * time.Second
+
+// probe asks the engine over a client's connection whether it is well.
+func (c *Client) probe(client *fasthttp.HostClient, deadline time.Time) error {
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + c.address + "/health")
+	if limit := time.Now().Add(probeTime); limit.Before(deadline) {
+		deadline = limit
+	}
+	if err := client.DoDeadline(request, response, deadline); err != nil {
+		return fmt.Errorf("probe %s: %w", c.address, err)
+	}
+	if response.StatusCode() != fasthttp.StatusOK {
+		return fmt.Errorf("probe %s: status %d", c.address, response.StatusCode())
+	}
+	return nil
+}
+
 func sendError(err error) error {
 	if dialer.NothingSent(err) {
 		return &NotRunError{reason: "unreachable", cause: err}
--- /dev/null
+++ b/engineclient/engine_test.go
@@ -0,0 +1,81 @@
+package engineclient_test
+
+import (
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/acaciaproxy/acaciaproxy/engineclient"
+	"github.com/acaciaproxy/acaciaproxy/enginestandin"
+)
+
+// startEngine starts an engine that has unit "u" ready.
+func startEngine(t *testing.T) (address string, client *engineclient.Client) {
+	g := gomega.NewWithT(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	engine := enginestandin.New(enginestandin.Settings{ID: "e", Memory: 1 << 30, Slots: 4})
+	go func() { _ = engine.Serve(listener) }()
+	t.Cleanup(func() { _ = listener.Close() })
+	address = listener.Addr().String()
+	client = engineclient.New(address)
+	deadline := time.Now().Add(10 * time.Second)
+	answer, err := client.Order(deadline, engineclient.Order{ID: "1", Fence: 1, Verb: "load", Unit: "u", Memory: 1, LoadMS: 1})
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answer.Accepted).To(gomega.BeTrue())
+	g.Eventually(func() string {
+		report, err := client.Report(deadline)
+		if err != nil || len(report.Units) == 0 {
+			return ""
+		}
+		return report.Units[0].Phase
+	}, 5*time.Second, 10*time.Millisecond).Should(gomega.Equal("ready"))
+	return address, client
+}
+
+func complete(client *engineclient.Client, id string, once bool) error {
+	answer, err := client.Complete(engineclient.Call{
+		ID: id, Path: "/v1/completions", Body: []byte(`{"model": "u", "prompt": "x"}`), Deadline: time.Now().Add(8 * time.Second), Once: once,
+	})
+	if err != nil {
+		return err
+	}
+	defer answer.Close()
+	_, err = io.ReadAll(answer)
+	return err
+}
+
+// TestSilentConnections makes the pooled connection silent: a request that must
+// not run twice is not sent over it, and one that may breaks and does not hang.
+func TestSilentConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	address, client := startEngine(t)
+	g.Expect(complete(client, "first", false)).To(gomega.Succeed())
+	answer, err := http.Post("http://"+address+"/faults/silence", "", nil)
+	g.Expect(err).NotTo(gomega.HaveOccurred())
+	g.Expect(answer.Body.Close()).To(gomega.Succeed())
+	time.Sleep(100 * time.Millisecond) // The switch acts after its own answer.
+
+	g.Expect(complete(client, "once", true)).To(gomega.Succeed())
+	var broken *engineclient.BrokenError
+	g.Expect(errors.As(complete(client, "pooled", false), &broken)).To(gomega.BeTrue())
+	g.Expect(broken.Crashed()).To(gomega.BeFalse())
+	client.ForgetIdle()
+	g.Expect(complete(client, "again", false)).To(gomega.Succeed())
+}
+
+// TestNotLoadedIsNotRun asks for a unit that the engine does not hold.
+func TestNotLoadedIsNotRun(t *testing.T) {
+	g := gomega.NewWithT(t)
+	_, client := startEngine(t)
+	_, err := client.Complete(engineclient.Call{ID: "x", Path: "/v1/completions", Body: []byte(`{"model": "other"}`), Deadline: time.Now().Add(5 * time.Second)})
+	var notRun *engineclient.NotRunError
+	g.Expect(errors.As(err, &notRun)).To(gomega.BeTrue())
+	g.Expect(notRun.Reason()).To(gomega.Equal("not loaded"))
+	g.Expect(notRun.Answered()).To(gomega.BeTrue())
+}
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -204,6 +204,7 @@
 	a.incarnation = incarnation
 	answer, err := g.engine(address).Complete(engineclient.Call{
 		ID: a.request.id, Path: a.path, Body: body, Deadline: a.request.deadline, Priority: a.request.class,
+		Once: !a.request.route.Idempotent() || a.request.claim != nil,
 	})
 	if err != nil {
 		g.parts.Tracker.End(time.Now(), a.worker, isWorkersFault(err))
