--- a/asker/asker.go
+++ b/asker/asker.go
@@ -13,12 +13,13 @@
 
 // Limits of one question.
 const (
-	questionTime = 1500 * time.Millisecond
+	questionTime = 750 * time.Millisecond // A leader answers within 250 ms.
 	questionGap  = 50 * time.Millisecond
 	// homeTime bounds a question to another zone, which may be cut off; a leader answers within 250 ms.
 	homeTime = 500 * time.Millisecond
-	// leaderlessTime is how long requests wait for a zone to have a leader.
-	leaderlessTime = 5 * time.Second
+	// leaderlessTime is how long requests wait for a zone to have a leader. A
+	// successor needs a term of 3 s and three polls of half a second at most.
+	leaderlessTime = 8 * time.Second
 	// leaderlessRetry is when a request refused for want of a leader may come back.
 	leaderlessRetry = 3 * time.Second
 )
--- a/planner/evict.go
+++ b/planner/evict.go
@@ -78,7 +78,7 @@
 
 // resident describes a ready unit for the policy.
 func (p *Planner) resident(charge Charge) keeper.Resident {
-	reload := 0.0
+	reload := unknownReloadSeconds
 	if want, known := p.wants[charge.Unit]; known {
 		reload = diskTierShare * float64(want.spec.LoadMS) / millisecondsPerSecond
 	}
@@ -88,7 +88,11 @@
 	}
 }
 
-const millisecondsPerSecond = 1000
+const (
+	millisecondsPerSecond = 1000
+	// unknownReloadSeconds stands for a unit that no request has named under this leader.
+	unknownReloadSeconds = 1.0
+)
 
 // lastUse returns the last use of a unit, or of any adapter on it.
 func (p *Planner) lastUse(unit string) time.Time {
--- a/planner/planner.go
+++ b/planner/planner.go
@@ -175,6 +175,7 @@
 	w.firstOrder = p.sendFence(now, w)
 	for _, charge := range w.row.Charges {
 		w.proofs[charge.Unit] = w.firstOrder
+		p.policy.Used(charge.Unit, now, 1) // A new leader knows no history, which must not unload everything.
 	}
 }
 
--- a/server/poller.go
+++ b/server/poller.go
@@ -173,6 +173,9 @@
 	p.mu.Lock()
 	holder := p.holders[zone]
 	p.mu.Unlock()
+	if _, leading := p.leader.Leading(); leading && zone == p.settings.Zone() {
+		holder = p.leader.Self() // Known before the next poll of the lease.
+	}
 	if holder.Incarnation == "" {
 		return nil, &LeaderlessError{zone: zone}
 	}
