One probed connection for engines and services

Cause: on reading the whole change again, the probe before a request that must not run twice stood twice, in engineclient and in serviceclient, with the same limits and the same connection of its own.

Ruled out: merging the clients; their errors and answers differ.

Change: dialer.NewProbed opens the connection and probes; both call it. Behaviour is the same, the tests are untouched.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -62,6 +62,34 @@
 	}
 }
 
+// probeTime bounds the probe before a request that must not run twice.
+const probeTime = 1 * time.Second
+
+// NewProbed returns a client with one connection of its own, over which the
+// address has just answered a probe with status 200. A request that must not
+// run twice goes over it, so that neither a connection that went silent nor a
+// frozen process gets the request. The caller closes its idle connections.
+func NewProbed(address, path string, progress time.Duration, deadline time.Time) (*fasthttp.HostClient, error) {
+	client := New(address, progress)
+	client.MaxConns = 1
+	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
+	defer fasthttp.ReleaseRequest(request)
+	defer fasthttp.ReleaseResponse(response)
+	request.SetRequestURI("http://" + address + path)
+	if limit := time.Now().Add(probeTime); limit.Before(deadline) {
+		deadline = limit
+	}
+	err := client.DoDeadline(request, response, deadline)
+	if err == nil && response.StatusCode() != fasthttp.StatusOK {
+		err = fmt.Errorf("status %d", response.StatusCode())
+	}
+	if err != nil {
+		client.CloseIdleConnections()
+		return nil, fmt.Errorf("probe %s%s: %w", address, path, err)
+	}
+	return client, nil
+}
+
 // progressConn bounds the time of every read by the progress time and by the
 // read deadline. The limit is set again only after a tenth of the progress time,
 // since setting it costs more than a read.
--- a/engineclient/engine.go
+++ b/engineclient/engine.go
@@ -165,13 +165,12 @@
 	answer := &Answer{id: call.ID, request: request, response: response}
 	client := c.http
 	if call.Once {
-		client = dialer.New(c.address, progressTime)
-		client.MaxConns = 1
-		answer.own = client
-		if err := c.probe(client, call.Deadline); err != nil {
+		own, err := dialer.NewProbed(c.address, "/health", progressTime, call.Deadline)
+		if err != nil {
 			answer.Close()
 			return nil, &NotRunError{reason: "probe failed", cause: err}
 		}
+		client, answer.own = own, own
 	}
 	if err := client.DoDeadline(request, response, call.Deadline); err != nil {
 		answer.Close()
@@ -187,27 +186,6 @@
 	return answer, nil
 }
 
-// probeTime bounds the probe before a request that must not run twice.
-const probeTime = 1 * time.Second
-
-// probe asks the engine over a client's connection whether it is well.
-func (c *Client) probe(client *fasthttp.HostClient, deadline time.Time) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + c.address + "/health")
-	if limit := time.Now().Add(probeTime); limit.Before(deadline) {
-		deadline = limit
-	}
-	if err := client.DoDeadline(request, response, deadline); err != nil {
-		return fmt.Errorf("probe %s: %w", c.address, err)
-	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return fmt.Errorf("probe %s: status %d", c.address, response.StatusCode())
-	}
-	return nil
-}
-
 func sendError(err error) error {
 	if dialer.NothingSent(err) {
 		return &NotRunError{reason: "unreachable", cause: err}
--- a/serviceclient/service.go
+++ b/serviceclient/service.go
@@ -13,9 +13,6 @@
 // progressTime bounds the wait for a service's next byte.
 const progressTime = 10 * time.Second
 
-// probeTime bounds the probe before a request that must not run twice.
-const probeTime = 1 * time.Second
-
 // NotRunError says that the request was never sent to the service.
 type NotRunError struct {
 	// cause is what kept it from being sent, never nil.
@@ -71,13 +68,12 @@
 // its own and probes the endpoint over it first, so that neither a connection
 // that went silent nor a frozen endpoint ever gets the request.
 func (c *Client) SendOnce(request *fasthttp.Request, response *fasthttp.Response, probe string, deadline time.Time) error {
-	fresh := dialer.New(c.address, progressTime)
-	fresh.MaxConns = 1
-	defer fresh.CloseIdleConnections()
-	if err := c.probe(fresh, probe, deadline); err != nil {
+	fresh, err := dialer.NewProbed(c.address, probe, progressTime, deadline)
+	if err != nil {
 		return &NotRunError{cause: err}
 	}
-	err := fresh.DoDeadline(request, response, deadline)
+	defer fresh.CloseIdleConnections()
+	err = fresh.DoDeadline(request, response, deadline)
 	if err == nil {
 		return nil
 	}
@@ -86,20 +82,3 @@
 	}
 	return &BrokenError{cause: err}
 }
-
-func (c *Client) probe(fresh *fasthttp.HostClient, path string, deadline time.Time) error {
-	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
-	defer fasthttp.ReleaseRequest(request)
-	defer fasthttp.ReleaseResponse(response)
-	request.SetRequestURI("http://" + c.address + path)
-	if limit := time.Now().Add(probeTime); limit.Before(deadline) {
-		deadline = limit
-	}
-	if err := fresh.DoDeadline(request, response, deadline); err != nil {
-		return fmt.Errorf("probe %s%s: %w", c.address, path, err)
-	}
-	if response.StatusCode() != fasthttp.StatusOK {
-		return fmt.Errorf("probe %s%s: status %d", c.address, path, response.StatusCode())
-	}
-	return nil
-}
