--- a/commander/serve.go
+++ b/commander/serve.go
@@ -42,23 +42,55 @@
 		Level: log.ParseLevel(settings.LogLevel()), TimeFormat: "2006-01-02T15:04:05.000Z07:00",
 		Writer: &log.IOWriter{Writer: s.err},
 	}
-	node, err := server.New(settings)
+	run, err := newNode(settings)
 	if err != nil {
 		return verbServe().refuse(s, err)
 	}
 	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	stop := make(chan struct{})
 	go func() {
-		<-signals
-		close(stop)
+		for received := range signals {
+			if received != syscall.SIGHUP {
+				close(stop)
+				return
+			}
+			reload(path)
+		}
 	}()
-	if err := node.Run(stop); err != nil {
+	if err := run(stop); err != nil {
 		return verbServe().refuse(s, err)
 	}
 	return ExitDone
 }
 
+// newNode builds the node for the platform's form and returns its run function.
+func newNode(settings *settingsreader.Settings) (run func(stop <-chan struct{}) error, err error) {
+	if settings.Form() == settingsreader.FormFleet {
+		node, err := server.NewFleet(settings)
+		if err != nil {
+			return nil, err
+		}
+		return node.Run, nil
+	}
+	node, err := server.New(settings)
+	if err != nil {
+		return nil, err
+	}
+	return node.Run, nil
+}
+
+// reload reads the settings again. The log level takes effect; addresses hold until the next start.
+func reload(path string) {
+	settings, err := settingsreader.Read(path)
+	if err != nil {
+		log.Error().Err(err).Msg("settings not reloaded")
+		return
+	}
+	log.DefaultLogger.SetLevel(log.ParseLevel(settings.LogLevel()))
+	log.Info().Str("level", settings.LogLevel()).Msg("settings reloaded")
+}
+
 // refuseFaults prints one line for each fault in err, or err itself.
 func refuseFaults(v verb, s streams, err error) int {
 	faults := configurer.AsFaults(err)
--- /dev/null
+++ b/conductor/plan.go
@@ -0,0 +1,271 @@
+package conductor
+
+import (
+	"sort"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/samber/lo"
+
+	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/placer"
+	"github.com/acaciaproxy/acaciaproxy/registrar"
+)
+
+const (
+	// storeLoadsAtOnce bounds the loads from the weight store under way over all zones; the users' store
+	// is at full speed with four at once, and one is left for a zone that does not know of the others.
+	storeLoadsAtOnce = 3
+	// storeWindow is the window in which loads from the store are counted against its rate.
+	storeWindow = 5 * time.Second // The platform's ceilingWindowS.
+	// runsPerHolder is the share of a worker's slots that a model's requests should take at each of its holders.
+	runsPerHolder = 0.2
+	// passAfter is how long a zone may leave a move undone that it should have made, passTime for how long its worker is passed by then.
+	passAfter = 300 * time.Millisecond
+	passTime  = 1 * time.Second
+)
+
+// plan decides what to load and starts the moves of this zone; the caller holds mu.
+func (c *Conductor) plan(now time.Time, catalog *cataloger.Catalog) {
+	c.demand.expire(now)
+	for id, known := range c.workers {
+		c.countRuns(now, id, known)
+		known.reserved = false
+		if known.unsure && known.idle() && !now.Before(known.retryAt) {
+			known.reporting = true
+			go c.resync(c.epoch, known)
+		}
+	}
+	for _, service := range catalog.Services() {
+		if service.RunsModels() {
+			c.planAdapters(now, service)
+			c.planService(now, catalog, service)
+		}
+	}
+}
+
+// countRuns takes in what runs at a worker; the caller holds mu.
+func (c *Conductor) countRuns(now time.Time, id string, known *charge) {
+	running := c.demand.runningAt(id)
+	for model := range running {
+		if unit, found := known.units[model]; found {
+			unit.usedAt = now
+		}
+	}
+	if known.total() != lo.Sum(lo.Values(running)) {
+		c.touch(id)
+	}
+	known.running = running
+}
+
+// planService plans the models of one service; the caller holds mu.
+func (c *Conductor) planService(now time.Time, catalog *cataloger.Catalog, service *cataloger.Service) {
+	fleet := c.parts.List.Fleet().Of(service.Name)
+	input := placer.Input{
+		Models: modelsOf(service), Places: c.places(now, service, fleet), Demands: c.demands(now, service),
+		Passed: map[string]bool{}, Limits: placer.Limits{StoreLoads: c.storeLoads(now, catalog, service), RunsPerHolder: c.runsPerHolder(fleet)},
+	}
+	for id, until := range c.passed {
+		if now.Before(until) {
+			input.Passed[id] = true
+		} else {
+			delete(c.passed, id)
+		}
+	}
+	moves := placer.Plan(input)
+	c.passIdle(now, moves)
+	for _, move := range moves {
+		if known := c.workers[move.Worker]; move.Mine && known != nil {
+			c.startMove(now, known, service, move)
+		}
+	}
+}
+
+// runsPerHolder returns the load at which a model gets another holder.
+func (c *Conductor) runsPerHolder(fleet []*registrar.Worker) float64 {
+	if len(fleet) == 0 {
+		return 1
+	}
+	return max(float64(fleet[0].Slots)*runsPerHolder, 1)
+}
+
+// passIdle passes by the workers of other zones whose leaders do not make the
+// moves that this node's plan expects of them; the caller holds mu.
+func (c *Conductor) passIdle(now time.Time, moves []placer.Move) {
+	expected := map[string]time.Time{}
+	for _, move := range moves {
+		if move.Mine || move.Reason != "waiting" {
+			continue
+		}
+		since, known := c.pending[move.Model]
+		if !known {
+			since = now
+		}
+		expected[move.Model] = since
+		if now.Sub(since) > passAfter {
+			c.passed[move.Worker] = now.Add(passTime)
+		}
+	}
+	c.pending = expected
+}
+
+func modelsOf(service *cataloger.Service) map[string]placer.Model {
+	return lo.MapValues(service.Models, func(model cataloger.Model, name string) placer.Model {
+		return placer.Model{Name: name, MemoryMB: model.MemoryMB, TierMS: [3]float64{model.WarmMS, model.DiskMS, model.StoreMS}}
+	})
+}
+
+// places describes all workers of a service for the placer; the caller holds mu.
+func (c *Conductor) places(now time.Time, service *cataloger.Service, fleet []*registrar.Worker) []placer.Place {
+	places := make([]placer.Place, 0, len(fleet))
+	for _, w := range fleet {
+		if known, mine := c.workers[w.ID]; mine {
+			places = append(places, c.ownPlace(now, service, known))
+		} else if w.Zone != c.parts.Zone {
+			places = append(places, c.otherPlace(now, service, w))
+		}
+	}
+	return places
+}
+
+// ownPlace describes a worker that this leader orders; the caller holds mu.
+func (c *Conductor) ownPlace(now time.Time, service *cataloger.Service, known *charge) placer.Place {
+	place := placer.Place{
+		ID: known.worker.ID, Zone: known.worker.Zone, Mine: true, Usable: !known.worker.Leaving, MemoryMB: service.MemoryMB,
+		Open: known.idle() && !known.unsure && !known.reserved && !now.Before(known.retryAt), Loading: known.loading,
+		InMemory: known.inMemory, OnDisk: known.onDisk, Running: known.total(),
+	}
+	for _, model := range known.models() {
+		unit := known.units[model]
+		place.Units = append(place.Units, placer.Unit{
+			Model: model, Running: known.running[model], IdleMS: float64(now.Sub(unit.usedAt).Milliseconds()),
+			AdapterMB: float64(len(unit.adapters)+len(unit.coming)) * service.Models[model].AdapterMB,
+		})
+	}
+	return place
+}
+
+// otherPlace describes a worker of another zone; the caller holds mu.
+func (c *Conductor) otherPlace(now time.Time, service *cataloger.Service, w *registrar.Worker) placer.Place {
+	place := placer.Place{
+		ID: w.ID, Zone: w.Zone, Usable: !w.Leaving, MemoryMB: service.MemoryMB, InMemory: w.InMemory, OnDisk: w.OnDisk,
+		Open: c.parts.View.Live(now, w.Zone),
+	}
+	if announcement := c.parts.View.Announcement(w.ID); announcement != nil {
+		place.Running = announcement.Running
+		place.Open = place.Open && !now.Before(announcement.BusyUntil)
+	}
+	for _, unit := range c.parts.View.Held(now, w) {
+		if !unit.ReadyAt.IsZero() {
+			place.Loading = unit.Model
+			place.Open = false
+			continue
+		}
+		place.Units = append(place.Units, placer.Unit{Model: unit.Model, Running: unit.Running, IdleMS: otherIdleMS})
+	}
+	sort.Slice(place.Units, func(i, j int) bool { return place.Units[i].Model < place.Units[j].Model })
+	return place
+}
+
+// otherIdleMS stands for how long a model of another zone has been idle, which is not announced.
+const otherIdleMS = 1000
+
+// demands sums the demand for the models of a service; adapters count for their model. The caller holds mu.
+func (c *Conductor) demands(now time.Time, service *cataloger.Service) []placer.Demand {
+	sums := map[string]*placer.Demand{}
+	for key := range c.demand.keys() {
+		if key.service != service.Name {
+			continue
+		}
+		sum, known := sums[key.model]
+		if !known {
+			sum = &placer.Demand{Model: key.model}
+			sums[key.model] = sum
+		}
+		c.addDemand(now, sum, key)
+	}
+	for _, w := range c.parts.List.Fleet().Of(service.Name) {
+		for model, running := range c.demand.runningAt(w.ID) {
+			if sum, known := sums[model]; known {
+				sum.Running += running
+			}
+		}
+	}
+	demands := make([]placer.Demand, 0, len(sums))
+	for _, sum := range sums {
+		demands = append(demands, *sum)
+	}
+	sort.Slice(demands, func(i, j int) bool { return demands[i].Model < demands[j].Model })
+	return demands
+}
+
+func (c *Conductor) addDemand(now time.Time, sum *placer.Demand, key demandKey) {
+	if r, known := c.demand.rates[key]; known {
+		sum.Rate += r.slow
+		sum.Recent += r.recent
+	}
+	if key.adapter != "" && c.isHeld(now, key.service, key.model) {
+		return // These wait for the adapter, not for the model.
+	}
+	waiting, due := c.demand.waitingFor(key)
+	if waiting == 0 {
+		return
+	}
+	dueMS := float64(due.Sub(now).Milliseconds())
+	if sum.Waiting == 0 || dueMS < sum.DueMS {
+		sum.DueMS = dueMS
+	}
+	sum.Waiting += waiting
+}
+
+func (c *Conductor) isHeld(now time.Time, service, model string) bool {
+	for _, holder := range c.parts.View.Holders(now, service, model, "") {
+		if holder.ReadyAt.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// storeLoads returns how many loads from the weight store this zone may begin
+// now; the caller holds mu.
+func (c *Conductor) storeLoads(now time.Time, catalog *cataloger.Catalog, service *cataloger.Service) int {
+	underWay := 0
+	for _, w := range c.parts.List.Fleet().Of(service.Name) {
+		if known, mine := c.workers[w.ID]; mine {
+			if known.loading != "" && !known.inMemory[known.loading] && !known.onDisk[known.loading] {
+				underWay++
+			}
+			continue
+		}
+		for _, unit := range c.parts.View.Held(now, w) {
+			if !unit.ReadyAt.IsZero() && !w.InMemory[unit.Model] && !w.OnDisk[unit.Model] {
+				underWay++
+			}
+		}
+	}
+	c.storeStarts = lo.Filter(c.storeStarts, func(at time.Time, _ int) bool { return now.Sub(at) < storeWindow })
+	zones := lo.Uniq(lo.Map(c.parts.List.Fleet().Of(service.Name), func(w *registrar.Worker, _ int) string { return w.Zone }))
+	share := service.LoadsPerS * storeWindow.Seconds() / float64(max(len(zones), 1))
+	return min(storeLoadsAtOnce-underWay, int(share)-len(c.storeStarts))
+}
+
+// startMove begins a move; the caller holds mu.
+func (c *Conductor) startMove(now time.Time, known *charge, service *cataloger.Service, move placer.Move) {
+	known.swapping = true
+	for _, victim := range move.Victims {
+		delete(known.units, victim)
+		known.leaving[victim] = true
+	}
+	known.loading = move.Model
+	known.readyAt = now.Add(time.Duration(move.TakesMS) * time.Millisecond)
+	if move.Tier == placer.TierStore {
+		c.storeStarts = append(c.storeStarts, now)
+	}
+	c.touch(known.worker.ID)
+	log.Info().Str("worker", known.worker.ID).Str("model", move.Model).Strs("victims", move.Victims).Str("tier", move.Tier.String()).
+		Str("reason", move.Reason).Int("waiting", move.Waiting).Float64("due_ms", move.DueMS).Float64("loss", move.Loss).
+		Float64("takes_ms", move.TakesMS).Int64("orders", known.orders).Int64("epoch", c.epoch).Msg("load decided")
+	c.parts.Recorder.Count("loads " + move.Tier.String())
+	go c.swap(c.epoch, known, service.Models[move.Model], move)
+}
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -49,6 +49,8 @@
 	Renewal int64 `json:"renewal"`
 	// Successors are the incarnations that may take the lease without waiting for HoldOver.
 	Successors []Member `json:"successors,omitempty"`
+	// Quiet is how many milliseconds after a handover the next holder must wait before its first order.
+	Quiet int64 `json:"quiet,omitempty"`
 }
 
 // Seen is a lease row with its version in the table.
@@ -68,6 +70,8 @@
 type Elector struct {
 	// self is this incarnation; it never changes.
 	self Member
+	// termMS and renewMS are the term of the lease and its age at renewal in milliseconds; they never change.
+	termMS, renewMS int64
 	// seen is the last row read or written.
 	seen Seen
 	// known is set once the row, or its absence, was read.
@@ -107,7 +111,15 @@
 }
 
 // New returns the elector of an incarnation.
-func New(self Member) *Elector { return &Elector{self: self} }
+func New(self Member) *Elector { return NewWithTerm(self, Term, RenewAfter) }
+
+// NewWithTerm returns the elector of an incarnation for a lease of another
+// term. All nodes of a zone must use the same.
+func NewWithTerm(self Member, term, renewAfter time.Duration) *Elector {
+	return &Elector{self: self, termMS: term.Milliseconds(), renewMS: renewAfter.Milliseconds()}
+}
+
+func (e *Elector) term() time.Duration { return time.Duration(e.termMS) * time.Millisecond }
 
 // Self returns the member that this elector stands for.
 func (e *Elector) Self() Member { return e.self }
@@ -232,7 +244,7 @@
 	if e.mine() {
 		return !now.Before(e.ValidUntil())
 	}
-	wait := Term
+	wait := e.term()
 	if !e.isSuccessor() && len(e.seen.Lease.Successors) > 0 {
 		wait += HoldOver
 	}
@@ -263,8 +275,8 @@
 
 // accept counts the lease's term from when its write was sent.
 func (e *Elector) accept(sentAt time.Time) {
-	e.validUntil = sentAt.Add(Term - driftMargin)
-	e.renewAt = sentAt.Add(RenewAfter)
+	e.validUntil = sentAt.Add(e.term() - driftMargin)
+	e.renewAt = sentAt.Add(time.Duration(e.renewMS) * time.Millisecond)
 	e.unchangedSince = sentAt
 	e.invited = false
 }
@@ -330,3 +342,14 @@
 	e.invited = true
 	return true
 }
+
+// Inherit lets this node take the lease at once if its holder is an earlier
+// process of the same host, which cannot live any more.
+func (e *Elector) Inherit() bool {
+	holder := e.seen.Lease.Holder
+	if !e.known || e.mine() || holder.Node != e.self.Node || holder.Address != e.self.Address {
+		return false
+	}
+	e.invited = true
+	return true
+}
--- /dev/null
+++ b/leaseholder/leaseholder.go
@@ -0,0 +1,336 @@
+// Package leaseholder keeps a node's part in the leases of the zones: it reads
+// the lease rows, takes or renews the own zone's lease, and says who leads.
+//
+// The elector decides; this package does the I/O around it. All its times are
+// of the clock that counts suspensions.
+package leaseholder
+
+import (
+	"encoding/json"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/acaciaproxy/acaciaproxy/elector"
+	"github.com/acaciaproxy/acaciaproxy/platformclient"
+	"github.com/acaciaproxy/acaciaproxy/timekeeper"
+)
+
+// Times of the lease.
+const (
+	// term is the term of a zone's lease; a dead leader is replaced about a second after it.
+	term = 2 * time.Second
+	// renewAfter is the age at which the lease is renewed; a renewal may fail twice within the term.
+	renewAfter = 650 * time.Millisecond
+	// step is how often the lease is looked at.
+	step = 50 * time.Millisecond
+	// calmPoll is the pause between two reads of the rows while all leaders are heard of.
+	calmPoll = 2500 * time.Millisecond
+	// seekPoll is the pause while one is not.
+	seekPoll = 400 * time.Millisecond
+	// callTime bounds one call.
+	callTime = 600 * time.Millisecond
+)
+
+// Parts are what a leaseholder needs.
+type Parts struct {
+	Zone string
+	Self elector.Member
+	Rows *platformclient.Platform
+	// Heard reports whether a zone's leader was heard of lately.
+	Heard func(zone string) bool
+	// QuietMS is how long after another holder's last possible order this node may give its first, in milliseconds.
+	QuietMS int64
+	// Changed is called after this node took or lost the lease, or another zone's holder changed.
+	Changed func()
+}
+
+// Leaseholder is safe for use by several goroutines.
+type Leaseholder struct {
+	parts   Parts
+	stopped chan struct{}
+	// wake makes the next step read the rows.
+	wake chan struct{}
+	// mu guards everything below.
+	mu      sync.Mutex
+	elector *elector.Elector
+	// holders maps zones to the leaders by their rows.
+	holders map[string]elector.Member
+	// epochs maps zones to the epochs of their rows.
+	epochs map[string]int64
+	// quietUntil is when this node may give orders under its lease.
+	quietUntil time.Time
+	// readAt is when the rows were last read.
+	readAt time.Time
+	// ledEpoch is the epoch that this node last logged as its own, or 0.
+	ledEpoch int64
+	// resigned is set when the node stops.
+	resigned bool
+	// orderedAt is when this node last gave an order.
+	orderedAt time.Time
+}
+
+// New returns a leaseholder that does not run yet.
+func New(parts Parts) *Leaseholder {
+	return &Leaseholder{
+		parts: parts, stopped: make(chan struct{}), wake: make(chan struct{}, 1),
+		elector: elector.NewWithTerm(parts.Self, term, renewAfter), holders: map[string]elector.Member{}, epochs: map[string]int64{},
+	}
+}
+
+// Self returns the member that this node is.
+func (l *Leaseholder) Self() elector.Member { return l.parts.Self }
+
+// Run starts the loop; it ends when Stop is called.
+func (l *Leaseholder) Run() { go l.loop() }
+
+// Stop ends the loop without handing the lease over.
+func (l *Leaseholder) Stop() { close(l.stopped) }
+
+func (l *Leaseholder) loop() {
+	ticker := time.NewTicker(step)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.stopped:
+			return
+		case <-l.wake:
+			l.read()
+		case <-ticker.C:
+		}
+		l.keep()
+	}
+}
+
+// Leading returns the epoch while this node holds its zone's lease.
+func (l *Leaseholder) Leading() (epoch int64, leading bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.elector.Leading(timekeeper.Now())
+}
+
+// LostError says that an order may not leave under an epoch any more.
+type LostError struct {
+	// epoch is that of the order.
+	epoch int64
+}
+
+// Error names the epoch.
+func (e *LostError) Error() string { return fmt.Sprintf("lease of epoch %d is not held any more", e.epoch) }
+
+// CheckOrder returns an error unless an order may leave now under an epoch, and counts the order.
+func (l *Leaseholder) CheckOrder(epoch int64) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := timekeeper.Now()
+	held, leading := l.elector.Leading(now)
+	if !leading || held != epoch || now.Before(l.quietUntil) || l.resigned {
+		return &LostError{epoch: epoch}
+	}
+	l.orderedAt = now
+	return nil
+}
+
+// Quiet reports whether this node leads but must not give orders yet.
+func (l *Leaseholder) Quiet() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return timekeeper.Now().Before(l.quietUntil)
+}
+
+// Holder returns a zone's leader by its row, and the epoch.
+func (l *Leaseholder) Holder(zone string) (elector.Member, int64, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	holder, known := l.holders[zone]
+	return holder, l.epochs[zone], known && holder.Incarnation != ""
+}
+
+// keep reads the rows when due and takes or renews the lease.
+func (l *Leaseholder) keep() {
+	if l.due() {
+		l.read()
+	}
+	l.mu.Lock()
+	now := timekeeper.Now()
+	l.elector.Inherit()
+	_, leading := l.elector.Leading(now)
+	proposal := l.elector.Propose(now, nil)
+	if proposal != nil {
+		if !leading {
+			// Set before the write, whose answer may be lost.
+			l.quietUntil = l.quietAfter(now, l.elector.Predecessor())
+		}
+		proposal.Lease.Quiet = max(l.quietUntil.Sub(now).Milliseconds(), 0)
+	}
+	l.mu.Unlock()
+	if proposal != nil {
+		l.propose(proposal)
+	}
+	l.logChange()
+}
+
+// due reports whether the rows should be read.
+func (l *Leaseholder) due() bool {
+	l.mu.Lock()
+	now := timekeeper.Now()
+	age := now.Sub(l.readAt)
+	_, leading := l.elector.Leading(now)
+	first := l.readAt.IsZero()
+	zones := make([]string, 0, len(l.holders))
+	for zone := range l.holders {
+		zones = append(zones, zone)
+	}
+	_, ownKnown := l.holders[l.parts.Zone]
+	l.mu.Unlock()
+	if first || age >= calmPoll {
+		return true
+	}
+	if age < seekPoll {
+		return false
+	}
+	if !leading && !ownKnown {
+		return true
+	}
+	for _, zone := range zones {
+		if !(zone == l.parts.Zone && leading) && !l.parts.Heard(zone) {
+			return true
+		}
+	}
+	return false
+}
+
+// read reads the lease rows of all zones.
+func (l *Leaseholder) read() {
+	sentAt := timekeeper.Now()
+	rows, err := l.parts.Rows.ReadRows(time.Now().Add(callTime), nil, "")
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.readAt = timekeeper.Now()
+	if err != nil {
+		return // The watcher logs that the store is away.
+	}
+	own := elector.Seen{}
+	for _, row := range rows {
+		var lease elector.Lease
+		if err := json.Unmarshal([]byte(row.Value), &lease); err != nil {
+			log.Error().Str("row", row.Key).Err(err).Msg("lease row cannot be read")
+			continue
+		}
+		if row.Key == l.parts.Zone {
+			own = elector.Seen{Lease: lease, Version: row.Version}
+		}
+		l.observe(row.Key, lease)
+	}
+	l.elector.Observe(sentAt, own)
+}
+
+// observe takes in a zone's lease; the caller holds mu.
+func (l *Leaseholder) observe(zone string, lease elector.Lease) {
+	if lease.Epoch < l.epochs[zone] {
+		return
+	}
+	if l.holders[zone] != lease.Holder {
+		log.Info().Str("zone", zone).Str("holder", lease.Holder.Node).Int64("epoch", lease.Epoch).Msg("leader known")
+	}
+	l.holders[zone], l.epochs[zone] = lease.Holder, lease.Epoch
+}
+
+// propose writes a lease and takes in the outcome.
+func (l *Leaseholder) propose(proposal *elector.Proposal) {
+	verdict, err := l.write(proposal)
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if err != nil {
+		l.readAt = time.Time{} // The next step finds out whether the write took effect.
+		log.Warn().Str("zone", l.parts.Zone).Int64("epoch", proposal.Lease.Epoch).Err(err).Msg("lease not written")
+		return
+	}
+	if !verdict.Done {
+		l.elector.Wrote(false, 0)
+		l.readAt = time.Time{}
+		return
+	}
+	l.elector.Wrote(true, verdict.Versions[l.parts.Zone])
+	l.observe(l.parts.Zone, proposal.Lease)
+}
+
+// quietAfter returns when the first order may leave after a lease that is taken
+// now. An earlier process of this host is the same holder to the workers.
+func (l *Leaseholder) quietAfter(now time.Time, previous elector.Lease) time.Time {
+	holder := previous.Holder
+	sameHost := holder.Node == l.parts.Self.Node && holder.Address == l.parts.Self.Address
+	if previous.Epoch == 0 || sameHost || holder.Incarnation == "" {
+		return now.Add(time.Duration(previous.Quiet) * time.Millisecond)
+	}
+	return now.Add(time.Duration(l.parts.QuietMS) * time.Millisecond)
+}
+
+func (l *Leaseholder) write(proposal *elector.Proposal) (platformclient.Verdict, error) {
+	text, err := json.Marshal(proposal.Lease)
+	if err != nil {
+		return platformclient.Verdict{}, fmt.Errorf("encode lease of zone %q: %w", l.parts.Zone, err)
+	}
+	return l.parts.Rows.Write(time.Now().Add(callTime), platformclient.Transaction{
+		Checks: []platformclient.Check{{Key: l.parts.Zone, Version: proposal.Version}},
+		Puts:   []platformclient.Row{{Key: l.parts.Zone, Value: string(text)}},
+	})
+}
+
+// logChange logs that the lease was taken or lost.
+func (l *Leaseholder) logChange() {
+	l.mu.Lock()
+	epoch, leading := l.elector.Leading(timekeeper.Now())
+	if !leading {
+		epoch = 0
+	}
+	before := l.ledEpoch
+	l.ledEpoch = epoch
+	quiet := max(l.quietUntil.Sub(timekeeper.Now()), 0)
+	l.mu.Unlock()
+	if before == epoch {
+		return
+	}
+	if before != 0 {
+		log.Warn().Str("zone", l.parts.Zone).Int64("epoch", before).Msg("lease lost")
+	}
+	if epoch != 0 {
+		log.Info().Str("zone", l.parts.Zone).Int64("epoch", epoch).Int64("quiet_ms", quiet.Milliseconds()).Msg("lease taken")
+	}
+	l.parts.Changed()
+}
+
+// Wake makes the node read the rows at once, for instance because a leader stops.
+func (l *Leaseholder) Wake() {
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Resign hands the lease over for good and reports whether it was held.
+func (l *Leaseholder) Resign() bool {
+	l.mu.Lock()
+	now := timekeeper.Now()
+	l.resigned = true
+	proposal := l.elector.Resign(now)
+	if proposal != nil {
+		sinceOrder := now.Sub(l.orderedAt).Milliseconds()
+		if l.orderedAt.IsZero() {
+			sinceOrder = 0 // The orders of a holder before this one may be recent.
+		}
+		proposal.Lease.Quiet = min(max(l.parts.QuietMS-sinceOrder, 0), l.parts.QuietMS)
+	}
+	l.mu.Unlock()
+	if proposal == nil {
+		return false
+	}
+	if _, err := l.write(proposal); err != nil {
+		log.Warn().Str("zone", l.parts.Zone).Err(err).Msg("lease not handed over; it lapses")
+		return false
+	}
+	log.Info().Str("zone", l.parts.Zone).Int64("epoch", proposal.Lease.Epoch).Int64("quiet_ms", proposal.Lease.Quiet).Msg("lease handed over")
+	return true
+}
--- /dev/null
+++ b/operator/metrics.go
@@ -0,0 +1,22 @@
+package operator
+
+import (
+	"github.com/gofiber/fiber/v3"
+
+	"github.com/acaciaproxy/acaciaproxy/recorder"
+)
+
+// NewMetrics returns an operator interface that only serves metrics.
+func NewMetrics() *Operator {
+	o := &Operator{app: fiber.New(fiber.Config{AppName: "acaciaproxy metrics", Immutable: true})}
+	o.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok") })
+	o.app.Get("/metrics", func(c fiber.Ctx) error {
+		c.Set(fiber.HeaderContentType, fiber.MIMETextPlain)
+		return c.SendString(recorder.Text())
+	})
+	o.app.Get("/debug/vars", func(c fiber.Ctx) error {
+		c.Set(fiber.HeaderContentType, fiber.MIMEApplicationJSON)
+		return c.Send(recorder.Vars())
+	})
+	return o
+}
--- a/peerclient/peer.go
+++ b/peerclient/peer.go
@@ -40,10 +40,38 @@
 }
 
 func (p *Pool) connect(address string) (nodewire.NodeClient, error) {
+	connection, err := p.connection(address)
+	if err != nil {
+		return nil, err
+	}
+	return nodewire.NewNodeClient(connection), nil
+}
+
+// Fleet returns the client of the fleet service of the node at an address.
+func (p *Pool) Fleet(address string) (nodewire.FleetClient, error) {
+	connection, err := p.connection(address)
+	if err != nil {
+		return nil, err
+	}
+	return nodewire.NewFleetClient(connection), nil
+}
+
+// Drop closes the connection to a node, for instance because it went silent.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if connection, open := p.connections[address]; open {
+		_ = connection.Close() // Nothing is sent over it any more.
+		delete(p.connections, address)
+	}
+}
+
+// connection returns the connection to a node, opening it if need be.
+func (p *Pool) connection(address string) (*grpc.ClientConn, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if connection, open := p.connections[address]; open {
-		return nodewire.NewNodeClient(connection), nil
+		return connection, nil
 	}
 	connection, err := grpc.NewClient(address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
@@ -57,7 +85,7 @@
 		return nil, fmt.Errorf("connect to node %s: %w", address, err)
 	}
 	p.connections[address] = connection
-	return nodewire.NewNodeClient(connection), nil
+	return connection, nil
 }
 
 // Close closes every connection.
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -5,7 +5,10 @@
 import (
 	"encoding/json"
 	"expvar"
+	"fmt"
 	"hash/maphash"
+	"sort"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -60,6 +63,8 @@
 var (
 	publishOnce sync.Once
 	counters    = new(expvar.Map).Init()
+	// published is the first recorder of the process, whose histograms expvar and Text show.
+	published *Recorder
 )
 
 // New returns a recorder without values. The counters of all recorders of a
@@ -70,6 +75,7 @@
 		r.shards[i].series = map[seriesKey]*hdrhistogram.Histogram{}
 	}
 	publishOnce.Do(func() {
+		published = r
 		expvar.Publish("counters", counters)
 		expvar.Publish("histograms", expvar.Func(func() any { return r.Summaries() }))
 		expvar.Publish("processor_seconds", expvar.Func(func() any { return processorSeconds() }))
@@ -161,3 +167,30 @@
 	}
 	return text
 }
+
+// Text returns the counters and histograms as lines of a name, labels and a value.
+func Text() string {
+	var text strings.Builder
+	counters.Do(func(kv expvar.KeyValue) {
+		fmt.Fprintf(&text, "acaciaproxy_count{name=%q} %s\n", kv.Key, kv.Value.String())
+	})
+	fmt.Fprintf(&text, "acaciaproxy_processor_seconds %g\n", processorSeconds())
+	if published == nil {
+		return text.String()
+	}
+	summaries := published.Summaries()
+	sort.Slice(summaries, func(i, j int) bool { return summaries[i].key() < summaries[j].key() })
+	for _, s := range summaries {
+		labels := fmt.Sprintf("measure=%q,of=%q,class=%q", s.Measure, s.Tenant, s.Class)
+		for _, quantile := range []struct {
+			name  string
+			value float64
+		}{{"0.5", s.P50}, {"0.95", s.P95}, {"0.99", s.P99}, {"0.999", s.P999}, {"1", s.Max}} {
+			fmt.Fprintf(&text, "acaciaproxy_latency_ms{%s,quantile=%q} %g\n", labels, quantile.name, quantile.value)
+		}
+		fmt.Fprintf(&text, "acaciaproxy_latency_count{%s} %d\n", labels, s.Count)
+	}
+	return text.String()
+}
+
+func (s *Summary) key() string { return s.Measure + "\x00" + s.Tenant + "\x00" + s.Class }
--- /dev/null
+++ b/server/fleetservice.go
@@ -0,0 +1,55 @@
+package server
+
+import (
+	"context"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"github.com/acaciaproxy/acaciaproxy/nodewire"
+)
+
+// fleetService answers the other nodes on a platform with a fleet.
+type fleetService struct {
+	nodewire.UnimplementedFleetServer
+	fleet *Fleet
+}
+
+// Follow implements nodewire.FleetServer.
+func (s *fleetService) Follow(stream nodewire.Fleet_FollowServer) error {
+	next, end := s.fleet.conductor.Subscribe(s.fleet.configVersion)
+	if next == nil {
+		return status.Error(codes.FailedPrecondition, "this node does not lead its zone")
+	}
+	defer end()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		for {
+			demand, err := stream.Recv()
+			if err != nil {
+				return // The node left or the stream broke; both end it.
+			}
+			s.fleet.conductor.Take(demand)
+			s.fleet.watcher.Hear(demand.GetConfig())
+		}
+	}()
+	for {
+		view := next(ended)
+		if view == nil {
+			return nil
+		}
+		if err := stream.Send(view); err != nil {
+			return err
+		}
+	}
+}
+
+// Succeed implements nodewire.FleetServer.
+func (s *fleetService) Succeed(_ context.Context, request *nodewire.SucceedRequest) (*nodewire.SucceedReply, error) {
+	if request.GetZone() != s.fleet.settings.Zone() {
+		return &nodewire.SucceedReply{}, nil
+	}
+	s.fleet.lease.Wake()
+	return &nodewire.SucceedReply{Accepted: true}, nil
+}
--- a/settingsreader/settings.go
+++ b/settingsreader/settings.go
@@ -34,8 +34,22 @@
 	configurer.NewNumberField("streams", 1, 1e6, 4096, "requests in flight at once"),
 	configurer.NewNumberField("read", 1, 3600, 15, "seconds in which a caller must have sent a request"),
 	configurer.NewNumberField("drain", 1, 3600, 120, "seconds in which a planned stop finishes its requests"),
+	configurer.NewChoiceField("form", []string{FormTable, FormFleet}, "what kind of platform this is; with \"fleet\" the operators' configuration and the workers' heartbeats lie in its store"),
+	configurer.NewTextField("ready", false, "", "IP and port for the balancer's readiness checks, with form \"fleet\""),
+	configurer.NewNumberField("quiet", 0, 60000, 3000, "milliseconds between the last order of one leader and the first of the next, with form \"fleet\""),
+	configurer.NewNumberField("ratio", 0, 10, 0.2, "repeated sends for each request over all nodes, with form \"fleet\""),
+	configurer.NewNumberField("slack", 0, 1e6, 50, "repeated sends that are free in a window over all nodes, with form \"fleet\""),
+	configurer.NewNumberField("window", 1, 3600, 10, "seconds of the window of repeated sends, with form \"fleet\""),
 }
 
+// Forms of platform.
+const (
+	// FormTable is the product's own interface: a table, an object store and a host list.
+	FormTable = "table"
+	// FormFleet is a store in which operators and workers write what nodes read.
+	FormFleet = "fleet"
+)
+
 // Settings are one node's own. They never change while it runs.
 type Settings struct {
 	// object matches the fields above, and its addresses are valid.
@@ -68,7 +82,11 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, key := range []string{"callers", "operators", "nodes", "platform"} {
+	addresses := []string{"callers", "operators", "nodes", "platform"}
+	if object.Text("form") == FormFleet {
+		addresses = append(addresses, "ready")
+	}
+	for _, key := range addresses {
 		if _, err := netip.ParseAddrPort(object.Text(key)); err != nil {
 			return nil, fmt.Errorf("settings file %s: %w", path, &AddressError{key: key, value: object.Text(key)})
 		}
@@ -103,6 +121,24 @@
 // LogLevel returns the least level that is logged.
 func (s *Settings) LogLevel() string { return s.object.Text("log") }
 
+// Form returns FormTable or FormFleet.
+func (s *Settings) Form() string { return s.object.Text("form") }
+
+// Ready returns the address for readiness checks.
+func (s *Settings) Ready() string { return s.object.Text("ready") }
+
+// QuietMS returns the milliseconds between the orders of two leaders.
+func (s *Settings) QuietMS() int64 { return int64(s.object.Number("quiet")) }
+
+// RepeatRatio returns the repeated sends for each request.
+func (s *Settings) RepeatRatio() float64 { return s.object.Number("ratio") }
+
+// RepeatSlack returns the repeated sends that are free in a window.
+func (s *Settings) RepeatSlack() float64 { return s.object.Number("slack") }
+
+// RepeatWindow returns the seconds of the window of repeated sends.
+func (s *Settings) RepeatWindow() int { return int(s.object.Number("window")) }
+
 const bytesPerKiB = 1 << 10
 
 // BodyLimit returns the largest request body in bytes.
--- /dev/null
+++ b/tallier/tallier.go
@@ -0,0 +1,141 @@
+// Package tallier counts what a node's callers ask for: requests that wait,
+// requests that run, and how many asked for each model.
+package tallier
+
+import (
+	"sync"
+	"time"
+)
+
+// Key is a model of a service, or an adapter of it.
+type Key struct {
+	Service, Model string
+	// Adapter is empty for the model itself.
+	Adapter string
+}
+
+// RunKey is a model at a worker.
+type RunKey struct{ Worker, Model string }
+
+// Demand is the demand for one key.
+type Demand struct {
+	// Waiting is how many requests wait, Due when the first of them is late.
+	Waiting int
+	Due     time.Time
+	// Asked counts the requests since the process started; it never falls.
+	Asked int64
+}
+
+// Tallier is safe for use by several goroutines.
+type Tallier struct {
+	// mu guards everything below.
+	mu sync.Mutex
+	// asked counts requests.
+	asked map[Key]int64
+	// waiting maps each key to the requests that wait, by ticket, with when each is late.
+	waiting map[Key]map[int64]time.Time
+	running map[RunKey]int
+	// tickets numbers the waiting requests.
+	tickets int64
+	// changed is closed and replaced when a request begins to wait.
+	changed chan struct{}
+}
+
+// New returns an empty count.
+func New() *Tallier {
+	return &Tallier{asked: map[Key]int64{}, waiting: map[Key]map[int64]time.Time{}, running: map[RunKey]int{}, changed: make(chan struct{})}
+}
+
+// Ask counts a request.
+func (t *Tallier) Ask(key Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.asked[key]++
+}
+
+// Wait counts a request as waiting until the returned function is called.
+func (t *Tallier) Wait(key Key, due time.Time) (end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.tickets++
+	ticket := t.tickets
+	if t.waiting[key] == nil {
+		t.waiting[key] = map[int64]time.Time{}
+	}
+	t.waiting[key][ticket] = due
+	t.notify()
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		delete(t.waiting[key], ticket)
+		if len(t.waiting[key]) == 0 {
+			delete(t.waiting, key)
+		}
+	}
+}
+
+// notify wakes everyone who waits for a change; the caller holds mu.
+func (t *Tallier) notify() {
+	close(t.changed)
+	t.changed = make(chan struct{})
+}
+
+// Run counts a request as running until the returned function is called.
+func (t *Tallier) Run(key RunKey) (end func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.running[key]++
+	return func() {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.running[key]--
+		if t.running[key] == 0 {
+			delete(t.running, key)
+		}
+	}
+}
+
+// Changed returns a channel that is closed when the next request begins to wait.
+func (t *Tallier) Changed() <-chan struct{} {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.changed
+}
+
+// RunningAt returns how many requests this node has at a worker.
+func (t *Tallier) RunningAt(worker string) int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	count := 0
+	for key, running := range t.running {
+		if key.Worker == worker {
+			count += running
+		}
+	}
+	return count
+}
+
+// Snapshot returns all counts as they are now.
+func (t *Tallier) Snapshot() (map[Key]Demand, map[RunKey]int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	demands := make(map[Key]Demand, len(t.asked))
+	for key, asked := range t.asked {
+		demands[key] = Demand{Asked: asked}
+	}
+	for key, tickets := range t.waiting {
+		demand := demands[key]
+		demand.Waiting = len(tickets)
+		for _, due := range tickets {
+			if demand.Due.IsZero() || due.Before(demand.Due) {
+				demand.Due = due
+			}
+		}
+		demands[key] = demand
+	}
+	running := make(map[RunKey]int, len(t.running))
+	for key, count := range t.running {
+		running[key] = count
+	}
+	return demands, running
+}
--- /dev/null
+++ b/watcher/watcher.go
@@ -0,0 +1,320 @@
+// Package watcher follows the platform's store: it keeps the configuration in
+// force and the list of workers up to date, and notices when the store is away.
+package watcher
+
+import (
+	"errors"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/registrar"
+)
+
+// Times of the feeds.
+const (
+	// catalogWaitMS is how long one call waits for a change of the configuration, in milliseconds. A silent
+	// connection delays the next change by at most this and callSlack.
+	catalogWaitMS = 1200
+	// workersPause is the least time between two calls for heartbeats; the newest are that much late.
+	workersPause = 700 * time.Millisecond
+	// workersWaitMS bounds a call for heartbeats that finds none, in milliseconds.
+	workersWaitMS = 600
+	// callSlack is the time that the store has beyond its wait.
+	callSlack = 700 * time.Millisecond
+	// retryPause is the pause after a call that failed.
+	retryPause = 250 * time.Millisecond
+	// awayAfter is how long calls must have failed before the store counts as away.
+	awayAfter = 1 * time.Second
+	// relistAfter is the age at which a list is read whole again, since a feed may have lost changes.
+	relistAfter = 15 * time.Second
+)
+
+// Document is what the store said about the configuration.
+type Document struct {
+	// Catalog is nil when there was no change.
+	Catalog *cataloger.Catalog
+	// After is the version to go on from.
+	After int64
+}
+
+// Source is the set of reads that a watcher needs. Every call returns by its deadline.
+type Source struct {
+	// ListCatalog reads the configuration whole.
+	ListCatalog func(deadline time.Time) (Document, error)
+	// FeedCatalog waits for a change after a version, at most waitMS milliseconds.
+	FeedCatalog func(deadline time.Time, after, waitMS int64) (Document, error)
+	// ListWorkers reads all heartbeats and the version to go on from.
+	ListWorkers func(deadline time.Time) ([]registrar.Change, int64, error)
+	// FeedWorkers waits for heartbeats after a version, at most waitMS milliseconds.
+	FeedWorkers func(deadline time.Time, after, waitMS int64) ([]registrar.Change, int64, error)
+}
+
+// CompactedError says that the store no longer has the changes after a version.
+type CompactedError struct {
+	// table is what was read, after the version asked for.
+	table string
+	after int64
+}
+
+// NewCompactedError returns the error of a feed whose history is gone.
+func NewCompactedError(table string, after int64) error {
+	return &CompactedError{table: table, after: after}
+}
+
+// Error names the table and the version.
+func (e *CompactedError) Error() string {
+	return fmt.Sprintf("changes of table %q after version %d are no longer kept", e.table, e.after)
+}
+
+// Watcher is safe for use by several goroutines.
+type Watcher struct {
+	source    Source
+	registrar *registrar.Registrar
+	// changed is called after each change of configuration or workers.
+	changed func()
+	catalog atomic.Pointer[cataloger.Catalog]
+	// listed is set once the list of workers was read whole.
+	listed  atomic.Bool
+	stopped chan struct{}
+	// hint wakes the configuration feed, since a peer has a newer version.
+	hint chan struct{}
+	// answered is when the store last answered; never nil while running.
+	answered atomic.Pointer[time.Time]
+	// calls and failures count the calls to the store.
+	calls, failures atomic.Int64
+}
+
+// New returns a watcher that does not read yet. Changed must not block.
+func New(source Source, list *registrar.Registrar, changed func()) *Watcher {
+	return &Watcher{source: source, registrar: list, changed: changed, stopped: make(chan struct{}), hint: make(chan struct{}, 1)}
+}
+
+// Catalog returns the configuration in force, or nil before the first was read.
+func (w *Watcher) Catalog() *cataloger.Catalog { return w.catalog.Load() }
+
+// Ready reports whether configuration and workers are known.
+func (w *Watcher) Ready() bool { return w.Catalog() != nil && w.listed.Load() }
+
+// Calls returns how many calls were made to the store and how many of them failed.
+func (w *Watcher) Calls() (made, failed int64) { return w.calls.Load(), w.failures.Load() }
+
+// Away reports whether the store has not answered for a while.
+func (w *Watcher) Away(now time.Time) bool {
+	answered := w.answered.Load()
+	return answered != nil && now.Sub(*answered) > awayAfter+workersPause+workersWaitMS*time.Millisecond
+}
+
+// Run starts to read.
+func (w *Watcher) Run() {
+	w.markAnswered()
+	go w.followCatalog()
+	go w.followWorkers()
+}
+
+// Stop ends the reads.
+func (w *Watcher) Stop() { close(w.stopped) }
+
+// Hear takes in that a peer has a version of the configuration in force.
+func (w *Watcher) Hear(version int64) {
+	if catalog := w.Catalog(); catalog != nil && catalog.Version() >= version {
+		return
+	}
+	select {
+	case w.hint <- struct{}{}:
+	default:
+	}
+}
+
+// sleep waits and reports whether to go on.
+func (w *Watcher) sleep(pause time.Duration) bool {
+	select {
+	case <-w.stopped:
+		return false
+	case <-time.After(pause):
+		return true
+	}
+}
+
+func (w *Watcher) markAnswered() {
+	now := time.Now()
+	w.answered.Store(&now)
+}
+
+// called takes in the outcome of a call.
+func (w *Watcher) called(err error, what string, failing *bool) {
+	w.calls.Add(1)
+	var compacted *CompactedError
+	if err == nil || errors.As(err, &compacted) {
+		w.markAnswered()
+		if *failing {
+			log.Info().Str("dependency", "store").Str("read", what).Msg("dependency regained")
+		}
+		*failing = false
+		return
+	}
+	w.failures.Add(1)
+	w.registrar.Disturbed(time.Now())
+	if !*failing {
+		log.Warn().Str("dependency", "store").Str("read", what).Err(err).Msg("dependency lost")
+	}
+	*failing = true
+}
+
+// followCatalog keeps the configuration up to date until Stop.
+func (w *Watcher) followCatalog() {
+	known, failing := false, false
+	after := int64(0)
+	relistAt := time.Now()
+	for {
+		var document Document
+		var err error
+		if !known || time.Now().After(relistAt) {
+			document, err = w.source.ListCatalog(time.Now().Add(callSlack))
+			relistAt = time.Now().Add(relistAfter)
+		} else {
+			document, err = w.source.FeedCatalog(time.Now().Add(catalogWaitMS*time.Millisecond+callSlack), after, catalogWaitMS)
+		}
+		w.called(err, "configuration", &failing)
+		if err == nil {
+			known = true
+			after = max(after, document.After)
+			w.take(document.Catalog)
+		}
+		var compacted *CompactedError
+		if errors.As(err, &compacted) {
+			log.Info().Err(err).Msg("configuration is read whole")
+			known = false
+			continue
+		}
+		if err != nil {
+			known = false
+			if !w.pauseOrHint(retryPause) {
+				return
+			}
+			continue
+		}
+		if !w.sleep(0) {
+			return
+		}
+	}
+}
+
+// pauseOrHint waits, shorter if a peer has news, and reports whether to go on.
+func (w *Watcher) pauseOrHint(pause time.Duration) bool {
+	select {
+	case <-w.hint:
+		return true
+	case <-w.stopped:
+		return false
+	case <-time.After(pause):
+		return true
+	}
+}
+
+// take puts a configuration in force if it is newer.
+func (w *Watcher) take(catalog *cataloger.Catalog) {
+	if catalog == nil {
+		return
+	}
+	for {
+		current := w.catalog.Load()
+		if current != nil && catalog.Version() <= current.Version() {
+			return
+		}
+		if w.catalog.CompareAndSwap(current, catalog) {
+			log.Info().Int64("version", catalog.Version()).Msg("configuration in force")
+			w.changed()
+			return
+		}
+	}
+}
+
+// followWorkers keeps the list of workers up to date until Stop.
+func (w *Watcher) followWorkers() {
+	known, failing := false, false
+	after := int64(0)
+	relistAt := time.Now()
+	for {
+		startedAt := time.Now()
+		if !known || startedAt.After(relistAt) {
+			version, err := w.listWorkers(&failing)
+			if err == nil {
+				known, after = true, version
+				relistAt = startedAt.Add(relistAfter)
+			}
+		} else {
+			version, err := w.feedWorkers(after, &failing)
+			after = max(after, version)
+			known = err == nil
+			var compacted *CompactedError
+			if errors.As(err, &compacted) {
+				continue
+			}
+		}
+		for _, id := range w.registrar.Expire(time.Now()) {
+			log.Info().Str("worker", id).Msg("worker gone: its entry did not come back after the store's outage")
+		}
+		pause := time.Until(startedAt.Add(workersPause))
+		if !known {
+			pause = retryPause
+		}
+		if !w.sleep(pause) {
+			return
+		}
+	}
+}
+
+func (w *Watcher) listWorkers(failing *bool) (int64, error) {
+	changes, version, err := w.source.ListWorkers(time.Now().Add(callSlack))
+	w.called(err, "workers", failing)
+	if err != nil {
+		return 0, err
+	}
+	workers := make([]registrar.Worker, len(changes))
+	for i := range changes {
+		workers[i] = changes[i].Worker
+	}
+	for _, id := range w.registrar.Replace(time.Now(), workers, version) {
+		log.Info().Str("worker", id).Int64("version", version).Msg("worker missing from the list")
+	}
+	w.listed.Store(true)
+	w.changed()
+	return version, nil
+}
+
+func (w *Watcher) feedWorkers(after int64, failing *bool) (int64, error) {
+	changes, version, err := w.source.FeedWorkers(time.Now().Add(workersWaitMS*time.Millisecond+callSlack), after, workersWaitMS)
+	w.called(err, "workers", failing)
+	if err != nil {
+		return after, err
+	}
+	w.logChanges(changes)
+	w.registrar.Apply(time.Now(), changes)
+	w.changed()
+	return version, nil
+}
+
+// logChanges logs workers that come, leave or go.
+func (w *Watcher) logChanges(changes []registrar.Change) {
+	fleet := w.registrar.Fleet()
+	for i := range changes {
+		entry := &changes[i].Worker
+		known, found := fleet.Worker(entry.ID)
+		switch {
+		case changes[i].Removed:
+			if found {
+				log.Info().Str("worker", entry.ID).Int64("version", entry.RowVersion).Msg("worker's entry removed")
+			}
+		case !found:
+			log.Info().Str("worker", entry.ID).Str("service", entry.Service).Str("zone", entry.Zone).Int64("version", entry.RowVersion).Msg("worker in")
+		case entry.Leaving && !known.Leaving:
+			log.Info().Str("worker", entry.ID).Int64("version", entry.RowVersion).Msg("worker leaving")
+		case entry.Born != known.Born:
+			log.Info().Str("worker", entry.ID).Int64("born", entry.Born).Int64("version", entry.RowVersion).Msg("worker restarted")
+		}
+	}
+}
