A stopping node refuses what it cannot finish; requests are held no longer than callers wait

Requests for models that were not loaded were held to the route's deadline, while callers of a stream leave after the longest of 2 s, four times the aim and eight times the gap.

Change: during a planned stop a request is refused at once, with an immediate Retry-After, if less time is left than such requests take; held requests end by the caller's patience.

Ruled out: the balancer (no new connection arrived so late) and the close of idle connections.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -40,8 +40,9 @@
 	// Host is compared without case; Prefix begins and ends with a slash.
 	Host, Prefix string
 	Kind         Kind
-	// TimeoutMS is the longest time that a request may be kept, AimMS the time within which an answer is worth most.
-	TimeoutMS, AimMS int64
+	// TimeoutMS is the longest time that a request may be kept, AimMS the time within which an answer is worth most,
+	// GapMS the longest pause between two events of an answer that is worth most.
+	TimeoutMS, AimMS, GapMS int64
 	// Priority ranks routes; 0 is the highest.
 	Priority int
 	// Shares has one entry, or several on a split route.
@@ -65,6 +66,18 @@
 // Aim returns the time within which an answer is worth most.
 func (r *Route) Aim() time.Duration { return time.Duration(r.AimMS) * time.Millisecond }
 
+// Callers abandon a stream after a gap of the longest of these.
+const (
+	leastPatience = 2 * time.Second
+	aimPatience   = 4
+	gapPatience   = 8
+)
+
+// Patience returns for how long callers of a stream wait for its next event.
+func (r *Route) Patience() time.Duration {
+	return max(leastPatience, aimPatience*r.Aim(), gapPatience*time.Duration(r.GapMS)*time.Millisecond)
+}
+
 // Service returns the service of one request; draw is uniform in [0, 1).
 func (r *Route) Service(draw float64) string {
 	total := lo.SumBy(r.Shares, func(share Share) float64 { return share.Weight })
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -37,6 +37,8 @@
 const (
 	// startRetry applies while this node knows too little; another one may know more.
 	startRetry = 300 * time.Millisecond
+	// stopRetry applies while this node stops; others take the request at once.
+	stopRetry = 20 * time.Millisecond
 	// busyRetry applies when workers are full; it is about the time of a short answer.
 	busyRetry = 400 * time.Millisecond
 	// swapRetry applies when a model is not loaded in time; it is about the time of a swap.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -133,8 +133,16 @@
 	}
 }
 
+// closeTime is how long requests that arrive at the last moment may take.
+const closeTime = 400 * time.Millisecond
+
 // Close closes the listeners and all connections.
 func (f *Forwarder) Close() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTime)
+	defer cancel()
+	if err := f.server.Shutdown(ctx); err != nil {
+		log.Warn().Err(err).Int64("in_flight", f.InFlight()).Msg("requests cut at the end of a planned stop")
+	}
 	_ = f.server.Close() // The process ends; there is nobody to tell.
 	_ = f.ready.Close()
 }
@@ -156,6 +164,22 @@
 	avoid map[string]time.Time
 	// fingerprint identifies the content.
 	fingerprint string
+	// worker is where it was last sent, load what that worker was believed to run then.
+	worker string
+	load   int
+	// heldMS is how long it waited for its model, firstMS after how long the answer began, both in milliseconds.
+	heldMS, firstMS int64
+}
+
+// firstBy is when the answer must begin for the caller to wait for it.
+func (c *call) firstBy() time.Time {
+	if c.route.Kind != cataloger.KindStream {
+		return c.deadline
+	}
+	if patience := c.arrived.Add(c.route.Patience()); patience.Before(c.deadline) {
+		return patience
+	}
+	return c.deadline
 }
 
 // key names what the call needs loaded.
@@ -187,6 +211,14 @@
 		return
 	}
 	f.parts.Recorder.Observe(recorder.MeasureWhole, c.service.Name, c.route.Name, time.Since(arrived))
+	f.logAnswered(c)
+}
+
+// logAnswered logs an answer with what decided where it came from.
+func (f *Forwarder) logAnswered(c *call) {
+	log.Info().Str("request", c.ID).Str("route", c.route.Name).Str("model", c.Model).Str("adapter", c.Adapter).Str("worker", c.worker).
+		Int("sends", c.sends).Int("runs", c.runs).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstMS).Int("load", c.load).
+		Int64("after_ms", time.Since(c.arrived).Milliseconds()).Msg("request answered")
 }
 
 // admit decodes a request, reads its body and finds its route. The call is
@@ -216,9 +248,31 @@
 	if c.Body, err = readBody(r, c.catalog.Limits().BodyBytes); err != nil {
 		return c, err
 	}
+	if f.tooLate(c) {
+		return c, newRefusal("stopping", "this node stops before the request could be answered", stopRetry)
+	}
 	return c, f.checkSuspect(c)
 }
 
+// Times that a request needs before a planned stop ends.
+const (
+	streamReserve = 3500 * time.Millisecond
+	plainReserve  = 1200 * time.Millisecond
+)
+
+// tooLate reports whether a planned stop is likely to end before a request.
+func (f *Forwarder) tooLate(c *call) bool {
+	end := f.drainEnd.Load()
+	if end == nil {
+		return false
+	}
+	reserve := plainReserve
+	if c.route.Kind == cataloger.KindStream {
+		reserve = streamReserve
+	}
+	return time.Until(*end) < reserve
+}
+
 // defaultBodyBytes bounds bodies where the configuration does not.
 const defaultBodyBytes = 8 << 20
 
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -83,6 +83,7 @@
 	answer, err := f.parts.Send(attempt, c.Request, send)
 	if err == nil {
 		f.tell(worker, answer.Load)
+		c.firstMS = time.Since(sentAt).Milliseconds()
 		f.parts.Recorder.Observe(recorder.MeasureFirst, c.service.Name, c.route.Name, time.Since(sentAt))
 		err = relay.pass(answer, worker)
 	}
@@ -112,6 +113,7 @@
 	defer func() {
 		if endWait != nil {
 			endWait()
+			c.heldMS += time.Since(began).Milliseconds()
 			f.parts.Recorder.Observe(recorder.MeasureCold, c.service.Name, c.route.Name, time.Since(began))
 		}
 	}()
@@ -138,9 +140,9 @@
 
 // mayWait returns why a call must not wait any longer, or nil.
 func (f *Forwarder) mayWait(now, began time.Time, c *call, holders []viewer.Holder) error {
-	latest := c.deadline.Add(-answerReserve)
-	if end := f.drainEnd.Load(); end != nil && end.Before(latest) {
-		latest = end.Add(-answerReserve)
+	latest := c.firstBy().Add(-answerReserve)
+	if end := f.drainEnd.Load(); end != nil && end.Add(-streamReserve).Before(latest) {
+		latest = end.Add(-streamReserve)
 	}
 	if !now.Before(latest) {
 		return f.without(c, newRefusal("not_loaded", "the model was not loaded in time", swapRetry))
@@ -200,6 +202,7 @@
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = holder.Worker, cost
+			c.load = holder.Running
 		}
 	}
 	return best
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -79,6 +79,7 @@
 // begin counts a send and returns the function that counts its end.
 func (f *Forwarder) begin(c *call, worker *registrar.Worker) (end func(error)) {
 	c.sends++
+	c.worker = worker.ID
 	f.parts.Assessor.Begin(time.Now(), worker.ID)
 	log.Debug().Str("request", c.ID).Str("worker", worker.ID).Int("send", c.sends).Int64("left_ms", time.Until(c.deadline).Milliseconds()).
 		Int64("heartbeat_ms", time.Since(worker.SeenAt).Milliseconds()).Msg("request sent")
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -171,7 +171,7 @@
 	// noticeTime is how long the balancer may take to send no more connections: two checks, a second apart, and a reserve.
 	noticeTime = 2500 * time.Millisecond
 	// killReserve is how long before the platform's kill the process has ended.
-	killReserve = 500 * time.Millisecond
+	killReserve = 900 * time.Millisecond
 	// successTime bounds the call that names a successor.
 	successTime = 300 * time.Millisecond
 )
