Lead on by promises while the store is away

Change: the leader names up to three nodes of its zone in the lease row and asks them for promises of 1.5 s each while its renewals fail; a node that the store answers refuses. Nodes named by host count as successors after a restart. Nobody takes a lease while the store is away, and a lapsed one is left to its holder for 0.7 s.

Ruled out: a longer term, since a dead leader would be replaced later.

--- a/conductor/follow.go
+++ b/conductor/follow.go
@@ -4,6 +4,7 @@
 	"sort"
 	"time"
 
+	"github.com/acaciaproxy/acaciaproxy/elector"
 	"github.com/acaciaproxy/acaciaproxy/nodewire"
 )
 
@@ -161,6 +162,20 @@
 	return message
 }
 
+// Members returns the other nodes of the zone that follow this leader, in the order of their names.
+func (c *Conductor) Members() []elector.Member {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var members []elector.Member
+	for name, node := range c.demand.nodes {
+		if node.zone == c.parts.Zone && name != c.parts.Node {
+			members = append(members, elector.Member{Node: name, Incarnation: node.incarnation, Address: node.address})
+		}
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].Node < members[j].Node })
+	return members
+}
+
 // Successor returns the address of the node that should take the lease: the
 // one of this zone that started last, as it will not be stopped next.
 func (c *Conductor) Successor() (address string, found bool) {
--- a/conductor/gatherer.go
+++ b/conductor/gatherer.go
@@ -42,7 +42,7 @@
 
 // nodeDemand is what one node last said.
 type nodeDemand struct {
-	zone, address string
+	zone, address, incarnation string
 	heardAt       time.Time
 	// bornAt is when the node's process started.
 	bornAt time.Time
@@ -74,7 +74,7 @@
 		node.waiting, node.due = map[demandKey]int{}, map[demandKey]time.Time{}
 		node.running = map[string]map[string]int{}
 	}
-	node.zone, node.address, node.heardAt = message.GetZone(), message.GetAddress(), now
+	node.zone, node.address, node.incarnation, node.heardAt = message.GetZone(), message.GetAddress(), message.GetIncarnation(), now
 	node.bornAt = now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond)
 	waits := false
 	for _, model := range message.GetModels() {
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -70,8 +70,9 @@
 type Elector struct {
 	// self is this incarnation; it never changes.
 	self Member
-	// termMS and renewMS are the term of the lease and its age at renewal in milliseconds; they never change.
-	termMS, renewMS int64
+	// termMS, renewMS and holdOverMS are the term of the lease, its age at renewal and the longest time that
+	// successors promise not to take it, in milliseconds; they never change.
+	termMS, renewMS, holdOverMS int64
 	// seen is the last row read or written.
 	seen Seen
 	// known is set once the row, or its absence, was read.
@@ -111,14 +112,16 @@
 }
 
 // New returns the elector of an incarnation.
-func New(self Member) *Elector { return NewWithTerm(self, Term, RenewAfter) }
+func New(self Member) *Elector { return NewWithTerm(self, Term, RenewAfter, HoldOver) }
 
-// NewWithTerm returns the elector of an incarnation for a lease of another
-// term. All nodes of a zone must use the same.
-func NewWithTerm(self Member, term, renewAfter time.Duration) *Elector {
-	return &Elector{self: self, termMS: term.Milliseconds(), renewMS: renewAfter.Milliseconds()}
+// NewWithTerm returns the elector of an incarnation for a lease of other
+// times. All nodes of a zone must use the same.
+func NewWithTerm(self Member, term, renewAfter, holdOver time.Duration) *Elector {
+	return &Elector{self: self, termMS: term.Milliseconds(), renewMS: renewAfter.Milliseconds(), holdOverMS: holdOver.Milliseconds()}
 }
 
+func (e *Elector) holdOver() time.Duration { return time.Duration(e.holdOverMS) * time.Millisecond }
+
 func (e *Elector) term() time.Duration { return time.Duration(e.termMS) * time.Millisecond }
 
 // Self returns the member that this elector stands for.
@@ -246,15 +249,15 @@
 	}
 	wait := e.term()
 	if !e.isSuccessor() && len(e.seen.Lease.Successors) > 0 {
-		wait += HoldOver
+		wait += e.holdOver()
 	}
 	return now.Sub(e.unchangedSince) >= wait
 }
 
 func (e *Elector) isSuccessor() bool {
 	for _, successor := range e.seen.Lease.Successors {
-		if successor.Incarnation == e.self.Incarnation {
-			return true
+		if successor.Incarnation == e.self.Incarnation || successor.Node == e.self.Node && successor.Address == e.self.Address {
+			return true // A process that was restarted has waited a term, which outlasts its promises.
 		}
 	}
 	return false
@@ -289,7 +292,7 @@
 // Promise asks this node, as a successor, not to take the lease for a while
 // after now. It reports whether the node promises.
 func (e *Elector) Promise(now time.Time, leader string, epoch int64, hold time.Duration) bool {
-	if e.resigned || hold > HoldOver || e.mine() {
+	if e.resigned || hold > e.holdOver() || e.mine() {
 		return false
 	}
 	if e.known && (epoch < e.seen.Lease.Epoch || leader != e.seen.Lease.Holder.Incarnation) {
@@ -312,7 +315,7 @@
 	if !e.mine() || len(e.Successors()) == 0 {
 		return
 	}
-	if last := e.unchangedSince.Add(HoldOver); deadline.After(last) {
+	if last := e.unchangedSince.Add(e.holdOver()); deadline.After(last) {
 		deadline = last
 	}
 	if deadline.After(e.heldOverUntil) {
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -23,15 +23,28 @@
 	// term is the term of a zone's lease; a dead leader is replaced about a second after it.
 	term = 2 * time.Second
 	// renewAfter is the age at which the lease is renewed; a renewal may fail twice within the term.
-	renewAfter = 650 * time.Millisecond
+	renewAfter = 750 * time.Millisecond
 	// step is how often the lease is looked at.
 	step = 50 * time.Millisecond
 	// calmPoll is the pause between two reads of the rows while all leaders are heard of.
-	calmPoll = 2500 * time.Millisecond
+	calmPoll = 5 * time.Second
 	// seekPoll is the pause while one is not.
 	seekPoll = 400 * time.Millisecond
+	// failedPoll is the pause after a read that failed.
+	failedPoll = 600 * time.Millisecond
 	// callTime bounds one call.
 	callTime = 600 * time.Millisecond
+	// holdOver is the longest time that a leader goes on while the store is away.
+	holdOver = 15 * time.Second // Longer than the users' outages of up to 9 s; a zone that lost leader and successors waits as long.
+	// promiseTime is for how long a successor promises; it is shorter than the term, which a restarted one waits.
+	promiseTime = 1500 * time.Millisecond
+	// askTime bounds the question to a successor, askPause is the pause between two rounds.
+	askTime  = 350 * time.Millisecond
+	askPause = 250 * time.Millisecond
+	// probeTime bounds the read by which a successor finds out whether the store answers it.
+	probeTime = 200 * time.Millisecond
+	// returnGrace is how long other nodes leave a lapsed lease to its holder after the store's return.
+	returnGrace = 700 * time.Millisecond
 )
 
 // Parts are what a leaseholder needs.
@@ -41,6 +54,10 @@
 	Rows *platformclient.Platform
 	// Heard reports whether a zone's leader was heard of lately.
 	Heard func(zone string) bool
+	// Successors returns the nodes of the zone that follow this leader.
+	Successors func() []elector.Member
+	// Ask asks a successor for a promise and reports whether it gave it.
+	Ask func(deadline time.Time, successor elector.Member, epoch int64, hold time.Duration) bool
 	// QuietMS is how long after another holder's last possible order this node may give its first, in milliseconds.
 	QuietMS int64
 	// Changed is called after this node took or lost the lease, or another zone's holder changed.
@@ -68,6 +85,13 @@
 	ledEpoch int64
 	// resigned is set when the node stops.
 	resigned bool
+	// failing is set while the last call to the store failed; returnedAt is when one last succeeded after a failure.
+	failing    bool
+	returnedAt time.Time
+	// askedAt is when the successors were last asked for promises.
+	askedAt time.Time
+	// heldOver is set while this node leads by promises only, for the log.
+	heldOver bool
 	// orderedAt is when this node last gave an order.
 	orderedAt time.Time
 }
@@ -76,7 +100,7 @@
 func New(parts Parts) *Leaseholder {
 	return &Leaseholder{
 		parts: parts, stopped: make(chan struct{}), wake: make(chan struct{}, 1),
-		elector: elector.NewWithTerm(parts.Self, term, renewAfter), holders: map[string]elector.Member{}, epochs: map[string]int64{},
+		elector: elector.NewWithTerm(parts.Self, term, renewAfter, holdOver), holders: map[string]elector.Member{}, epochs: map[string]int64{},
 	}
 }
 
@@ -157,7 +181,10 @@
 	now := timekeeper.Now()
 	l.elector.Inherit()
 	_, leading := l.elector.Leading(now)
-	proposal := l.elector.Propose(now, nil)
+	var proposal *elector.Proposal
+	if l.mayPropose(now, leading) {
+		proposal = l.elector.Propose(now, l.successors())
+	}
 	if proposal != nil {
 		if !leading {
 			// Set before the write, whose answer may be lost.
@@ -169,9 +196,82 @@
 	if proposal != nil {
 		l.propose(proposal)
 	}
+	l.askSuccessors()
 	l.logChange()
 }
 
+// successors returns the nodes that a lease names; the caller holds mu.
+func (l *Leaseholder) successors() []elector.Member {
+	all := l.parts.Successors()
+	return all[:min(len(all), elector.MaxSuccessors)]
+}
+
+// mayPropose reports whether a write makes sense: nobody takes a lease while
+// the store is away, or before its holder had the time to renew it after that;
+// the caller holds mu.
+func (l *Leaseholder) mayPropose(now time.Time, leading bool) bool {
+	if leading {
+		return true
+	}
+	holder := l.elector.Lease().Holder
+	if holder.Node == l.parts.Self.Node && holder.Address == l.parts.Self.Address {
+		return !l.failing
+	}
+	return !l.failing && now.Sub(l.returnedAt) >= returnGrace
+}
+
+// answered takes in whether the store answered; the caller holds mu.
+func (l *Leaseholder) answered(err error) {
+	if err == nil && l.failing {
+		l.returnedAt = timekeeper.Now()
+	}
+	l.failing = err != nil
+}
+
+// askSuccessors lets this node lead on while the store is away, if every
+// successor promises not to take the lease.
+func (l *Leaseholder) askSuccessors() {
+	l.mu.Lock()
+	now := timekeeper.Now()
+	epoch, leading := l.elector.Leading(now)
+	successors := l.elector.Successors()
+	due := leading && l.failing && !l.resigned && len(successors) > 0 && now.Sub(l.askedAt) >= askPause
+	if due {
+		l.askedAt = now
+	}
+	l.mu.Unlock()
+	if !due {
+		return
+	}
+	promises := make(chan bool, len(successors))
+	for _, successor := range successors {
+		go func() { promises <- l.parts.Ask(time.Now().Add(askTime), successor, epoch, promiseTime) }()
+	}
+	all := true
+	for range successors {
+		all = <-promises && all
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if all {
+		l.elector.HoldOverUntil(now.Add(promiseTime - driftMargin))
+	}
+}
+
+// driftMargin is what a leader gives up of a promise for clocks that run at different rates.
+const driftMargin = 100 * time.Millisecond
+
+// Promise answers a leader that asks this node not to take the lease. A node
+// that the store answers refuses, since the leader alone may have lost it.
+func (l *Leaseholder) Promise(leader string, epoch int64, hold time.Duration) bool {
+	if _, err := l.parts.Rows.ReadRows(time.Now().Add(probeTime), nil, ""); err == nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.elector.Promise(timekeeper.Now(), leader, epoch, hold)
+}
+
 // due reports whether the rows should be read.
 func (l *Leaseholder) due() bool {
 	l.mu.Lock()
@@ -179,6 +279,7 @@
 	age := now.Sub(l.readAt)
 	_, leading := l.elector.Leading(now)
 	first := l.readAt.IsZero()
+	failing := l.failing
 	zones := make([]string, 0, len(l.holders))
 	for zone := range l.holders {
 		zones = append(zones, zone)
@@ -188,7 +289,7 @@
 	if first || age >= calmPoll {
 		return true
 	}
-	if age < seekPoll {
+	if age < seekPoll || failing && age < failedPoll {
 		return false
 	}
 	if !leading && !ownKnown {
@@ -209,6 +310,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.readAt = timekeeper.Now()
+	l.answered(err)
 	if err != nil {
 		return // The watcher logs that the store is away.
 	}
@@ -243,8 +345,9 @@
 	verdict, err := l.write(proposal)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.answered(err)
 	if err != nil {
-		l.readAt = time.Time{} // The next step finds out whether the write took effect.
+		l.readAt = timekeeper.Now().Add(-calmPoll) // A read soon finds out whether the write took effect.
 		log.Warn().Str("zone", l.parts.Zone).Int64("epoch", proposal.Lease.Epoch).Err(err).Msg("lease not written")
 		return
 	}
@@ -289,7 +392,13 @@
 	before := l.ledEpoch
 	l.ledEpoch = epoch
 	quiet := max(l.quietUntil.Sub(timekeeper.Now()), 0)
+	heldOver := l.elector.HeldOver(timekeeper.Now())
+	heldOverBefore := l.heldOver
+	l.heldOver = heldOver
 	l.mu.Unlock()
+	if heldOver != heldOverBefore {
+		log.Info().Str("zone", l.parts.Zone).Int64("epoch", epoch).Bool("held_over", heldOver).Msg("lease held over by promises")
+	}
 	if before == epoch {
 		return
 	}
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -91,7 +91,9 @@
 		Zone: settings.Zone(), QuietMS: settings.QuietMS(), Rows: do.MustInvoke[*platform.Store](i).Rows,
 		Self:    elector.Member{Node: settings.Name(), Incarnation: newIncarnation(settings.Name()), Address: settings.Nodes()},
 		Heard:   func(zone string) bool { return f.viewer.Live(time.Now(), zone) },
-		Changed: func() { f.conductor.Kick() },
+		Changed:    func() { f.conductor.Kick() },
+		Successors: func() []elector.Member { return f.conductor.Members() },
+		Ask:        f.askPromise,
 	})
 	f.conductor = conductor.New(conductor.Parts{
 		Node: settings.Name(), Zone: settings.Zone(), Catalog: f.watcher.Catalog, List: do.MustInvoke[*registrar.Registrar](i),
@@ -123,6 +125,18 @@
 	})
 }
 
+// askPromise asks a successor for a promise.
+func (f *Fleet) askPromise(deadline time.Time, successor elector.Member, epoch int64, hold time.Duration) bool {
+	client, err := f.peers.Fleet(successor.Address)
+	if err != nil {
+		return false
+	}
+	ctx, cancel := peerclient.Until(deadline)
+	defer cancel()
+	reply, err := client.Promise(ctx, &nodewire.PromiseRequest{Zone: f.settings.Zone(), Leader: f.lease.Self().Incarnation, Epoch: epoch, HoldMs: hold.Milliseconds()})
+	return err == nil && reply.GetPromised() && reply.GetIncarnation() == successor.Incarnation
+}
+
 // newIncarnation names this start of the process.
 func newIncarnation(node string) string {
 	return node + "-" + strconv.Itoa(os.Getpid()) + "-" + strconv.FormatInt(time.Now().UnixNano(), 36)
--- a/server/fleetservice.go
+++ b/server/fleetservice.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -45,6 +46,15 @@
 	}
 }
 
+// Promise implements nodewire.FleetServer.
+func (s *fleetService) Promise(_ context.Context, request *nodewire.PromiseRequest) (*nodewire.PromiseReply, error) {
+	reply := &nodewire.PromiseReply{Incarnation: s.fleet.lease.Self().Incarnation}
+	if request.GetZone() == s.fleet.settings.Zone() {
+		reply.Promised = s.fleet.lease.Promise(request.GetLeader(), request.GetEpoch(), time.Duration(request.GetHoldMs())*time.Millisecond)
+	}
+	return reply, nil
+}
+
 // Succeed implements nodewire.FleetServer.
 func (s *fleetService) Succeed(_ context.Context, request *nodewire.SucceedRequest) (*nodewire.SucceedReply, error) {
 	if request.GetZone() != s.fleet.settings.Zone() {
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -258,7 +258,7 @@
 // header returns a message without entries.
 func (s *Subscriber) header() *nodewire.Demand {
 	return &nodewire.Demand{
-		Node: s.parts.Self.Node, Zone: s.parts.Zone, Address: s.parts.Self.Address, Config: s.parts.Config(), AgeMs: time.Since(s.started).Milliseconds(),
+		Node: s.parts.Self.Node, Zone: s.parts.Zone, Address: s.parts.Self.Address, Incarnation: s.parts.Self.Incarnation, Config: s.parts.Config(), AgeMs: time.Since(s.started).Milliseconds(),
 	}
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -17,10 +17,10 @@
 // Times of the feeds.
 const (
 	// catalogWaitMS is how long one call waits for a change of the configuration, in milliseconds. A silent
-	// connection delays the next change by at most this and callSlack.
-	catalogWaitMS = 1200
+	// connection delays a change by at most this and callSlack, less if a peer has it.
+	catalogWaitMS = 1250
 	// workersPause is the least time between two calls for heartbeats; the newest are that much late.
-	workersPause = 700 * time.Millisecond
+	workersPause = 1000 * time.Millisecond
 	// workersWaitMS bounds a call for heartbeats that finds none, in milliseconds.
 	workersWaitMS = 600
 	// callSlack is the time that the store has beyond its wait.
