Load hot models first and fill free memory unasked

Change: wants are ranked by what they serve (hot, timely, replica, late); free memory is filled by rate, from the weight store only for busy models while it is idle. A stopping node may promise not to take the lease, which it never does.

Ruled out: more loads from the store at once, which slow each other (four at full speed on the users' store).

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -292,9 +292,12 @@
 // Promise asks this node, as a successor, not to take the lease for a while
 // after now. It reports whether the node promises.
 func (e *Elector) Promise(now time.Time, leader string, epoch int64, hold time.Duration) bool {
-	if e.resigned || hold > e.holdOver() || e.mine() {
+	if hold > e.holdOver() || e.mine() {
 		return false
 	}
+	if e.resigned {
+		return true // It never takes the lease again.
+	}
 	if e.known && (epoch < e.seen.Lease.Epoch || leader != e.seen.Lease.Holder.Incarnation) {
 		return false
 	}
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -140,7 +140,7 @@
 	TakesMS float64
 	// Mine is set when this leader carries the move out.
 	Mine bool
-	// Reason is "waiting" or "replica".
+	// Reason is "waiting", "replica" or "fill".
 	Reason string
 	// DueMS and Waiting are those of the demand; Loss is the expected loss by the victims.
 	DueMS   float64
@@ -201,9 +201,81 @@
 	for _, want := range s.wants() {
 		s.place(want)
 	}
+	s.fill()
 	return s.moves
 }
 
+const (
+	// fillRate is the least rate in requests a second at which a model is loaded into free memory unasked.
+	fillRate = 0.02
+	// fillStoreLoads is how many loads from the weight store must be free for one that nobody waits for.
+	fillStoreLoads = 2
+)
+
+// fill loads models into memory that nothing uses, as after a restart or on a
+// new worker: first those that have no holder, then the busiest ones.
+func (s *state) fill() {
+	for i := range s.input.Places {
+		place := &s.input.Places[i]
+		if !place.Open || !place.Usable || s.taken[place.ID] || s.input.Passed[place.ID] || place.Penalty >= 1 {
+			continue
+		}
+		free := place.freeMB()
+		for _, unit := range place.Units {
+			free -= s.input.Models[unit.Model].MemoryMB
+		}
+		if demand := s.fillDemand(place, free); demand != nil {
+			s.fillPlace(place, demand)
+		}
+	}
+}
+
+// fillDemand returns the demand for the model that should fill a place, or nil.
+func (s *state) fillDemand(place *Place, free float64) *Demand {
+	var best *Demand
+	bestValue := 0.0
+	for i := range s.input.Demands {
+		demand := &s.input.Demands[i]
+		model, known := s.input.Models[demand.Model]
+		if !known || demand.Rate < fillRate || model.MemoryMB > free || holds(place, demand.Model) || place.Loading == demand.Model {
+			continue
+		}
+		held := s.holders[demand.Model] + s.coming[demand.Model]
+		if place.tier(demand.Model) == TierStore && !s.mayFillFromStore(place, demand, held) {
+			continue
+		}
+		value := demand.Rate / float64(1+held*held)
+		if best == nil || value > bestValue {
+			best, bestValue = demand, value
+		}
+	}
+	return best
+}
+
+// mayFillFromStore reports whether a model may be loaded from the weight store
+// unasked: a busy one with at most one holder, while the store is idle.
+func (s *state) mayFillFromStore(place *Place, demand *Demand, held int) bool {
+	if place.Mine && s.storeLoads < fillStoreLoads {
+		return false
+	}
+	return held <= 1 && demand.Rate*valueS >= hotValue
+}
+
+// fillPlace adds the move that fills a place.
+func (s *state) fillPlace(place *Place, demand *Demand) {
+	model := s.input.Models[demand.Model]
+	tier := place.tier(demand.Model)
+	if tier == TierStore && place.Mine {
+		s.storeLoads--
+	}
+	s.taken[place.ID] = true
+	s.coming[demand.Model]++
+	s.moves = append(s.moves, Move{
+		Worker: place.ID, Model: demand.Model, Tier: tier, TakesMS: model.TierMS[tier], Mine: place.Mine, Reason: "fill",
+		DueMS: demand.DueMS, Waiting: demand.Waiting,
+	})
+}
+
 // count counts the holders of every model.
 func (s *state) count() {
 	for i := range s.input.Places {
@@ -260,8 +332,10 @@
 	if rank, otherRank := w.rank(), other.rank(); rank != otherRank {
 		return rank < otherRank
 	}
-	if w.replica {
-		return w.pressure > other.pressure
+	if w.rank() != rankTimely {
+		if value, otherValue := w.value(), other.value(); value != otherValue {
+			return value > otherValue
+		}
 	}
 	if w.demand.DueMS != other.demand.DueMS {
 		return w.demand.DueMS < other.demand.DueMS
@@ -269,20 +343,54 @@
 	return w.demand.Model < other.demand.Model
 }
 
-// overloaded is the pressure from which a replica goes before waiting models.
-const overloaded = 2
+// Ranks of wants, most urgent first.
+const (
+	// rankHot is for models that many callers need: busy ones that are loaded nowhere, or overloaded.
+	rankHot = iota
+	// rankTimely is for waiting models that can still be in time.
+	rankTimely
+	// rankReplica is for other replicas.
+	rankReplica
+	// rankLate is for waiting models that are late.
+	rankLate
+)
+
+const (
+	// overloaded is the pressure from which a replica is hot.
+	overloaded = 2
+	// hotValue is the value from which a model that is loaded nowhere is hot, in requests answered in time.
+	hotValue = 6
+	// lateShare is what a late answer is worth, as a share of one in time.
+	lateShare = 0.15
+	// valueS is for how long the requests to come count, in seconds.
+	valueS = 2.5
+)
+
+// value returns how many requests a move would serve in time.
+func (w *want) value() float64 {
+	if w.replica {
+		return w.pressure * (w.demand.Rate + w.demand.Recent) / 2
+	}
+	waiting := float64(w.demand.Waiting)
+	if !w.timely() {
+		waiting *= lateShare
+	}
+	return waiting + max(w.demand.Rate, w.demand.Recent)*valueS
+}
+
+// timely reports whether the first waiting request can still be in time.
+func (w *want) timely() bool { return w.demand.DueMS >= w.model.TierMS[TierMemory] }
 
-// rank groups wants: 0 overloaded models, 1 waiting models in time, 2 other replicas, 3 waiting models that are late.
 func (w *want) rank() int {
 	switch {
-	case w.replica && w.pressure > overloaded:
-		return 0
+	case w.replica && w.pressure > overloaded, !w.replica && w.value() >= hotValue:
+		return rankHot
 	case w.replica:
-		return 2
-	case w.demand.DueMS-w.model.TierMS[TierMemory] >= 0:
-		return 1
+		return rankReplica
+	case w.timely():
+		return rankTimely
 	default:
-		return 3
+		return rankLate
 	}
 }
 
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -134,7 +134,7 @@
 	ctx, cancel := peerclient.Until(deadline)
 	defer cancel()
 	reply, err := client.Promise(ctx, &nodewire.PromiseRequest{Zone: f.settings.Zone(), Leader: f.lease.Self().Incarnation, Epoch: epoch, HoldMs: hold.Milliseconds()})
-	return err == nil && reply.GetPromised() && reply.GetIncarnation() == successor.Incarnation
+	return err == nil && reply.GetPromised() // An earlier process of the host cannot live any more.
 }
 
 // newIncarnation names this start of the process.
