Serve on in a cut zone: promises, reachability, leases heard from leaders

Change: only a fresh read lets another node take a lease, and none while the leader is heard; followers hear the lease from their leader; the probe is bounded; promises are asked for while a renewal is stuck. A worker that cannot be reached gets nothing for a second, a zone whose leader is silent costs more, and requests that wait beside a holder they do not reach get another.

Ruled out: the worker's own refusal (no 421), the view's age.

--- a/assessor/assessor.go
+++ b/assessor/assessor.go
@@ -35,6 +35,8 @@
 	sends []time.Time
 	// running counts this node's requests there.
 	running int
+	// outUntil is until when the worker gets nothing.
+	outUntil time.Time
 	// told is the load that the worker told with its last answer, at toldAt.
 	told   int
 	toldAt time.Time
@@ -109,6 +111,14 @@
 	})
 }
 
+// outTime is how long a worker that could not be reached gets nothing.
+const outTime = 1 * time.Second
+
+// Unreached takes in that no connection to a worker could be opened.
+func (a *Assessor) Unreached(now time.Time, worker string) {
+	a.with(worker, func(e *evidence) { e.outUntil = now.Add(outTime) })
+}
+
 // Tell takes in the load that a worker told with an answer.
 func (a *Assessor) Tell(now time.Time, worker string, load int) {
 	a.with(worker, func(e *evidence) { e.told, e.toldAt = load, now })
@@ -124,6 +134,8 @@
 	Running int
 	// Told is the load that the worker told lately, or -1.
 	Told int
+	// Out is set when the worker gets nothing now.
+	Out bool
 }
 
 // Assess returns what is known of a worker.
@@ -133,6 +145,7 @@
 		e.fade(now)
 		assessment.Penalty = min(e.penalty, 1)
 		assessment.Running = e.running
+		assessment.Out = now.Before(e.outUntil)
 		for _, at := range e.sends {
 			if now.Sub(at) < sendMemory {
 				assessment.Recent++
--- a/conductor/adapt.go
+++ b/conductor/adapt.go
@@ -25,7 +25,7 @@
 	var keys []demandKey
 	for key := range c.demand.keys() {
 		if key.service == service.Name && key.adapter != "" {
-			if waiting, _ := c.demand.waitingFor(key); waiting > 0 {
+			if waiting, _, _ := c.demand.waitingFor(key); waiting > 0 {
 				keys = append(keys, key)
 			}
 		}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -79,6 +79,8 @@
 	Leading func() (epoch int64, leading bool)
 	// Quiet reports whether orders must wait though the lease is held.
 	Quiet func() bool
+	// Written returns the lease as it was last written, and the version of its row.
+	Written func() (lease string, version int64)
 	// CheckOrder returns an error unless an order may leave now.
 	CheckOrder func(epoch int64) error
 }
--- a/conductor/follow.go
+++ b/conductor/follow.go
@@ -118,6 +118,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	message := &nodewire.View{Zone: c.parts.Zone, Epoch: c.epoch, Config: config, Whole: f.whole, Nodes: int32(len(c.demand.nodes))}
+	message.Lease, message.LeaseVersion = c.parts.Lease.Written()
 	if f.whole {
 		for id := range c.workers {
 			f.dirty[id] = true
--- a/conductor/gatherer.go
+++ b/conductor/gatherer.go
@@ -43,13 +43,14 @@
 // nodeDemand is what one node last said.
 type nodeDemand struct {
 	zone, address, incarnation string
-	heardAt       time.Time
+	heardAt                    time.Time
 	// bornAt is when the node's process started.
 	bornAt time.Time
 	asked  map[demandKey]int64
 	// waiting and due are those of the last message about a key.
 	waiting map[demandKey]int
 	due     map[demandKey]time.Time
+	since   map[demandKey]time.Time
 	running map[string]map[string]int // worker, then model
 }
 
@@ -71,7 +72,7 @@
 		g.nodes[message.GetNode()] = node
 	}
 	if message.GetWhole() || !known {
-		node.waiting, node.due = map[demandKey]int{}, map[demandKey]time.Time{}
+		node.waiting, node.due, node.since = map[demandKey]int{}, map[demandKey]time.Time{}, map[demandKey]time.Time{}
 		node.running = map[string]map[string]int{}
 	}
 	node.zone, node.address, node.incarnation, node.heardAt = message.GetZone(), message.GetAddress(), message.GetIncarnation(), now
@@ -83,9 +84,11 @@
 		waits = waits || int(model.GetWaiting()) > node.waiting[key]
 		node.waiting[key] = int(model.GetWaiting())
 		node.due[key] = now.Add(time.Duration(model.GetDueMs()) * time.Millisecond)
+		node.since[key] = now.Add(-time.Duration(model.GetWaitedMs()) * time.Millisecond)
 		if model.GetWaiting() == 0 {
 			delete(node.waiting, key)
 			delete(node.due, key)
+			delete(node.since, key)
 		}
 	}
 	for _, run := range message.GetRuns() {
@@ -139,15 +142,18 @@
 // fadedRate is the rate in requests a second below which a key is forgotten.
 const fadedRate = 0.001
 
-// waitingFor sums the waiting requests for a key.
-func (g *gatherer) waitingFor(key demandKey) (count int, due time.Time) {
+// waitingFor sums the waiting requests for a key, with when the first of them is late and began.
+func (g *gatherer) waitingFor(key demandKey) (count int, due, since time.Time) {
 	for _, node := range g.nodes {
 		count += node.waiting[key]
+		if began, waits := node.since[key]; waits && (since.IsZero() || began.Before(since)) {
+			since = began
+		}
 		if nodeDue, waits := node.due[key]; waits && (due.IsZero() || nodeDue.Before(due)) {
 			due = nodeDue
 		}
 	}
-	return count, due
+	return count, due, since
 }
 
 // keys returns every key that is asked for or waited for.
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -207,7 +207,7 @@
 	if key.adapter != "" && c.isHeld(now, key.service, key.model) {
 		return // These wait for the adapter, not for the model.
 	}
-	waiting, due := c.demand.waitingFor(key)
+	waiting, due, since := c.demand.waitingFor(key)
 	if waiting == 0 {
 		return
 	}
@@ -216,6 +216,7 @@
 		sum.DueMS = dueMS
 	}
 	sum.Waiting += waiting
+	sum.WaitedMS = max(sum.WaitedMS, float64(now.Sub(since).Milliseconds()))
 }
 
 func (c *Conductor) isHeld(now time.Time, service, model string) bool {
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -30,6 +30,8 @@
 	noise = 8.0
 	// affinityTokens is the number of shared tokens from which a prompt is sent where its parts likely are.
 	affinityTokens = 1000
+	// silentCost is the cost of a zone that seems cut off.
+	silentCost = 150.0
 	// jumpCost is the cost of running beyond a worker's slots.
 	jumpCost = 1000.0
 )
@@ -196,7 +198,10 @@
 		if !holder.ReadyAt.IsZero() || !holder.HasAdapter || now.Before(c.avoid[holder.Worker.ID]) {
 			continue
 		}
-		cost := f.modelCost(now, holder)
+		cost, usable := f.modelCost(now, holder)
+		if !usable {
+			continue
+		}
 		if preferred != "" && holder.Worker.ID != preferred {
 			cost += tokenCost * float64(sharedTokens(c))
 		}
@@ -209,17 +214,28 @@
 }
 
 // modelCost weighs a worker by its load, zone and evidence.
-func (f *Forwarder) modelCost(now time.Time, holder *viewer.Holder) float64 {
+func (f *Forwarder) modelCost(now time.Time, holder *viewer.Holder) (cost float64, usable bool) {
 	known := f.parts.Assessor.Assess(now, holder.Worker.ID)
+	if known.Out {
+		return 0, false
+	}
 	load := max(holder.Running+known.Recent, known.Running)
-	cost := float64(load)*runCost + known.Penalty*modelPenaltyCost + rand.Float64()*noise
+	cost = float64(load)*runCost + known.Penalty*modelPenaltyCost + rand.Float64()*noise
 	if holder.Worker.Zone != f.parts.Zone {
 		cost += remoteModelCost
 	}
 	if load >= holder.Worker.Slots {
 		cost += jumpCost
 	}
-	return cost
+	if f.isSilent(now, holder.Worker.Zone) {
+		cost += silentCost
+	}
+	return cost, true
+}
+
+// isSilent reports whether another zone seems cut off: its leader was not heard of lately.
+func (f *Forwarder) isSilent(now time.Time, zone string) bool {
+	return zone != f.parts.Zone && !f.parts.View.Live(now, zone)
 }
 
 // sharedTokens returns the tokens of the prompt's shared parts.
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -20,6 +20,8 @@
 	remoteCost = 3.0
 	// penaltyCost is the cost of a worker that lost all its traffic by failures.
 	penaltyCost = 40.0
+	// outCost is the cost of a worker that could not be reached lately, or whose zone seems cut off.
+	outCost = 20.0
 	// fullCost is the cost of a worker whose slots are taken, so that a free one is preferred anywhere.
 	fullCost = 8.0
 )
@@ -132,6 +134,9 @@
 	if load >= float64(worker.Slots) {
 		cost += fullCost
 	}
+	if known.Out || f.isSilent(now, worker.Zone) {
+		cost += outCost
+	}
 	return cost
 }
 
@@ -146,12 +151,13 @@
 
 // Times for which a worker that did not serve a call is avoided by it.
 const (
-	avoidFull    = 80 * time.Millisecond
-	avoidBroken  = 10 * time.Second
-	maxSends     = 8
-	resendLeast  = 20 * time.Millisecond
-	resendPause  = 5 * time.Millisecond
-	blockedLeast = 30 * time.Millisecond
+	avoidFull      = 80 * time.Millisecond
+	avoidUnreached = 1 * time.Second
+	avoidBroken    = 10 * time.Second
+	maxSends       = 8
+	resendLeast    = 20 * time.Millisecond
+	resendPause    = 5 * time.Millisecond
+	blockedLeast   = 30 * time.Millisecond
 )
 
 // again returns nil when a call may be sent once more, else its end.
@@ -190,6 +196,9 @@
 		f.parts.View.SetAbsent(now, worker.ID, c.Model, c.Adapter)
 	case ReasonFull:
 		c.avoid[worker.ID] = now.Add(avoidFull)
+	case ReasonUnreachable:
+		f.parts.Assessor.Unreached(now, worker.ID)
+		c.avoid[worker.ID] = now.Add(avoidUnreached)
 	default:
 		c.avoid[worker.ID] = now.Add(avoidBroken)
 	}
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -43,6 +43,10 @@
 	askPause = 250 * time.Millisecond
 	// probeTime bounds the read by which a successor finds out whether the store answers it.
 	probeTime = 200 * time.Millisecond
+	// freshRead is the age of the last read up to which another node's lease may be taken.
+	freshRead = 500 * time.Millisecond
+	// slowWrite is how long a renewal may take before the successors are asked for promises.
+	slowWrite = 250 * time.Millisecond
 	// returnGrace is how long other nodes leave a lapsed lease to its holder after the store's return.
 	returnGrace = 700 * time.Millisecond
 )
@@ -88,8 +92,13 @@
 	// failing is set while the last call to the store failed; returnedAt is when one last succeeded after a failure.
 	failing    bool
 	returnedAt time.Time
-	// askedAt is when the successors were last asked for promises.
+	// askedAt is when the successors were last asked for promises; asking is set while they are.
 	askedAt time.Time
+	asking  bool
+	// writingAt is when the write under way was sent, zero when there is none.
+	writingAt time.Time
+	// goodReadAt is when a read that succeeded was last sent.
+	goodReadAt time.Time
 	// heldOver is set while this node leads by promises only, for the log.
 	heldOver bool
 	// orderedAt is when this node last gave an order.
@@ -108,7 +117,10 @@
 func (l *Leaseholder) Self() elector.Member { return l.parts.Self }
 
 // Run starts the loop; it ends when Stop is called.
-func (l *Leaseholder) Run() { go l.loop() }
+func (l *Leaseholder) Run() {
+	go l.loop()
+	go l.promiseLoop()
+}
 
 // Stop ends the loop without handing the lease over.
 func (l *Leaseholder) Stop() { close(l.stopped) }
@@ -142,7 +154,9 @@
 }
 
 // Error names the epoch.
-func (e *LostError) Error() string { return fmt.Sprintf("lease of epoch %d is not held any more", e.epoch) }
+func (e *LostError) Error() string {
+	return fmt.Sprintf("lease of epoch %d is not held any more", e.epoch)
+}
 
 // CheckOrder returns an error unless an order may leave now under an epoch, and counts the order.
 func (l *Leaseholder) CheckOrder(epoch int64) error {
@@ -157,6 +171,32 @@
 	return nil
 }
 
+// Written returns this node's lease as it was last written, and the version of its row.
+func (l *Leaseholder) Written() (lease string, version int64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	text, err := json.Marshal(l.elector.Lease())
+	if err != nil {
+		return "", 0 // A lease is plain data; followers read the row themselves.
+	}
+	return string(text), l.elector.Version()
+}
+
+// Hear takes in the zone's lease as its leader last wrote it, which spares a read.
+func (l *Leaseholder) Hear(text string, version int64) {
+	var lease elector.Lease
+	if version == 0 || json.Unmarshal([]byte(text), &lease) != nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, leading := l.elector.Leading(timekeeper.Now()); leading || version <= l.elector.Version() {
+		return
+	}
+	l.elector.Observe(timekeeper.Now(), elector.Seen{Lease: lease, Version: version})
+	l.observe(l.parts.Zone, lease)
+}
+
 // Quiet reports whether this node leads but must not give orders yet.
 func (l *Leaseholder) Quiet() bool {
 	l.mu.Lock()
@@ -196,10 +236,39 @@
 	if proposal != nil {
 		l.propose(proposal)
 	}
-	l.askSuccessors()
 	l.logChange()
 }
 
+// promiseLoop asks for promises beside the loop, which a write may hold up.
+func (l *Leaseholder) promiseLoop() {
+	ticker := time.NewTicker(step)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-l.stopped:
+			return
+		case <-ticker.C:
+			l.askSuccessors()
+		}
+	}
+}
+
+// storeAnswers reports whether the store answers a read within the probe's time.
+// The read may take longer to fail, since it may have to connect first.
+func (l *Leaseholder) storeAnswers() bool {
+	answered := make(chan bool, 1)
+	go func() {
+		_, err := l.parts.Rows.ReadRows(time.Now().Add(probeTime), nil, "")
+		answered <- err == nil
+	}()
+	select {
+	case good := <-answered:
+		return good
+	case <-time.After(probeTime):
+		return false
+	}
+}
+
 // successors returns the nodes that a lease names; the caller holds mu.
 func (l *Leaseholder) successors() []elector.Member {
 	all := l.parts.Successors()
@@ -217,7 +286,9 @@
 	if holder.Node == l.parts.Self.Node && holder.Address == l.parts.Self.Address {
 		return !l.failing
 	}
-	return !l.failing && now.Sub(l.returnedAt) >= returnGrace
+	free := holder.Incarnation == ""
+	fresh := now.Sub(l.goodReadAt) < freshRead
+	return fresh && !l.failing && now.Sub(l.returnedAt) >= returnGrace && (free || !l.parts.Heard(l.parts.Zone))
 }
 
 // answered takes in whether the store answered; the caller holds mu.
@@ -235,17 +306,29 @@
 	now := timekeeper.Now()
 	epoch, leading := l.elector.Leading(now)
 	successors := l.elector.Successors()
-	due := leading && l.failing && !l.resigned && len(successors) > 0 && now.Sub(l.askedAt) >= askPause
+	stuck := !l.writingAt.IsZero() && now.Sub(l.writingAt) > slowWrite
+	due := leading && (l.failing || stuck) && !l.resigned && !l.asking && len(successors) > 0 && now.Sub(l.askedAt) >= askPause
 	if due {
-		l.askedAt = now
+		l.askedAt, l.asking = now, true
 	}
 	l.mu.Unlock()
 	if !due {
 		return
 	}
+	defer func() {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.asking = false
+	}()
 	promises := make(chan bool, len(successors))
 	for _, successor := range successors {
-		go func() { promises <- l.parts.Ask(time.Now().Add(askTime), successor, epoch, promiseTime) }()
+		go func() {
+			given := l.parts.Ask(time.Now().Add(askTime), successor, epoch, promiseTime)
+			if !given {
+				log.Info().Str("zone", l.parts.Zone).Str("successor", successor.Node).Int64("epoch", epoch).Msg("promise not given")
+			}
+			promises <- given
+		}()
 	}
 	all := true
 	for range successors {
@@ -264,7 +347,7 @@
 // Promise answers a leader that asks this node not to take the lease. A node
 // that the store answers refuses, since the leader alone may have lost it.
 func (l *Leaseholder) Promise(leader string, epoch int64, hold time.Duration) bool {
-	if _, err := l.parts.Rows.ReadRows(time.Now().Add(probeTime), nil, ""); err == nil {
+	if l.storeAnswers() {
 		return false
 	}
 	l.mu.Lock()
@@ -314,6 +397,7 @@
 	if err != nil {
 		return // The watcher logs that the store is away.
 	}
+	l.goodReadAt = sentAt
 	own := elector.Seen{}
 	for _, row := range rows {
 		var lease elector.Lease
@@ -342,9 +426,13 @@
 
 // propose writes a lease and takes in the outcome.
 func (l *Leaseholder) propose(proposal *elector.Proposal) {
+	l.mu.Lock()
+	l.writingAt = timekeeper.Now()
+	l.mu.Unlock()
 	verdict, err := l.write(proposal)
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.writingAt = time.Time{}
 	l.answered(err)
 	if err != nil {
 		l.readAt = timekeeper.Now().Add(-calmPoll) // A read soon finds out whether the write took effect.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -99,8 +99,10 @@
 // Demand is what callers ask of one model.
 type Demand struct {
 	Model string
-	// Waiting is how many requests wait because it is loaded nowhere they can use.
-	Waiting int
+	// Waiting is how many requests wait because it is loaded nowhere they can use, WaitedMS for how many
+	// milliseconds the first of them has waited.
+	Waiting  int
+	WaitedMS float64
 	// DueMS is in how many milliseconds the first of them is late; negative when it is late already.
 	DueMS float64
 	// Rate is the requests a second with a memory of a few seconds, Recent with a memory of about one.
@@ -319,6 +321,11 @@
 			}
 			continue
 		}
+		if demand.Waiting > 0 && demand.WaitedMS > unreachedMS && s.coming[demand.Model] == 0 {
+			// Some nodes do not reach the holders, for instance because a zone is cut off.
+			wants = append(wants, want{demand: demand, model: model})
+			continue
+		}
 		if pressure := s.pressure(demand, held); pressure > 1 {
 			wants = append(wants, want{demand: demand, model: model, replica: true, pressure: pressure})
 		}
@@ -327,6 +334,9 @@
 	return wants
 }
 
+// unreachedMS is how long requests must wait beside a holder, in milliseconds, before another is loaded for them.
+const unreachedMS = 300
+
 // before orders wants by their urgency.
 func (w *want) before(other *want) bool {
 	if rank, otherRank := w.rank(), other.rank(); rank != otherRank {
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -58,7 +58,9 @@
 	do.ProvideValue(injector, peerclient.NewPool())
 	do.ProvideValue(injector, platform.NewWorkers())
 	do.Provide(injector, provideStore)
-	do.Provide(injector, func(i do.Injector) (*viewer.Viewer, error) { return viewer.New(do.MustInvoke[*registrar.Registrar](i)), nil })
+	do.Provide(injector, func(i do.Injector) (*viewer.Viewer, error) {
+		return viewer.New(do.MustInvoke[*registrar.Registrar](i)), nil
+	})
 	do.Provide(injector, provideWatcher)
 	do.Provide(injector, provideFleet)
 	f, err := do.Invoke[*Fleet](injector)
@@ -89,8 +91,8 @@
 	}
 	f.lease = leaseholder.New(leaseholder.Parts{
 		Zone: settings.Zone(), QuietMS: settings.QuietMS(), Rows: do.MustInvoke[*platform.Store](i).Rows,
-		Self:    elector.Member{Node: settings.Name(), Incarnation: newIncarnation(settings.Name()), Address: settings.Nodes()},
-		Heard:   func(zone string) bool { return f.viewer.Live(time.Now(), zone) },
+		Self:       elector.Member{Node: settings.Name(), Incarnation: newIncarnation(settings.Name()), Address: settings.Nodes()},
+		Heard:      func(zone string) bool { return f.viewer.Live(time.Now(), zone) },
 		Changed:    func() { f.conductor.Kick() },
 		Successors: func() []elector.Member { return f.conductor.Members() },
 		Ask:        f.askPromise,
@@ -98,7 +100,7 @@
 	f.conductor = conductor.New(conductor.Parts{
 		Node: settings.Name(), Zone: settings.Zone(), Catalog: f.watcher.Catalog, List: do.MustInvoke[*registrar.Registrar](i),
 		View: f.viewer, Recorder: do.MustInvoke[*recorder.Recorder](i), Order: f.workers.Order, Report: f.workers.Report,
-		Lease: conductor.Lease{Leading: f.lease.Leading, Quiet: f.lease.Quiet, CheckOrder: f.lease.CheckOrder},
+		Lease: conductor.Lease{Leading: f.lease.Leading, Quiet: f.lease.Quiet, CheckOrder: f.lease.CheckOrder, Written: f.lease.Written},
 	})
 	f.subscribe = f.newSubscriber(do.MustInvoke[*registrar.Registrar](i), do.MustInvoke[*tallier.Tallier](i))
 	limits := budgeter.Limits{Ratio: settings.RepeatRatio(), Slack: settings.RepeatSlack(), WindowS: settings.RepeatWindow()}
@@ -119,7 +121,7 @@
 			zones := lo.Map(list.Fleet().All(), func(w *registrar.Worker, _ int) string { return w.Zone })
 			return lo.Uniq(append(zones, f.settings.Zone()))
 		},
-		Tally: tally, View: f.viewer, Config: f.configVersion, Hear: f.watcher.Hear,
+		Tally: tally, View: f.viewer, Config: f.configVersion, Hear: f.watcher.Hear, Lease: f.lease.Hear,
 		Suspicions: func() []forwarder.Suspicion { return f.forwarder.Suspicions() },
 		Suspect:    func(suspicion forwarder.Suspicion) { f.forwarder.Suspect(suspicion) },
 	})
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -46,6 +46,8 @@
 	Drop   func(address string)
 	Tally  *tallier.Tallier
 	View   *viewer.Viewer
+	// Lease takes in the own zone's lease as its leader last wrote it.
+	Lease func(lease string, version int64)
 	// Config returns the version of the configuration in force, Hear takes in that a leader has another.
 	Config func() int64
 	Hear   func(version int64)
@@ -164,6 +166,7 @@
 }
 
 func (s *Subscriber) lost(zone string, holder elector.Member, heard bool, why string) {
+	s.parts.View.Silence(zone)
 	if heard {
 		log.Warn().Str("zone", zone).Str("node", holder.Node).Str("why", why).Msg("leader lost")
 	}
@@ -194,6 +197,9 @@
 	}
 	s.parts.View.Announce(now, view.GetZone(), view.GetEpoch(), announcements, view.GetWhole())
 	s.parts.Hear(view.GetConfig())
+	if view.GetZone() == s.parts.Zone {
+		s.parts.Lease(view.GetLease(), view.GetLeaseVersion())
+	}
 	s.nodes.Store(int64(view.GetNodes()))
 	for _, suspicion := range view.GetSuspicions() {
 		s.parts.Suspect(forwarder.Suspicion{Fingerprint: suspicion.GetFingerprint(), Worker: suspicion.GetWorker(), Born: suspicion.GetBorn()})
@@ -275,7 +281,7 @@
 		t.demands[key] = demand
 		entry := &nodewire.ModelDemand{Service: key.Service, Model: key.Model, Adapter: key.Adapter, Waiting: int32(demand.Waiting), Asked: demand.Asked}
 		if demand.Waiting > 0 {
-			entry.DueMs = demand.Due.Sub(now).Milliseconds()
+			entry.DueMs, entry.WaitedMs = demand.Due.Sub(now).Milliseconds(), now.Sub(demand.Since).Milliseconds()
 		}
 		message.Models = append(message.Models, entry)
 	}
--- a/tallier/tallier.go
+++ b/tallier/tallier.go
@@ -19,21 +19,27 @@
 
 // Demand is the demand for one key.
 type Demand struct {
-	// Waiting is how many requests wait, Due when the first of them is late.
-	Waiting int
-	Due     time.Time
+	// Waiting is how many requests wait, Due when the first of them is late, Since when the first of them began.
+	Waiting    int
+	Due, Since time.Time
 	// Asked counts the requests since the process started; it never falls.
 	Asked int64
 }
 
+// wait is one waiting request.
+type wait struct {
+	// due is when it is late, since when it began to wait.
+	due, since time.Time
+}
+
 // Tallier is safe for use by several goroutines.
 type Tallier struct {
 	// mu guards everything below.
 	mu sync.Mutex
 	// asked counts requests.
 	asked map[Key]int64
-	// waiting maps each key to the requests that wait, by ticket, with when each is late.
-	waiting map[Key]map[int64]time.Time
+	// waiting maps each key to the requests that wait, by ticket.
+	waiting map[Key]map[int64]wait
 	running map[RunKey]int
 	// tickets numbers the waiting requests.
 	tickets int64
@@ -43,7 +49,7 @@
 
 // New returns an empty count.
 func New() *Tallier {
-	return &Tallier{asked: map[Key]int64{}, waiting: map[Key]map[int64]time.Time{}, running: map[RunKey]int{}, changed: make(chan struct{})}
+	return &Tallier{asked: map[Key]int64{}, waiting: map[Key]map[int64]wait{}, running: map[RunKey]int{}, changed: make(chan struct{})}
 }
 
 // Ask counts a request.
@@ -60,9 +66,9 @@
 	t.tickets++
 	ticket := t.tickets
 	if t.waiting[key] == nil {
-		t.waiting[key] = map[int64]time.Time{}
+		t.waiting[key] = map[int64]wait{}
 	}
-	t.waiting[key][ticket] = due
+	t.waiting[key][ticket] = wait{due: due, since: time.Now()}
 	t.notify()
 	return func() {
 		t.mu.Lock()
@@ -126,9 +132,12 @@
 	for key, tickets := range t.waiting {
 		demand := demands[key]
 		demand.Waiting = len(tickets)
-		for _, due := range tickets {
-			if demand.Due.IsZero() || due.Before(demand.Due) {
-				demand.Due = due
+		for _, waiting := range tickets {
+			if demand.Due.IsZero() || waiting.due.Before(demand.Due) {
+				demand.Due = waiting.due
+			}
+			if demand.Since.IsZero() || waiting.since.Before(demand.Since) {
+				demand.Since = waiting.since
 			}
 		}
 		demands[key] = demand
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -153,6 +153,17 @@
 	return true
 }
 
+// Silence takes in that the stream to a zone's leader ended.
+func (v *Viewer) Silence(zone string) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if news, known := v.zones[zone]; known {
+		news.heardAt = time.Time{}
+		v.zones[zone] = news
+	}
+	v.notify()
+}
+
 // Live reports whether a zone's leader was heard of lately.
 func (v *Viewer) Live(now time.Time, zone string) bool {
 	v.mu.Lock()
