--- /dev/null
+++ b/cataloger/cataloger_test.go
@@ -0,0 +1,58 @@
+package cataloger_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/scripter"
+)
+
+func TestCataloger(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "cataloger")
+}
+
+// script is the form of testdata/find.json.
+type script struct {
+	Routes []cataloger.Route
+	Cases  []struct{ Name, Host, Path, Route string }
+}
+
+var _ = ginkgo.Describe("routes", func() {
+	var s script
+	gomega.Expect(scripter.Read("testdata/find.json", &s)).To(gomega.Succeed())
+	catalog := cataloger.New(7, s.Routes, nil, cataloger.Limits{})
+	for _, c := range s.Cases {
+		ginkgo.It(c.Name, func() {
+			route, found := catalog.Find(c.Host, c.Path)
+			gomega.Expect(found).To(gomega.Equal(c.Route != ""))
+			if found {
+				gomega.Expect(route.Name).To(gomega.Equal(c.Route))
+			}
+		})
+	}
+	ginkgo.It("split by weight", func() {
+		route := cataloger.Route{Shares: []cataloger.Share{{Service: "a", Weight: 90}, {Service: "b", Weight: 10}}}
+		counts := map[string]int{}
+		for i := range 1000 {
+			counts[route.Service(float64(i)/1000)]++
+		}
+		gomega.Expect(counts).To(gomega.Equal(map[string]int{"a": 900, "b": 100}))
+	})
+	ginkgo.It("say what may be repeated", func() {
+		gomega.Expect((&cataloger.Route{Kind: cataloger.KindOnce}).Repeatable()).To(gomega.BeFalse())
+		gomega.Expect((&cataloger.Route{Kind: cataloger.KindStream}).Repeatable()).To(gomega.BeFalse())
+		gomega.Expect((&cataloger.Route{Kind: cataloger.KindStream, Resumable: true}).Repeatable()).To(gomega.BeTrue())
+		gomega.Expect((&cataloger.Route{Kind: cataloger.KindIdempotent}).Repeatable()).To(gomega.BeTrue())
+	})
+	ginkgo.It("say how long callers wait for an event", func() {
+		quick := cataloger.Route{AimMS: 300, GapMS: 300}
+		slow := cataloger.Route{AimMS: 3000, GapMS: 300}
+		gomega.Expect(quick.Patience()).To(gomega.Equal(2400 * time.Millisecond))
+		gomega.Expect(slow.Patience()).To(gomega.Equal(12 * time.Second))
+	})
+})
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -19,7 +19,7 @@
 	// storeWindow is the window in which loads from the store are counted against its rate.
 	storeWindow = 5 * time.Second // The platform's ceilingWindowS.
 	// runsPerHolder is the share of a worker's slots that a model's requests should take at each of its holders.
-	runsPerHolder = 0.2
+	runsPerHolder = 0.3
 	// passAfter is how long a zone may leave a move undone that it should have made, passTime for how long its worker is passed by then.
 	passAfter = 300 * time.Millisecond
 	passTime  = 1 * time.Second
@@ -151,6 +151,7 @@
 		ID: w.ID, Zone: w.Zone, Usable: !w.Leaving, MemoryMB: service.MemoryMB, InMemory: w.InMemory, OnDisk: w.OnDisk,
 		Open: c.parts.View.Live(now, w.Zone),
 	}
+	place.CutOff = !place.Open
 	if announcement := c.parts.View.Announcement(w.ID); announcement != nil {
 		place.Running = announcement.Running
 		place.Open = place.Open && !now.Before(announcement.BusyUntil)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -86,7 +86,7 @@
 func New(parts Parts, readyPath string) *Forwarder {
 	f := &Forwarder{parts: parts, draining: make(chan struct{}), suspects: newSuspects()}
 	f.server = &http.Server{
-		Handler: http.HandlerFunc(f.serve), ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
+		Handler: f, ReadHeaderTimeout: headerTime, IdleTimeout: idleTime, MaxHeaderBytes: headerBytes,
 		DisableGeneralOptionsHandler: true,
 	}
 	mux := http.NewServeMux()
@@ -187,8 +187,8 @@
 	return tallier.Key{Service: c.service.Name, Model: c.Model, Adapter: c.Adapter}
 }
 
-// serve answers one request.
-func (f *Forwarder) serve(w http.ResponseWriter, r *http.Request) {
+// ServeHTTP answers one request.
+func (f *Forwarder) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
--- /dev/null
+++ b/forwarder/forwarder_test.go
@@ -0,0 +1,291 @@
+package forwarder_test
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/acaciaproxy/acaciaproxy/assessor"
+	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/forwarder"
+	"github.com/acaciaproxy/acaciaproxy/recorder"
+	"github.com/acaciaproxy/acaciaproxy/registrar"
+	"github.com/acaciaproxy/acaciaproxy/scripter"
+	"github.com/acaciaproxy/acaciaproxy/tallier"
+	"github.com/acaciaproxy/acaciaproxy/viewer"
+)
+
+func TestForwarder(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "forwarder")
+}
+
+// send is what the next send of a script meets.
+type send struct {
+	// NotRun is the reason why the worker did not run it, Broken is set when its answer broke before its head.
+	NotRun string
+	Broken bool
+	// Status and Body are the answer's; Cut is set when the body breaks off after these bytes.
+	Status int
+	Body   string
+	Cut    bool
+	// Worker and After are what the send must name; empty means any.
+	Worker, After string
+}
+
+// script is a request, what its sends meet, and how it must end.
+type script struct {
+	Name string
+	// Route is "once", "idempotent", "stream" or "resumable".
+	Route, Model string
+	Sends        []send
+	// NoBudget is set when no repeat is within the budget.
+	NoBudget bool
+	// Status is how the request ends; 0 means that the connection is cut. Retry is set when it must say when to come back.
+	Status int
+	Retry  bool
+	Body   string
+}
+
+// fixture is a forwarder with two workers of a plain service and two of a model service.
+type fixture struct {
+	forwarder *forwarder.Forwarder
+	server    *httptest.Server
+	view      *viewer.Viewer
+	list      *registrar.Registrar
+	crashed   bool
+	// mu guards sends and left.
+	mu    sync.Mutex
+	sends []send
+	made  int
+	// hang makes every send wait for its context.
+	hang bool
+	left chan struct{}
+}
+
+func newFixture(sends []send, noBudget bool) *fixture {
+	f := &fixture{sends: sends, list: registrar.New(), left: make(chan struct{}, 8)}
+	f.view = viewer.New(f.list)
+	now := time.Now()
+	worker := func(id, service string, held map[string][]string) registrar.Worker {
+		return registrar.Worker{ID: id, Service: service, Zone: "z", Address: "127.0.0.1:1", Slots: 8, Held: held, SeenAt: now}
+	}
+	f.list.Replace(now, []registrar.Worker{
+		worker("p1", "plain", nil), worker("p2", "plain", nil),
+		worker("m1", "models", map[string][]string{"m": nil}), worker("m2", "models", map[string][]string{"m": nil}),
+	}, 1)
+	route := func(name string, kind cataloger.Kind, service string, resumable bool) cataloger.Route {
+		return cataloger.Route{
+			Name: name, Host: "h", Prefix: "/" + name + "/", Kind: kind, TimeoutMS: 1500, AimMS: 100, Attempts: 2, Resumable: resumable,
+			Shares: []cataloger.Share{{Service: service, Weight: 1}},
+		}
+	}
+	catalog := cataloger.New(1, []cataloger.Route{
+		route("once", cataloger.KindOnce, "plain", false), route("idempotent", cataloger.KindIdempotent, "plain", false),
+		route("stream", cataloger.KindStream, "models", false), route("resumable", cataloger.KindStream, "models", true),
+	}, []cataloger.Service{
+		{Name: "plain"}, {Name: "models", Models: map[string]cataloger.Model{"m": {Name: "m"}, "cold": {Name: "cold"}}},
+	}, cataloger.Limits{BodyBytes: 100})
+	f.forwarder = forwarder.New(forwarder.Parts{
+		Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, List: f.list, View: f.view, Tally: tallier.New(),
+		Assessor: assessor.New(), Recorder: recorder.New(), Ready: func() bool { return true },
+		Decode: decode, Send: f.send, Echo: func(http.Header, string) {}, Crashed: func(*registrar.Worker) bool { return f.crashed },
+		Budget: forwarder.Budget{Earn: func(time.Time, string) {}, Spend: func(time.Time, string) bool { return !noBudget }},
+	}, "/ready")
+	f.server = httptest.NewServer(f.forwarder)
+	return f
+}
+
+func decode(r *http.Request, arrived time.Time) (*forwarder.Request, error) {
+	if r.Header.Get("Bad") != "" {
+		return nil, forwarder.NewBadRequestError("Bad", "1")
+	}
+	return &forwarder.Request{
+		ID: "r", Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: http.Header{}, Model: r.Header.Get("Model"), Deadline: arrived.Add(5 * time.Second),
+	}, nil
+}
+
+// brokenBody gives its text and then breaks.
+type brokenBody struct{ text *strings.Reader }
+
+func (b *brokenBody) Read(into []byte) (int, error) {
+	n, err := b.text.Read(into)
+	if err != nil {
+		return n, errors.New("connection reset")
+	}
+	return n, nil
+}
+
+func (f *fixture) send(ctx context.Context, request *forwarder.Request, attempt forwarder.Send) (*forwarder.Answer, error) {
+	if f.hang {
+		<-ctx.Done()
+		f.left <- struct{}{}
+		return nil, forwarder.NewBrokenError(attempt.Worker.ID, ctx.Err())
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.made >= len(f.sends) {
+		return nil, forwarder.NewBrokenError(attempt.Worker.ID, errors.New("the script has no more sends"))
+	}
+	next := f.sends[f.made]
+	f.made++
+	if next.After != attempt.ResumeAfter {
+		return nil, forwarder.NewBrokenError(attempt.Worker.ID, errors.New("resumed after "+attempt.ResumeAfter))
+	}
+	switch {
+	case next.NotRun != "":
+		return nil, forwarder.NewNotRunError(attempt.Worker.ID, forwarder.Reason(next.NotRun), 503, nil)
+	case next.Broken:
+		return nil, forwarder.NewBrokenError(attempt.Worker.ID, errors.New("connection reset"))
+	}
+	answer := &forwarder.Answer{Status: next.Status, Header: http.Header{"Content-Type": {"text/plain"}}}
+	if strings.Contains(next.Body, "id:") {
+		answer.Header.Set("Content-Type", "text/event-stream")
+	}
+	answer.Body = io.NopCloser(strings.NewReader(next.Body))
+	if next.Cut {
+		answer.Body = io.NopCloser(&brokenBody{strings.NewReader(next.Body)})
+	}
+	return answer, nil
+}
+
+func (f *fixture) request(path, model string) *http.Request {
+	request, err := http.NewRequest(http.MethodPost, f.server.URL+path, strings.NewReader("body"))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	request.Host = "h"
+	if model != "" {
+		request.Header.Set("Model", model)
+	}
+	return request
+}
+
+var _ = ginkgo.Describe("ends of requests", func() {
+	var scripts []script
+	gomega.Expect(scripter.Read("testdata/ends.json", &scripts)).To(gomega.Succeed())
+	for _, s := range scripts {
+		ginkgo.It(s.Name, func() {
+			f := newFixture(s.Sends, s.NoBudget)
+			defer f.server.Close()
+			response, err := http.DefaultTransport.RoundTrip(f.request("/"+s.Route+"/x", s.Model))
+			if s.Status == 0 {
+				if err == nil {
+					_, err = io.ReadAll(response.Body)
+				}
+				gomega.Expect(err).To(gomega.HaveOccurred())
+				return
+			}
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			body, err := io.ReadAll(response.Body)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(response.StatusCode).To(gomega.Equal(s.Status), string(body))
+			gomega.Expect(response.Header.Get("Retry-After") != "").To(gomega.Equal(s.Retry))
+			if s.Body != "" {
+				gomega.Expect(string(body)).To(gomega.Equal(s.Body))
+			}
+			gomega.Expect(f.made).To(gomega.Equal(len(s.Sends)), "sends")
+		})
+	}
+})
+
+var _ = ginkgo.Describe("callers", func() {
+	ginkgo.It("that leave end the work at the worker at once", func() {
+		f := newFixture(nil, false)
+		f.hang = true
+		defer f.server.Close()
+		ctx, cancel := context.WithCancel(context.Background())
+		request := f.request("/stream/x", "m").WithContext(ctx)
+		go func() { _, _ = http.DefaultTransport.RoundTrip(request) }()
+		gomega.Consistently(f.left, 100*time.Millisecond).ShouldNot(gomega.Receive())
+		cancel()
+		gomega.Eventually(f.left, 500*time.Millisecond).Should(gomega.Receive())
+	})
+	ginkgo.It("get a final answer at the route's timeout", func() {
+		f := newFixture(nil, false)
+		f.hang = true
+		defer f.server.Close()
+		began := time.Now()
+		response, err := http.DefaultTransport.RoundTrip(f.request("/once/x", ""))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusGatewayTimeout))
+		gomega.Expect(time.Since(began)).To(gomega.BeNumerically("~", 1500*time.Millisecond, 200*time.Millisecond))
+	})
+	ginkgo.It("wait for a model that is announced in time", func() {
+		f := newFixture([]send{{Status: 200, Body: "id:1\ndata:x\n\n"}}, false)
+		defer f.server.Close()
+		announce := func(ready time.Time) {
+			f.view.Announce(time.Now(), "z", 1, []viewer.Announcement{{Worker: "m1", Zone: "z", HeardAt: time.Now(), Units: []viewer.Unit{{Model: "cold", ReadyAt: ready}}}}, false)
+		}
+		announce(time.Now().Add(200 * time.Millisecond))
+		time.AfterFunc(200*time.Millisecond, func() { announce(time.Time{}) })
+		response, err := http.DefaultTransport.RoundTrip(f.request("/stream/x", "cold"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+	})
+	ginkgo.It("are refused at once when the load ends too late for them", func() {
+		f := newFixture(nil, false)
+		defer f.server.Close()
+		f.view.Announce(time.Now(), "z", 1, []viewer.Announcement{{Worker: "m1", Zone: "z", HeardAt: time.Now(), Units: []viewer.Unit{{Model: "cold", ReadyAt: time.Now().Add(6 * time.Second)}}}}, false)
+		began := time.Now()
+		response, err := http.DefaultTransport.RoundTrip(f.request("/stream/x", "cold"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(response.Header.Get("Retry-After")).To(gomega.MatchRegexp(`^5\.9`))
+		gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 100*time.Millisecond))
+	})
+	ginkgo.It("are refused after a short wait while no leader is known", func() {
+		f := newFixture(nil, false)
+		defer f.server.Close()
+		began := time.Now()
+		response, err := http.DefaultTransport.RoundTrip(f.request("/stream/x", "cold"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 700*time.Millisecond))
+	})
+	ginkgo.It("whose request crashed two workers are refused", func() {
+		f := newFixture([]send{{Broken: true}, {Broken: true}, {Status: 200, Body: "id:1\ndata:x\n\n"}}, false)
+		f.crashed = true
+		defer f.server.Close()
+		response, err := http.DefaultTransport.RoundTrip(f.request("/resumable/x", "m"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusBadGateway))
+		response, err = http.DefaultTransport.RoundTrip(f.request("/resumable/x", "m"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(f.made).To(gomega.Equal(2))
+		gomega.Expect(f.forwarder.Suspicions()).To(gomega.HaveLen(2))
+	})
+})
+
+var _ = ginkgo.Describe("planned stop", func() {
+	ginkgo.It("answers kept connections to the end, asks them to close and refuses what it cannot finish", func() {
+		f := newFixture([]send{{Status: 200, Body: "ok"}}, false)
+		defer f.server.Close()
+		now := time.Now()
+		go f.forwarder.Drain(now.Add(time.Second), now.Add(2*time.Second))
+		time.Sleep(50 * time.Millisecond)
+		connection, err := net.Dial("tcp", strings.TrimPrefix(f.server.URL, "http://"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = connection.Close() }()
+		_, err = connection.Write([]byte("POST /once/x HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+		gomega.Expect(response.Close).To(gomega.BeTrue())
+		response, err = http.DefaultTransport.RoundTrip(f.request("/stream/x", "m"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(response.Header.Get("Retry-After")).NotTo(gomega.BeEmpty())
+	})
+})
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -53,7 +53,8 @@
 	f.parts.Budget.Earn(c.arrived, c.service.Name)
 	f.parts.Tally.Ask(c.key())
 	if _, known := c.service.Models[c.Model]; !known {
-		return newFailure(http.StatusNotFound, "no_model", "the service has no such model")
+		// A newer configuration may have it, so this is no 404.
+		return newRefusal("no_model", "the service has no such model", startRetry)
 	}
 	relay := &relay{forwarder: f, writer: w, call: c}
 	for {
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -15,7 +15,6 @@
 
 	"github.com/acaciaproxy/acaciaproxy/elector"
 	"github.com/acaciaproxy/acaciaproxy/platformclient"
-	"github.com/acaciaproxy/acaciaproxy/timekeeper"
 )
 
 // Times of the lease.
@@ -55,6 +54,8 @@
 type Parts struct {
 	Zone string
 	Self elector.Member
+	// Now tells the time that leases are counted by.
+	Now func() time.Time
 	Rows *platformclient.Platform
 	// Heard reports whether a zone's leader was heard of lately.
 	Heard func(zone string) bool
@@ -144,7 +145,7 @@
 func (l *Leaseholder) Leading() (epoch int64, leading bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.elector.Leading(timekeeper.Now())
+	return l.elector.Leading(l.parts.Now())
 }
 
 // LostError says that an order may not leave under an epoch any more.
@@ -162,7 +163,7 @@
 func (l *Leaseholder) CheckOrder(epoch int64) error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	now := timekeeper.Now()
+	now := l.parts.Now()
 	held, leading := l.elector.Leading(now)
 	if !leading || held != epoch || now.Before(l.quietUntil) || l.resigned {
 		return &LostError{epoch: epoch}
@@ -190,10 +191,10 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, leading := l.elector.Leading(timekeeper.Now()); leading || version <= l.elector.Version() {
+	if _, leading := l.elector.Leading(l.parts.Now()); leading || version <= l.elector.Version() {
 		return
 	}
-	l.elector.Observe(timekeeper.Now(), elector.Seen{Lease: lease, Version: version})
+	l.elector.Observe(l.parts.Now(), elector.Seen{Lease: lease, Version: version})
 	l.observe(l.parts.Zone, lease)
 }
 
@@ -201,7 +202,7 @@
 func (l *Leaseholder) Quiet() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return timekeeper.Now().Before(l.quietUntil)
+	return l.parts.Now().Before(l.quietUntil)
 }
 
 // Holder returns a zone's leader by its row, and the epoch.
@@ -218,7 +219,7 @@
 		l.read()
 	}
 	l.mu.Lock()
-	now := timekeeper.Now()
+	now := l.parts.Now()
 	l.elector.Inherit()
 	_, leading := l.elector.Leading(now)
 	var proposal *elector.Proposal
@@ -294,7 +295,7 @@
 // answered takes in whether the store answered; the caller holds mu.
 func (l *Leaseholder) answered(err error) {
 	if err == nil && l.failing {
-		l.returnedAt = timekeeper.Now()
+		l.returnedAt = l.parts.Now()
 	}
 	l.failing = err != nil
 }
@@ -303,7 +304,7 @@
 // successor promises not to take the lease.
 func (l *Leaseholder) askSuccessors() {
 	l.mu.Lock()
-	now := timekeeper.Now()
+	now := l.parts.Now()
 	epoch, leading := l.elector.Leading(now)
 	successors := l.elector.Successors()
 	stuck := !l.writingAt.IsZero() && now.Sub(l.writingAt) > slowWrite
@@ -352,13 +353,13 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.elector.Promise(timekeeper.Now(), leader, epoch, hold)
+	return l.elector.Promise(l.parts.Now(), leader, epoch, hold)
 }
 
 // due reports whether the rows should be read.
 func (l *Leaseholder) due() bool {
 	l.mu.Lock()
-	now := timekeeper.Now()
+	now := l.parts.Now()
 	age := now.Sub(l.readAt)
 	_, leading := l.elector.Leading(now)
 	first := l.readAt.IsZero()
@@ -388,11 +389,11 @@
 
 // read reads the lease rows of all zones.
 func (l *Leaseholder) read() {
-	sentAt := timekeeper.Now()
+	sentAt := l.parts.Now()
 	rows, err := l.parts.Rows.ReadRows(time.Now().Add(callTime), nil, "")
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.readAt = timekeeper.Now()
+	l.readAt = l.parts.Now()
 	l.answered(err)
 	if err != nil {
 		return // The watcher logs that the store is away.
@@ -427,7 +428,7 @@
 // propose writes a lease and takes in the outcome.
 func (l *Leaseholder) propose(proposal *elector.Proposal) {
 	l.mu.Lock()
-	l.writingAt = timekeeper.Now()
+	l.writingAt = l.parts.Now()
 	l.mu.Unlock()
 	verdict, err := l.write(proposal)
 	l.mu.Lock()
@@ -435,7 +436,7 @@
 	l.writingAt = time.Time{}
 	l.answered(err)
 	if err != nil {
-		l.readAt = timekeeper.Now().Add(-calmPoll) // A read soon finds out whether the write took effect.
+		l.readAt = l.parts.Now().Add(-calmPoll) // A read soon finds out whether the write took effect.
 		log.Warn().Str("zone", l.parts.Zone).Int64("epoch", proposal.Lease.Epoch).Err(err).Msg("lease not written")
 		return
 	}
@@ -473,14 +474,14 @@
 // logChange logs that the lease was taken or lost.
 func (l *Leaseholder) logChange() {
 	l.mu.Lock()
-	epoch, leading := l.elector.Leading(timekeeper.Now())
+	epoch, leading := l.elector.Leading(l.parts.Now())
 	if !leading {
 		epoch = 0
 	}
 	before := l.ledEpoch
 	l.ledEpoch = epoch
-	quiet := max(l.quietUntil.Sub(timekeeper.Now()), 0)
-	heldOver := l.elector.HeldOver(timekeeper.Now())
+	quiet := max(l.quietUntil.Sub(l.parts.Now()), 0)
+	heldOver := l.elector.HeldOver(l.parts.Now())
 	heldOverBefore := l.heldOver
 	l.heldOver = heldOver
 	l.mu.Unlock()
@@ -510,7 +511,7 @@
 // Resign hands the lease over for good and reports whether it was held.
 func (l *Leaseholder) Resign() bool {
 	l.mu.Lock()
-	now := timekeeper.Now()
+	now := l.parts.Now()
 	l.resigned = true
 	proposal := l.elector.Resign(now)
 	if proposal != nil {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -61,6 +61,8 @@
 	Open bool
 	// Usable is set when requests may go there.
 	Usable bool
+	// CutOff is set when the place's zone seems cut off from this leader.
+	CutOff bool
 	// MemoryMB is the worker's memory for weights and adapters.
 	MemoryMB float64
 	// Units are the models ready there.
@@ -184,6 +186,8 @@
 	demands map[string]*Demand
 	// holders counts the usable places where a model is ready, coming those where it is being loaded.
 	holders, coming map[string]int
+	// reached counts the holders in zones that do not seem cut off.
+	reached map[string]int
 	// taken marks the places that already have a move in this plan.
 	taken      map[string]bool
 	storeLoads int
@@ -193,7 +197,7 @@
 // Plan returns the moves to make now, in the order of their urgency.
 func Plan(input Input) []Move {
 	s := &state{
-		input: input, demands: map[string]*Demand{}, holders: map[string]int{}, coming: map[string]int{}, taken: map[string]bool{},
+		input: input, demands: map[string]*Demand{}, holders: map[string]int{}, coming: map[string]int{}, reached: map[string]int{}, taken: map[string]bool{},
 		storeLoads: input.Limits.StoreLoads,
 	}
 	for i := range input.Demands {
@@ -287,6 +291,9 @@
 		}
 		for _, unit := range place.Units {
 			s.holders[unit.Model]++
+			if !place.CutOff {
+				s.reached[unit.Model]++
+			}
 		}
 		if place.Loading != "" {
 			s.coming[place.Loading]++
@@ -321,8 +328,7 @@
 			}
 			continue
 		}
-		if demand.Waiting > 0 && demand.WaitedMS > unreachedMS && s.coming[demand.Model] == 0 {
-			// Some nodes do not reach the holders, for instance because a zone is cut off.
+		if demand.Waiting > 0 && demand.WaitedMS > unreachedMS && s.reached[demand.Model]+s.coming[demand.Model] == 0 {
 			wants = append(wants, want{demand: demand, model: model})
 			continue
 		}
@@ -385,7 +391,7 @@
 	if !w.timely() {
 		waiting *= lateShare
 	}
-	return waiting + max(w.demand.Rate, w.demand.Recent)*valueS
+	return waiting + w.demand.Rate*valueS
 }
 
 // timely reports whether the first waiting request can still be in time.
--- /dev/null
+++ b/registrar/registrar_test.go
@@ -0,0 +1,73 @@
+package registrar_test
+
+import (
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/acaciaproxy/acaciaproxy/registrar"
+	"github.com/acaciaproxy/acaciaproxy/scripter"
+)
+
+func TestRegistrar(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "registrar")
+}
+
+// step is one event of a script at a time in milliseconds.
+type step struct {
+	At int64
+	// Do is "replace", "apply", "disturbed" or "expire".
+	Do      string
+	Workers map[string]int64 // row versions
+	Removed map[string]int64
+	Version int64
+	// Listed is what must be listed after the step.
+	Listed []string
+}
+
+var _ = ginkgo.Describe("list of workers", func() {
+	var scripts []struct {
+		Name  string
+		Steps []step
+	}
+	gomega.Expect(scripter.Read("testdata/lists.json", &scripts)).To(gomega.Succeed())
+	for _, s := range scripts {
+		ginkgo.It(s.Name, func() {
+			list := registrar.New()
+			start := time.Unix(1000, 0)
+			for _, next := range s.Steps {
+				play(list, start.Add(time.Duration(next.At)*time.Millisecond), next)
+				names := lo.Map(list.Fleet().All(), func(w *registrar.Worker, _ int) string { return w.ID })
+				sort.Strings(names)
+				gomega.Expect(names).To(gomega.Equal(append([]string{}, next.Listed...)), "after %d ms", next.At)
+			}
+		})
+	}
+})
+
+func play(list *registrar.Registrar, now time.Time, next step) {
+	workers := lo.MapToSlice(next.Workers, func(id string, version int64) registrar.Worker {
+		return registrar.Worker{ID: id, Service: "s", RowVersion: version}
+	})
+	switch next.Do {
+	case "replace":
+		list.Replace(now, workers, next.Version)
+	case "disturbed":
+		list.Disturbed(now)
+	case "expire":
+		list.Expire(now)
+	case "apply":
+		changes := lo.Map(workers, func(w registrar.Worker, _ int) registrar.Change { return registrar.Change{Worker: w} })
+		for id, version := range next.Removed {
+			changes = append(changes, registrar.Change{Worker: registrar.Worker{ID: id, RowVersion: version}, Removed: true})
+		}
+		list.Apply(now, changes)
+	default:
+		ginkgo.Fail("step " + next.Do + " is not known")
+	}
+}
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -27,6 +27,7 @@
 	"github.com/acaciaproxy/acaciaproxy/settingsreader"
 	"github.com/acaciaproxy/acaciaproxy/subscriber"
 	"github.com/acaciaproxy/acaciaproxy/tallier"
+	"github.com/acaciaproxy/acaciaproxy/timekeeper"
 	"github.com/acaciaproxy/acaciaproxy/viewer"
 	"github.com/acaciaproxy/acaciaproxy/watcher"
 )
@@ -90,7 +91,7 @@
 		peers: do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: operator.NewMetrics(),
 	}
 	f.lease = leaseholder.New(leaseholder.Parts{
-		Zone: settings.Zone(), QuietMS: settings.QuietMS(), Rows: do.MustInvoke[*platform.Store](i).Rows,
+		Zone: settings.Zone(), Now: timekeeper.Now, QuietMS: settings.QuietMS(), Rows: do.MustInvoke[*platform.Store](i).Rows,
 		Self:       elector.Member{Node: settings.Name(), Incarnation: newIncarnation(settings.Name()), Address: settings.Nodes()},
 		Heard:      func(zone string) bool { return f.viewer.Live(time.Now(), zone) },
 		Changed:    func() { f.conductor.Kick() },
