--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -55,7 +55,7 @@
 	Zone string
 	Self elector.Member
 	// Now tells the time that leases are counted by.
-	Now func() time.Time
+	Now  func() time.Time
 	Rows *platformclient.Platform
 	// Heard reports whether a zone's leader was heard of lately.
 	Heard func(zone string) bool
--- /dev/null
+++ b/tallier/tallier_test.go
@@ -0,0 +1,43 @@
+package tallier_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/acaciaproxy/acaciaproxy/tallier"
+)
+
+func TestTallier(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "tallier")
+}
+
+var _ = ginkgo.Describe("counts", func() {
+	ginkgo.It("hold what waits and runs, and never forget what was asked", func() {
+		tally := tallier.New()
+		key := tallier.Key{Service: "s", Model: "m"}
+		changed := tally.Changed()
+		tally.Ask(key)
+		due := time.Now().Add(time.Second)
+		endLate := tally.Wait(key, due.Add(time.Second))
+		endFirst := tally.Wait(key, due)
+		gomega.Expect(changed).To(gomega.BeClosed())
+		demands, _ := tally.Snapshot()
+		gomega.Expect(demands[key].Waiting).To(gomega.Equal(2))
+		gomega.Expect(demands[key].Due).To(gomega.Equal(due))
+		endFirst()
+		endFirst() // A second end changes nothing.
+		demands, _ = tally.Snapshot()
+		gomega.Expect(demands[key].Waiting).To(gomega.Equal(1))
+		endLate()
+		endRun := tally.Run(tallier.RunKey{Worker: "w", Model: "m"})
+		gomega.Expect(tally.RunningAt("w")).To(gomega.Equal(1))
+		endRun()
+		demands, runs := tally.Snapshot()
+		gomega.Expect(demands[key]).To(gomega.Equal(tallier.Demand{Asked: 1}))
+		gomega.Expect(runs).To(gomega.BeEmpty())
+	})
+})
