Bounded logs that never block, and verbs that explain them

Cause: a flood of refusals wrote a line each, and a stuck output held up the request that logged. On-call engineers had no way from a request's id to its path.

Change: package logger bounds each kind of line and counts what it left out; lines go through a queue that drops when it is full. Verbs trace and report read logs of many nodes. A request is refused at once when no worker of its service could be reached within the last second.

Ruled out: sampling by request, which would hide the one that a user names.

--- a/commander/commander.go
+++ b/commander/commander.go
@@ -45,7 +45,7 @@
 // verbs is the table of all commands, in the order of the help page.
 func verbs() []verb {
 	return []verb{
-		verbServe(), verbCheck(), verbDiff(), verbPublish(), verbShow(), verbExplain(), verbStatus(), verbVersion(), verbHelp(),
+		verbServe(), verbCheck(), verbDiff(), verbPublish(), verbShow(), verbExplain(), verbStatus(), verbTrace(), verbReport(), verbVersion(), verbHelp(),
 	}
 }
 
--- /dev/null
+++ b/commander/report.go
@@ -0,0 +1,54 @@
+package commander
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"github.com/acaciaproxy/acaciaproxy/logreader"
+	"github.com/acaciaproxy/acaciaproxy/reporter"
+)
+
+func verbReport() verb {
+	return verb{
+		name:      "report",
+		summary:   "Sums up the logs of many nodes.",
+		arguments: "FILE...",
+		details:   "Counts requests by their end, loads by tier and changes of leaders, and names the slowest requests.",
+		prepare:   prepareReport,
+	}
+}
+
+func prepareReport(flags *flag.FlagSet) func([]string, streams) int {
+	page := flags.String("page", "", "`file` for a page of plots that opens without a network")
+	return func(arguments []string, s streams) int {
+		if len(arguments) == 0 {
+			return verbReport().usageError(s, "at least one log file is needed")
+		}
+		log, err := logreader.ReadFiles(arguments)
+		if err != nil {
+			return verbReport().refuse(s, err)
+		}
+		sums := reporter.Sum(log)
+		sums.Print(s.out)
+		if *page == "" {
+			return ExitDone
+		}
+		if err := drawPage(*page, sums); err != nil {
+			return verbReport().refuse(s, err)
+		}
+		return ExitDone
+	}
+}
+
+func drawPage(path string, sums *reporter.Report) error {
+	file, err := os.Create(path)
+	if err != nil {
+		return fmt.Errorf("page: %w", err)
+	}
+	if err := sums.Draw(file); err != nil {
+		_ = file.Close() // The page is not whole anyhow.
+		return err
+	}
+	return file.Close()
+}
--- a/commander/serve.go
+++ b/commander/serve.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/acaciaproxy/acaciaproxy/configurer"
+	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/server"
 	"github.com/acaciaproxy/acaciaproxy/settingsreader"
 )
@@ -38,10 +39,8 @@
 	if err != nil {
 		return refuseFaults(verbServe(), s, err)
 	}
-	log.DefaultLogger = log.Logger{
-		Level: log.ParseLevel(settings.LogLevel()), TimeFormat: "2006-01-02T15:04:05.000Z07:00",
-		Writer: &log.IOWriter{Writer: s.err},
-	}
+	logger.Open(settings.LogLevel(), s.out)
+	defer logger.Close()
 	run, err := newNode(settings)
 	if err != nil {
 		return verbServe().refuse(s, err)
--- /dev/null
+++ b/commander/trace.go
@@ -0,0 +1,37 @@
+package commander
+
+import (
+	"flag"
+	"fmt"
+
+	"github.com/acaciaproxy/acaciaproxy/logreader"
+	"github.com/acaciaproxy/acaciaproxy/reporter"
+)
+
+func verbTrace() verb {
+	return verb{
+		name:      "trace",
+		summary:   "Prints one request's path through the logs of many nodes.",
+		arguments: "REQUEST-ID FILE...",
+		details: "Lines of the request are marked with \">\"; the others are loads of its model and what its nodes believed around it.\n" +
+			"Times are seconds from the request's arrival.",
+		prepare: func(*flag.FlagSet) func([]string, streams) int { return trace },
+	}
+}
+
+func trace(arguments []string, s streams) int {
+	if len(arguments) < 2 {
+		return verbTrace().usageError(s, "a request's id and at least one log file are needed; got %q", arguments)
+	}
+	log, err := logreader.ReadFiles(arguments[1:])
+	if err != nil {
+		return verbTrace().refuse(s, err)
+	}
+	for _, sentence := range log.Bad() {
+		writeLine(s.err, sentence)
+	}
+	if !reporter.Trace(s.out, log, arguments[0]) {
+		return verbTrace().refuse(s, fmt.Errorf("no line names request %q", arguments[0]))
+	}
+	return ExitDone
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -22,6 +22,7 @@
 
 	"github.com/acaciaproxy/acaciaproxy/assessor"
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/recorder"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/tallier"
@@ -216,7 +217,7 @@
 
 // logAnswered logs an answer with what decided where it came from.
 func (f *Forwarder) logAnswered(c *call) {
-	log.Info().Str("request", c.ID).Str("route", c.route.Name).Str("model", c.Model).Str("adapter", c.Adapter).Str("worker", c.worker).
+	logger.Info("request answered").Str("request", c.ID).Str("route", c.route.Name).Str("model", c.Model).Str("adapter", c.Adapter).Str("worker", c.worker).
 		Int("sends", c.sends).Int("runs", c.runs).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstMS).Int("load", c.load).
 		Int64("after_ms", time.Since(c.arrived).Milliseconds()).Msg("request answered")
 }
@@ -307,7 +308,7 @@
 
 // logEnd logs how a request ended if it was not answered as usual.
 func (f *Forwarder) logEnd(c *call, failure *FailureError, left bool) {
-	entry := log.Info().Str("request", idOf(c)).Str("code", failure.code).Int("status", failure.status).
+	entry := logger.Info("request not answered").Str("request", idOf(c)).Str("code", failure.code).Int("status", failure.status).
 		Int64("retry_ms", failure.retryMS).Bool("caller_left", left).Int64("after_ms", time.Since(c.arrived).Milliseconds())
 	if c.route != nil {
 		entry = entry.Str("route", c.route.Name).Int64("config", c.catalog.Version())
@@ -315,7 +316,7 @@
 	if c.Request != nil && c.Model != "" {
 		entry = entry.Str("model", c.Model).Str("adapter", c.Adapter)
 	}
-	entry.Int("sends", c.sends).Int("runs", c.runs).Msg(failure.message)
+	entry.Int("sends", c.sends).Int("runs", c.runs).Str("why", failure.message).Msg("request not answered")
 }
 
 func idOf(c *call) string {
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/phuslu/log"
 
+	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/recorder"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/tallier"
@@ -129,7 +129,8 @@
 		}
 		if endWait == nil {
 			endWait = f.parts.Tally.Wait(c.key(), c.arrived.Add(c.route.Aim()))
-			log.Info().Str("request", c.ID).Str("model", c.Model).Str("adapter", c.Adapter).Int("holders", len(holders)).Msg("request held")
+			logger.Info("request held").Str("request", c.ID).Str("model", c.Model).Str("adapter", c.Adapter).Int("holders", len(holders)).
+				Int64("left_ms", time.Until(c.firstBy()).Milliseconds()).Int("leaders", len(f.parts.View.Zones(now))).Msg("request held")
 			f.parts.Recorder.Count("held " + c.route.Name)
 		}
 		if err := f.mayWait(now, began, c, holders); err != nil {
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -11,6 +11,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
@@ -20,8 +21,10 @@
 	remoteCost = 3.0
 	// penaltyCost is the cost of a worker that lost all its traffic by failures.
 	penaltyCost = 40.0
-	// outCost is the cost of a worker that could not be reached lately, or whose zone seems cut off.
-	outCost = 20.0
+	// silentPlainCost is the cost of a zone that seems cut off.
+	silentPlainCost = 20.0
+	// hopelessCost is the cost from which a request is refused at once: no worker could be reached lately.
+	hopelessCost = 1000.0
 	// fullCost is the cost of a worker whose slots are taken, so that a free one is preferred anywhere.
 	fullCost = 8.0
 )
@@ -116,7 +119,7 @@
 			best, bestCost = worker, cost
 		}
 	}
-	if best != nil {
+	if best != nil && bestCost < hopelessCost {
 		return best, nil
 	}
 	return nil, f.without(c, newRefusal("no_worker", "no worker of the service takes requests now", busyRetry))
@@ -134,8 +137,11 @@
 	if load >= float64(worker.Slots) {
 		cost += fullCost
 	}
-	if known.Out || f.isSilent(now, worker.Zone) {
-		cost += outCost
+	if f.isSilent(now, worker.Zone) {
+		cost += silentPlainCost
+	}
+	if known.Out {
+		cost += hopelessCost
 	}
 	return cost
 }
@@ -163,7 +169,7 @@
 // again returns nil when a call may be sent once more, else its end.
 func (f *Forwarder) again(ctx context.Context, c *call, worker *registrar.Worker, err error) error {
 	now := time.Now()
-	log.Info().Str("request", c.ID).Str("worker", worker.ID).Int("send", c.sends).Err(err).Msg("send failed")
+	logger.Info("send failed").Str("request", c.ID).Str("worker", worker.ID).Int("send", c.sends).Err(err).Msg("send failed")
 	var notRun *NotRunError
 	if errors.As(err, &notRun) {
 		return f.afterNotRun(ctx, c, worker, notRun)
--- /dev/null
+++ b/reporter/reporter_test.go
@@ -0,0 +1,61 @@
+package reporter_test
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/acaciaproxy/acaciaproxy/logreader"
+	"github.com/acaciaproxy/acaciaproxy/reporter"
+)
+
+func TestReporter(t *testing.T) {
+	gomega.RegisterFailHandler(ginkgo.Fail)
+	ginkgo.RunSpecs(t, "reporter")
+}
+
+var _ = ginkgo.Describe("logs with a truncated line and rubbish", func() {
+	read := func() *logreader.Log {
+		log, err := logreader.ReadFiles([]string{"testdata/three.log"})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		return log
+	}
+	ginkgo.It("trace a request over nodes, with the load that it waited for", func() {
+		var text strings.Builder
+		gomega.Expect(reporter.Trace(&text, read(), "r1")).To(gomega.BeTrue())
+		lines := strings.Split(strings.TrimSpace(text.String()), "\n")
+		gomega.Expect(lines).To(gomega.HaveLen(4))
+		gomega.Expect(lines[0]).To(gomega.ContainSubstring("request held"))
+		gomega.Expect(lines[1]).To(gomega.ContainSubstring("0.020 node-a-1 load decided"))
+		gomega.Expect(lines[3]).To(gomega.ContainSubstring("request answered"))
+		gomega.Expect(reporter.Trace(&text, read(), "r9")).To(gomega.BeFalse())
+	})
+	ginkgo.It("are summed, and bad lines are counted by file", func() {
+		sums := reporter.Sum(read())
+		gomega.Expect(sums.Ends).To(gomega.Equal([]reporter.Count{{Name: "answered", Count: 1}, {Name: "not_loaded", Count: 1}}))
+		gomega.Expect(sums.LoadMS["disk"]).To(gomega.Equal(1100.0))
+		gomega.Expect(sums.Omitted).To(gomega.Equal(4))
+		gomega.Expect(sums.Bad).To(gomega.Equal([]string{"testdata/three.log: 2 lines are no log lines"}))
+		var page strings.Builder
+		gomega.Expect(sums.Draw(&page)).To(gomega.Succeed())
+		gomega.Expect(page.String()).To(gomega.ContainSubstring("not_loaded"))
+		gomega.Expect(page.String()).NotTo(gomega.MatchRegexp(`(src|href)=`))
+	})
+})
+
+// FuzzRead gives any bytes to the reader, the trace and the sums.
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(`{"time":"2026-08-24T00:20:36.700Z","message":"request answered","request":"r","after_ms":1}`))
+	f.Add([]byte("node {\"time\":1}\n\x00{"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		log, err := logreader.Read("f", strings.NewReader(string(text)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		var out strings.Builder
+		reporter.Trace(&out, log, "r")
+		reporter.Sum(log).Print(&out)
+	})
+}
