--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -187,6 +187,7 @@
 	}
 	now := time.Now()
 	c.syncWorkers(now, catalog)
+	c.refresh(now)
 	if !c.parts.Lease.Quiet() {
 		c.plan(now, catalog)
 	}
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -126,12 +126,19 @@
 type fakeZone struct {
 	conductor *Conductor
 	workers   map[string]*fakeWorker
-	// mu guards leading.
+	// mu guards everything below.
 	mu      sync.Mutex
 	leading bool
+	quiet   bool
 	given   int
 }
 
+func (z *fakeZone) isQuiet() bool {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.quiet
+}
+
 func newFakeZone(count int, lost, late float64) *fakeZone {
 	z := &fakeZone{workers: map[string]*fakeWorker{}, leading: true}
 	models := map[string]cataloger.Model{}
@@ -150,7 +157,7 @@
 	}
 	z.conductor = New(Parts{
 		Node: "n", Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, List: list, View: viewer.New(list), Recorder: recorder.New(),
-		Lease: Lease{Leading: z.lead, Quiet: func() bool { return false }, Written: func() (string, int64) { return "", 0 }, CheckOrder: z.check},
+		Lease: Lease{Leading: z.lead, Quiet: z.isQuiet, Written: func() (string, int64) { return "", 0 }, CheckOrder: z.check},
 		Order: func(_ context.Context, w *registrar.Worker, order Order, check func() error) (Outcome, error) {
 			return z.workers[w.ID].order(order, check)
 		},
@@ -229,6 +236,32 @@
 		z.mu.Unlock()
 		gomega.Consistently(func() int { z.want("m3", "m4"); z.mu.Lock(); defer z.mu.Unlock(); return z.given }, 400*time.Millisecond).Should(gomega.Equal(given))
 	})
+	ginkgo.It("tells what its predecessor had loaded while it must give no orders itself", func() {
+		z := newFakeZone(1, 0, 0)
+		z.quiet = true
+		w := z.workers["w0"]
+		w.mu.Lock()
+		gomega.Expect(w.carryOut(Order{Model: "m5"})).To(gomega.Equal(OutcomeAccepted))
+		w.mu.Unlock()
+		z.conductor.Run()
+		defer z.conductor.Stop()
+		var next func(<-chan struct{}) *nodewire.View
+		var end func()
+		gomega.Eventually(func() bool { next, end = z.conductor.Subscribe(func() int64 { return 1 }); return next != nil }, time.Second).Should(gomega.BeTrue())
+		defer end()
+		told := func() bool {
+			for _, worker := range next(nil).GetWorkers() {
+				for _, unit := range worker.GetUnits() {
+					if unit.GetModel() == "m5" && unit.GetReadyMs() == 0 {
+						return true
+					}
+				}
+			}
+			return false
+		}
+		gomega.Eventually(told, 2*time.Second, time.Millisecond).Should(gomega.BeTrue())
+		gomega.Expect(z.given).To(gomega.BeZero())
+	})
 	ginkgo.It("tells followers at once what is coming, and then what is there", func() {
 		z := newFakeZone(1, 0, 0)
 		z.conductor.Run()
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -25,8 +25,9 @@
 	passTime  = 1 * time.Second
 )
 
-// plan decides what to load and starts the moves of this zone; the caller holds mu.
-func (c *Conductor) plan(now time.Time, catalog *cataloger.Catalog) {
+// refresh brings what is known of demand and workers up to date, also while no
+// orders may be given; the caller holds mu.
+func (c *Conductor) refresh(now time.Time) {
 	c.demand.expire(now)
 	for id, known := range c.workers {
 		c.countRuns(now, id, known)
@@ -36,6 +37,10 @@
 			go c.resync(c.epoch, known)
 		}
 	}
+}
+
+// plan decides what to load and starts the moves of this zone; the caller holds mu.
+func (c *Conductor) plan(now time.Time, catalog *cataloger.Catalog) {
 	for _, service := range catalog.Services() {
 		if service.RunsModels() {
 			c.planAdapters(now, service)
