Operations, incidents, proofs and capacity of the platform path; long loads keep away from adapters

The docs did not describe the platform path.

Change: the cost of a place grows with the requests for adapters of what it holds. docs/OPERATIONS.md takes over OPERATE.md and shows three traces whose output is regenerated; INCIDENTS, PROOFS, MEASURES, CAPACITY, GLOSSARY, README and package pages are brought up to date.

Ruled out: the adapter's load itself (20 ms once the worker was free).

--- a/commander/docs_test.go
+++ b/commander/docs_test.go
@@ -9,10 +9,10 @@
 	"github.com/onsi/gomega"
 )
 
-// commandsPage shows real output: each block between a marker with a command
-// and the end of its code fence is what the command prints. With -update the
-// blocks are written anew.
-const commandsPage = "../docs/COMMANDS.md"
+// pages show real output: each block between a marker with a command and the
+// end of its code fence is what the command prints. With -update the blocks are
+// written anew.
+var pages = []string{"../docs/COMMANDS.md", "../docs/OPERATIONS.md"}
 
 const (
 	commandMarker = "<!-- acaciaproxy "
@@ -21,16 +21,18 @@
 )
 
 var _ = ginkgo.Describe("docs", func() {
-	ginkgo.It("show what the commands print", func() {
-		page, err := os.ReadFile(commandsPage)
-		gomega.Expect(err).NotTo(gomega.HaveOccurred())
-		fresh := regenerate(string(page))
-		if *update {
-			gomega.Expect(os.WriteFile(commandsPage, []byte(fresh), 0o644)).To(gomega.Succeed())
-			return
-		}
-		gomega.Expect(fresh).To(gomega.Equal(string(page)))
-	})
+	for _, path := range pages {
+		ginkgo.It("show what the commands print: "+path, func() {
+			page, err := os.ReadFile(path)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			fresh := regenerate(string(page))
+			if *update {
+				gomega.Expect(os.WriteFile(path, []byte(fresh), 0o644)).To(gomega.Succeed())
+				return
+			}
+			gomega.Expect(fresh).To(gomega.Equal(string(page)))
+		})
+	}
 })
 
 // regenerate returns the page with the output of every marked command.
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -209,6 +209,9 @@
 	if r, known := c.demand.rates[key]; known {
 		sum.Rate += r.slow
 		sum.Recent += r.recent
+		if key.adapter != "" {
+			sum.AdapterRate += r.slow
+		}
 	}
 	if key.adapter != "" && c.isHeld(now, key.service, key.model) {
 		return // These wait for the adapter, not for the model.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -210,6 +210,16 @@
 		cancel()
 		gomega.Eventually(f.left, 500*time.Millisecond).Should(gomega.Receive())
 	})
+	ginkgo.It("are refused at once while no worker can be reached", func() {
+		f := newFixture([]send{{NotRun: "unreachable"}, {NotRun: "unreachable"}}, false)
+		defer f.server.Close()
+		for range 2 {
+			response, err := http.DefaultTransport.RoundTrip(f.request("/once/x", ""))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+		}
+		gomega.Expect(f.made).To(gomega.Equal(2), "the second request is not sent anywhere")
+	})
 	ginkgo.It("get a final answer at the route's timeout", func() {
 		f := newFixture(nil, false)
 		f.hang = true
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -111,6 +111,8 @@
 	Rate, Recent float64
 	// Running is how many requests run.
 	Running int
+	// AdapterRate is the part of Rate that names adapters.
+	AdapterRate float64
 }
 
 // Limits bound a plan.
@@ -532,10 +534,25 @@
 		move.TakesMS += drainMS
 	}
 	waiters := float64(max(w.demand.Waiting, 1))
-	cost := loss + waitLoss*waiters*move.TakesMS/1000 + place.Penalty + float64(place.Running)*crowdLoss
+	cost := loss + waitLoss*waiters*move.TakesMS/1000 + place.Penalty + float64(place.Running)*crowdLoss + s.blocked(place)*move.TakesMS/1000
 	return move, cost, true
 }
 
+// blockedLoss is the cost of each request for an adapter that comes while a
+// worker loads a model, since it takes one order at a time.
+const blockedLoss = 0.1
+
+// blocked returns what each second of a load at a place costs by adapters that cannot be loaded meanwhile.
+func (s *state) blocked(place *Place) float64 {
+	cost := 0.0
+	for _, unit := range place.Units {
+		if demand := s.demands[unit.Model]; demand != nil {
+			cost += demand.AdapterRate * blockedLoss / float64(max(s.holders[unit.Model], 1))
+		}
+	}
+	return cost
+}
+
 // crowdLoss is the cost of each request that runs at a place, whose batch the new model shares.
 const crowdLoss = 0.004
 
