Isolated nodes send callers elsewhere; quiet leaders' workers count as busy

Other zones planned loads at workers whose new leader must be quiet, and passed them by only after 300 ms each.

Change: a node that hears neither the store nor a leader is not ready, and refuses at once what it cannot serve with a Retry-After of 30 ms. A quiet leader announces its workers as busy until it may give orders.

Ruled out: a shorter lease, which saves 0.8 s of a failure for more store calls.

--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -77,8 +77,8 @@
 type Lease struct {
 	// Leading returns the epoch while the lease is held.
 	Leading func() (epoch int64, leading bool)
-	// Quiet reports whether orders must wait though the lease is held.
-	Quiet func() bool
+	// Quiet returns for how long orders must still wait though the lease is held.
+	Quiet func() time.Duration
 	// Written returns the lease as it was last written, and the version of its row.
 	Written func() (lease string, version int64)
 	// CheckOrder returns an error unless an order may leave now.
@@ -119,6 +119,8 @@
 	storeStarts []time.Time
 	// passed maps workers of other zones to until when plans pass them by.
 	passed map[string]time.Time
+	// quietUntil is when orders may be given under the lease.
+	quietUntil time.Time
 	// pending maps a move of another zone to when it was first planned.
 	pending map[string]time.Time
 }
@@ -188,12 +190,26 @@
 	now := time.Now()
 	c.syncWorkers(now, catalog)
 	c.refresh(now)
-	if !c.parts.Lease.Quiet() {
+	c.followQuiet(now)
+	if !now.Before(c.quietUntil) {
 		c.plan(now, catalog)
 	}
 	c.flush()
 }
 
+// followQuiet takes in for how long no orders may be given. Followers are told
+// that the workers are busy as long, so that other zones plan without them; the
+// caller holds mu.
+func (c *Conductor) followQuiet(now time.Time) {
+	wasQuiet := now.Before(c.quietUntil)
+	c.quietUntil = now.Add(c.parts.Lease.Quiet())
+	if wasQuiet != now.Before(c.quietUntil) {
+		for id := range c.workers {
+			c.touch(id)
+		}
+	}
+}
+
 // resignLocked ends the leadership; the caller holds mu.
 func (c *Conductor) resignLocked() {
 	if c.epoch == 0 {
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -133,10 +133,13 @@
 	given   int
 }
 
-func (z *fakeZone) isQuiet() bool {
+func (z *fakeZone) quietLeft() time.Duration {
 	z.mu.Lock()
 	defer z.mu.Unlock()
-	return z.quiet
+	if z.quiet {
+		return time.Second
+	}
+	return 0
 }
 
 func newFakeZone(count int, lost, late float64) *fakeZone {
@@ -157,7 +160,7 @@
 	}
 	z.conductor = New(Parts{
 		Node: "n", Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, List: list, View: viewer.New(list), Recorder: recorder.New(),
-		Lease: Lease{Leading: z.lead, Quiet: z.isQuiet, Written: func() (string, int64) { return "", 0 }, CheckOrder: z.check},
+		Lease: Lease{Leading: z.lead, Quiet: z.quietLeft, Written: func() (string, int64) { return "", 0 }, CheckOrder: z.check},
 		Order: func(_ context.Context, w *registrar.Worker, order Order, check func() error) (Outcome, error) {
 			return z.workers[w.ID].order(order, check)
 		},
@@ -251,6 +254,7 @@
 		defer end()
 		told := func() bool {
 			for _, worker := range next(nil).GetWorkers() {
+				gomega.Expect(worker.GetBusyMs()).To(gomega.BeNumerically(">", 0), "other zones plan without a quiet leader's workers")
 				for _, unit := range worker.GetUnits() {
 					if unit.GetModel() == "m5" && unit.GetReadyMs() == 0 {
 						return true
--- a/conductor/follow.go
+++ b/conductor/follow.go
@@ -133,7 +133,7 @@
 	}
 	for id := range f.dirty {
 		if known, listed := c.workers[id]; listed {
-			message.Workers = append(message.Workers, known.message(now, id))
+			message.Workers = append(message.Workers, known.message(now, c.quietUntil, id))
 		}
 	}
 	sort.Slice(message.Workers, func(i, j int) bool { return message.Workers[i].Worker < message.Workers[j].Worker })
@@ -142,7 +142,7 @@
 }
 
 // message describes a worker for the followers.
-func (c *charge) message(now time.Time, id string) *nodewire.WorkerView {
+func (c *charge) message(now, quietUntil time.Time, id string) *nodewire.WorkerView {
 	message := &nodewire.WorkerView{Worker: id, Born: c.born, Orders: c.orders, Running: int32(c.total())}
 	for _, model := range c.models() {
 		unit := c.units[model]
@@ -160,6 +160,7 @@
 		message.BusyMs = left
 		message.Units = append(message.Units, &nodewire.UnitView{Model: c.loading, ReadyMs: left})
 	}
+	message.BusyMs = max(message.BusyMs, quietUntil.Sub(now).Milliseconds())
 	return message
 }
 
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -39,6 +39,8 @@
 	startRetry = 300 * time.Millisecond
 	// stopRetry applies while this node stops; others take the request at once.
 	stopRetry = 20 * time.Millisecond
+	// otherRetry applies while this node is cut off; another one may serve at once.
+	otherRetry = 30 * time.Millisecond
 	// busyRetry applies when workers are full; it is about the time of a short answer.
 	busyRetry = 400 * time.Millisecond
 	// swapRetry applies when a model is not loaded in time; it is about the time of a swap.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -40,6 +40,8 @@
 	Recorder *recorder.Recorder
 	// Ready reports whether configuration and workers are known.
 	Ready func() bool
+	// Isolated reports whether neither the store nor any leader was heard of lately.
+	Isolated func() bool
 	// Decode translates a request without its body; the error is a *BadRequestError.
 	Decode func(r *http.Request, arrived time.Time) (*Request, error)
 	// Send passes a request on; the error is a *NotRunError or a *BrokenError.
@@ -112,7 +114,7 @@
 }
 
 func (f *Forwarder) answerReady(w http.ResponseWriter, _ *http.Request) {
-	if f.drainEnd.Load() != nil || !f.parts.Ready() {
+	if f.drainEnd.Load() != nil || !f.parts.Ready() || f.parts.Isolated() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -65,6 +65,7 @@
 	view      *viewer.Viewer
 	list      *registrar.Registrar
 	crashed   bool
+	isolated  bool
 	// mu guards sends and left.
 	mu    sync.Mutex
 	sends []send
@@ -99,7 +100,7 @@
 	}, cataloger.Limits{BodyBytes: 100})
 	f.forwarder = forwarder.New(forwarder.Parts{
 		Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, List: f.list, View: f.view, Tally: tallier.New(),
-		Assessor: assessor.New(), Recorder: recorder.New(), Ready: func() bool { return true },
+		Assessor: assessor.New(), Recorder: recorder.New(), Ready: func() bool { return true }, Isolated: func() bool { return f.isolated },
 		Decode: decode, Send: f.send, Echo: func(http.Header, string) {}, Crashed: func(*registrar.Worker) bool { return f.crashed },
 		Budget: forwarder.Budget{Earn: func(time.Time, string) {}, Spend: func(time.Time, string) bool { return !noBudget }},
 	}, "/ready")
@@ -262,6 +263,24 @@
 		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
 		gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 700*time.Millisecond))
 	})
+	ginkgo.It("are sent elsewhere at once by a node that is cut off, which takes no new connections", func() {
+		f := newFixture(nil, false)
+		f.isolated = true
+		defer f.server.Close()
+		began := time.Now()
+		response, err := http.DefaultTransport.RoundTrip(f.request("/stream/x", "cold"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(response.Header.Get("Retry-After")).To(gomega.Equal("0.030"))
+		gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 100*time.Millisecond))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		go func() { _ = f.forwarder.ServeReady(listener) }()
+		defer f.forwarder.Close()
+		ready, err := http.Get("http://" + listener.Addr().String() + "/ready")
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(ready.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+	})
 	ginkgo.It("whose request crashed two workers are refused", func() {
 		f := newFixture([]send{{Broken: true}, {Broken: true}, {Status: 200, Body: "id:1\ndata:x\n\n"}}, false)
 		f.crashed = true
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -155,7 +155,13 @@
 	if coming && expected.After(latest) {
 		return f.without(c, newRefusal("loads_late", "the model will not be loaded in time", expected.Sub(now)))
 	}
-	if !coming && len(f.parts.View.Zones(now)) == 0 && now.Sub(began) > blindWait {
+	if coming || len(f.parts.View.Zones(now)) > 0 {
+		return nil
+	}
+	if f.parts.Isolated() {
+		return f.without(c, newRefusal("isolated", "this node is cut off; another may load the model", otherRetry))
+	}
+	if now.Sub(began) > blindWait {
 		return f.without(c, newRefusal("no_leader", "no leader is known that could load the model", swapRetry))
 	}
 	return nil
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -198,11 +198,11 @@
 	l.observe(l.parts.Zone, lease)
 }
 
-// Quiet reports whether this node leads but must not give orders yet.
-func (l *Leaseholder) Quiet() bool {
+// Quiet returns for how long this node must still give no orders though it leads.
+func (l *Leaseholder) Quiet() time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.parts.Now().Before(l.quietUntil)
+	return max(l.quietUntil.Sub(l.parts.Now()), 0)
 }
 
 // Holder returns a zone's leader by its row, and the epoch.
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -109,12 +109,18 @@
 	f.forwarder = forwarder.New(forwarder.Parts{
 		Zone: settings.Zone(), Catalog: f.watcher.Catalog, List: do.MustInvoke[*registrar.Registrar](i), View: f.viewer,
 		Tally: do.MustInvoke[*tallier.Tallier](i), Assessor: do.MustInvoke[*assessor.Assessor](i), Recorder: do.MustInvoke[*recorder.Recorder](i),
-		Ready: f.watcher.Ready, Decode: platform.DecodeRequest, Send: f.workers.Send, Echo: platform.Echo, Crashed: f.workers.Crashed,
+		Ready: f.watcher.Ready, Isolated: f.isolated, Decode: platform.DecodeRequest, Send: f.workers.Send, Echo: platform.Echo, Crashed: f.workers.Crashed,
 		Budget: forwarder.Budget{Earn: budget.Earn, Spend: budget.Spend},
 	}, platform.PathReady)
 	return f, nil
 }
 
+// isolated reports whether this node hears neither the store nor any leader.
+func (f *Fleet) isolated() bool {
+	now := time.Now()
+	return f.watcher.Away(now) && len(f.viewer.Zones(now)) == 0
+}
+
 func (f *Fleet) newSubscriber(list *registrar.Registrar, tally *tallier.Tallier) *subscriber.Subscriber {
 	return subscriber.New(subscriber.Parts{
 		Self: f.lease.Self(), Zone: f.settings.Zone(), Holder: f.lease.Holder, Client: f.peers.Fleet, Drop: f.peers.Drop,
