Split the large files of placer and leaseholder; race detector over the new packages

Change: placer is description, wants, costs and fill; leaseholder is the loop, rows and promises.

Ruled out: data races in the new packages (none found).

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,8 @@
 
 # Packages where several goroutines share state.
 race:
-	$(GO) test -race ./claimer ./queuer ./publisher
+	$(GO) test -race ./claimer ./queuer ./publisher ./conductor ./forwarder ./leaseholder ./viewer ./watcher
+	$(GO) test -race ./assessor ./budgeter ./tallier ./registrar ./logger ./platform
 	$(GO) test -race ./server -seeds 2 -span 2m
 
 # Names of the tests in KNOWN-RED.txt, which are passed over and printed.
--- /dev/null
+++ b/placer/fill.go
@@ -0,0 +1,72 @@
+package placer
+
+const (
+	// fillRate is the least rate in requests a second at which a model is loaded into free memory unasked.
+	fillRate = 0.02
+	// fillStoreLoads is how many loads from the weight store must be free for one that nobody waits for.
+	fillStoreLoads = 2
+)
+
+// fill loads models into memory that nothing uses, as after a restart or on a
+// new worker: first those that have no holder, then the busiest ones.
+func (s *state) fill() {
+	for i := range s.input.Places {
+		place := &s.input.Places[i]
+		if !place.Open || !place.Usable || s.taken[place.ID] || s.input.Passed[place.ID] || place.Penalty >= 1 {
+			continue
+		}
+		free := place.freeMB()
+		for _, unit := range place.Units {
+			free -= s.input.Models[unit.Model].MemoryMB
+		}
+		if demand := s.fillDemand(place, free); demand != nil {
+			s.fillPlace(place, demand)
+		}
+	}
+}
+
+// fillDemand returns the demand for the model that should fill a place, or nil.
+func (s *state) fillDemand(place *Place, free float64) *Demand {
+	var best *Demand
+	bestValue := 0.0
+	for i := range s.input.Demands {
+		demand := &s.input.Demands[i]
+		model, known := s.input.Models[demand.Model]
+		if !known || demand.Rate < fillRate || model.MemoryMB > free || holds(place, demand.Model) || place.Loading == demand.Model {
+			continue
+		}
+		held := s.holders[demand.Model] + s.coming[demand.Model]
+		if place.tier(demand.Model) == TierStore && !s.mayFillFromStore(place, demand, held) {
+			continue
+		}
+		value := demand.Rate / float64(1+held*held)
+		if best == nil || value > bestValue {
+			best, bestValue = demand, value
+		}
+	}
+	return best
+}
+
+// mayFillFromStore reports whether a model may be loaded from the weight store
+// unasked: a busy one with at most one holder, while the store is idle.
+func (s *state) mayFillFromStore(place *Place, demand *Demand, held int) bool {
+	if place.Mine && s.storeLoads < fillStoreLoads {
+		return false
+	}
+	return held <= 1 && demand.Rate*valueS >= hotValue
+}
+
+// fillPlace adds the move that fills a place.
+func (s *state) fillPlace(place *Place, demand *Demand) {
+	model := s.input.Models[demand.Model]
+	tier := place.tier(demand.Model)
+	if tier == TierStore && place.Mine {
+		s.storeLoads--
+	}
+	s.taken[place.ID] = true
+	s.coming[demand.Model]++
+	s.moves = append(s.moves, Move{
+		Worker: place.ID, Model: demand.Model, Tier: tier, TakesMS: model.TierMS[tier], Mine: place.Mine, Reason: "fill",
+		DueMS: demand.DueMS, Waiting: demand.Waiting,
+	})
+}
