--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -20,7 +20,7 @@
 	// leaderSilence is how long a leader's announcements are believed after its last message.
 	leaderSilence = 1500 * time.Millisecond // Three times the leader's longest pause between messages.
 	// heartbeatLag is how old what a heartbeat says may be when it is read.
-	heartbeatLag = 2500 * time.Millisecond // An interval of heartbeats, their lag and the pause between two reads.
+	heartbeatLag = 2800 * time.Millisecond // An interval of heartbeats, their lag and the pause between two reads.
 	// absenceTime is how long a worker's own refusal of a model outweighs a heartbeat or announcement made before.
 	absenceTime = 1 * time.Second
 )
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -18,9 +18,9 @@
 const (
 	// catalogWaitMS is how long one call waits for a change of the configuration, in milliseconds. A silent
 	// connection delays a change by at most this and callSlack, less if a peer has it.
-	catalogWaitMS = 1250
+	catalogWaitMS = 2500
 	// workersPause is the least time between two calls for heartbeats; the newest are that much late.
-	workersPause = 1000 * time.Millisecond
+	workersPause = 1250 * time.Millisecond // The platform gives nodes 2 s to hear that a worker leaves.
 	// workersWaitMS bounds a call for heartbeats that finds none, in milliseconds.
 	workersWaitMS = 600
 	// callSlack is the time that the store has beyond its wait.
@@ -80,8 +80,8 @@
 	// listed is set once the list of workers was read whole.
 	listed  atomic.Bool
 	stopped chan struct{}
-	// hint wakes the configuration feed, since a peer has a newer version.
-	hint chan struct{}
+	// fetching is set while the configuration is read because a peer has a newer one.
+	fetching atomic.Bool
 	// answered is when the store last answered; never nil while running.
 	answered atomic.Pointer[time.Time]
 	// calls and failures count the calls to the store.
@@ -90,7 +90,7 @@
 
 // New returns a watcher that does not read yet. Changed must not block.
 func New(source Source, list *registrar.Registrar, changed func()) *Watcher {
-	return &Watcher{source: source, registrar: list, changed: changed, stopped: make(chan struct{}), hint: make(chan struct{}, 1)}
+	return &Watcher{source: source, registrar: list, changed: changed, stopped: make(chan struct{})}
 }
 
 // Catalog returns the configuration in force, or nil before the first was read.
@@ -118,15 +118,21 @@
 // Stop ends the reads.
 func (w *Watcher) Stop() { close(w.stopped) }
 
-// Hear takes in that a peer has a version of the configuration in force.
+// Hear takes in that a peer has a version of the configuration in force. A newer
+// one is read at once, since the own feed may have gone silent.
 func (w *Watcher) Hear(version int64) {
-	if catalog := w.Catalog(); catalog != nil && catalog.Version() >= version {
+	if catalog := w.Catalog(); catalog != nil && catalog.Version() >= version || !w.fetching.CompareAndSwap(false, true) {
 		return
 	}
-	select {
-	case w.hint <- struct{}{}:
-	default:
-	}
+	go func() {
+		defer w.fetching.Store(false)
+		failing := false
+		document, err := w.source.ListCatalog(time.Now().Add(callSlack))
+		w.called(err, "configuration that a peer has", &failing)
+		if err == nil {
+			w.take(document.Catalog)
+		}
+	}()
 }
 
 // sleep waits and reports whether to go on.
@@ -192,7 +198,7 @@
 		}
 		if err != nil {
 			known = false
-			if !w.pauseOrHint(retryPause) {
+			if !w.sleep(retryPause) {
 				return
 			}
 			continue
@@ -203,18 +209,6 @@
 	}
 }
 
-// pauseOrHint waits, shorter if a peer has news, and reports whether to go on.
-func (w *Watcher) pauseOrHint(pause time.Duration) bool {
-	select {
-	case <-w.hint:
-		return true
-	case <-w.stopped:
-		return false
-	case <-time.After(pause):
-		return true
-	}
-}
-
 // take puts a configuration in force if it is newer.
 func (w *Watcher) take(catalog *cataloger.Catalog) {
 	if catalog == nil {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -26,12 +26,20 @@
 	version int64
 	// compacted makes the next feeds fail, away makes all calls fail, stale makes lists tell an old version.
 	compacted, away, stale bool
-	workers                []string
-	lists                  int
+	// silent makes feeds of the configuration say nothing.
+	silent  bool
+	workers []string
+	lists   int
 }
 
 var errAway = errors.New("the store is away")
 
+func (s *store) isSilent() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.silent
+}
+
 func (s *store) document() (watcher.Document, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -55,6 +63,9 @@
 		},
 		FeedCatalog: func(_ time.Time, after, _ int64) (watcher.Document, error) {
 			time.Sleep(10 * time.Millisecond)
+			for s.isSilent() {
+				time.Sleep(10 * time.Millisecond)
+			}
 			s.mu.Lock()
 			compacted, news := s.compacted, s.version > after
 			s.compacted = false
@@ -113,6 +124,13 @@
 		gomega.Eventually(version, time.Second).Should(gomega.Equal(int64(13)))
 		s.set(func() { gomega.Expect(s.lists).To(gomega.BeNumerically(">=", 2)) })
 	})
+	ginkgo.It("is read at once when a peer has a newer one and the own feed is silent", func() {
+		s.set(func() { s.version, s.silent = 15, true })
+		gomega.Consistently(version, 200*time.Millisecond).Should(gomega.Equal(int64(10)))
+		w.Hear(15)
+		gomega.Eventually(version, 500*time.Millisecond).Should(gomega.Equal(int64(15)))
+		s.set(func() { s.silent = false })
+	})
 	ginkgo.It("never goes back", func() {
 		s.set(func() { s.stale, s.compacted = true, true })
 		gomega.Consistently(version, 300*time.Millisecond).Should(gomega.Equal(int64(10)))
