An order of an earlier epoch always ends with an error

Cause: found in reading: give returned the lease's answer as the error, which would be no error if the same epoch were held again.

Change: it returns an error of its own. An unused parameter is gone.

Ruled out: harm so far; the worker's count refuses such orders.

--- a/conductor/swap.go
+++ b/conductor/swap.go
@@ -128,7 +128,7 @@
 	c.mu.Lock()
 	if c.epoch != epoch {
 		c.mu.Unlock()
-		return OutcomeRefused, c.parts.Lease.CheckOrder(epoch)
+		return OutcomeRefused, &SwapError{order: order, outcome: OutcomeRefused}
 	}
 	order.Holder, order.Fence, order.Expected = c.parts.Node, epoch, known.orders
 	c.mu.Unlock()
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -10,7 +10,6 @@
 
 	"github.com/phuslu/log"
 
-	"github.com/acaciaproxy/acaciaproxy/cataloger"
 	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
@@ -115,7 +114,7 @@
 		if worker.Leaving || now.Before(c.avoid[worker.ID]) {
 			continue
 		}
-		if cost := f.plainCost(now, c.service, worker); best == nil || cost < bestCost {
+		if cost := f.plainCost(now, worker); best == nil || cost < bestCost {
 			best, bestCost = worker, cost
 		}
 	}
@@ -127,7 +126,7 @@
 
 // plainCost weighs a worker by its load, zone and evidence. A small random part
 // keeps nodes that see the same loads apart.
-func (f *Forwarder) plainCost(now time.Time, _ *cataloger.Service, worker *registrar.Worker) float64 {
+func (f *Forwarder) plainCost(now time.Time, worker *registrar.Worker) float64 {
 	known := f.parts.Assessor.Assess(now, worker.ID)
 	load := float64(max(known.Told+known.Recent, known.Running))
 	cost := load + known.Penalty*penaltyCost + rand.Float64()
