--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -108,10 +108,6 @@
 type Service struct {
 	// Name is unique.
 	Name string
-	// HealthPath answers health probes.
-	HealthPath string
-	// Connections is what a worker accepts from all callers together; 0 when unlimited.
-	Connections int
 	// Models is empty for plain services.
 	Models map[string]Model
 	// MemoryMB is a worker's room for weights and adapters; AdapterSlots bounds its adapters.
@@ -126,10 +122,8 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	// HeaderBytes and BodyBytes bound a request.
-	HeaderBytes, BodyBytes int
-	// IdleMS is how long a connection may stay without a request.
-	IdleMS int64
+	// BodyBytes bounds a request's body; 0 when not said.
+	BodyBytes int
 }
 
 // Catalog is one version of the configuration.
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -44,7 +44,7 @@
 	for _, service := range catalog.Services() {
 		if service.RunsModels() {
 			c.planAdapters(now, service)
-			c.planService(now, catalog, service)
+			c.planService(now, service)
 		}
 	}
 }
@@ -64,11 +64,11 @@
 }
 
 // planService plans the models of one service; the caller holds mu.
-func (c *Conductor) planService(now time.Time, catalog *cataloger.Catalog, service *cataloger.Service) {
+func (c *Conductor) planService(now time.Time, service *cataloger.Service) {
 	fleet := c.parts.List.Fleet().Of(service.Name)
 	input := placer.Input{
 		Models: modelsOf(service), Places: c.places(now, service, fleet), Demands: c.demands(now, service),
-		Passed: map[string]bool{}, Limits: placer.Limits{StoreLoads: c.storeLoads(now, catalog, service), RunsPerHolder: c.runsPerHolder(fleet)},
+		Passed: map[string]bool{}, Limits: placer.Limits{StoreLoads: c.storeLoads(now, service), RunsPerHolder: c.runsPerHolder(fleet)},
 	}
 	for id, until := range c.passed {
 		if now.Before(until) {
@@ -239,7 +239,7 @@
 
 // storeLoads returns how many loads from the weight store this zone may begin
 // now; the caller holds mu.
-func (c *Conductor) storeLoads(now time.Time, catalog *cataloger.Catalog, service *cataloger.Service) int {
+func (c *Conductor) storeLoads(now time.Time, service *cataloger.Service) int {
 	underWay := 0
 	for _, w := range c.parts.List.Fleet().Of(service.Name) {
 		if known, mine := c.workers[w.ID]; mine {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -23,8 +23,6 @@
 	Slots int
 	// Leaving is set when it must get no new work.
 	Leaving bool
-	// LeavesAt is when it will be gone whatever it runs; zero when not known.
-	LeavesAt time.Time
 	// Born identifies the start of the process; 0 when not said.
 	Born int64
 	// Held maps the models in its memory to their adapters.
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -208,7 +208,7 @@
 
 func announcementOf(now time.Time, zone string, worker *nodewire.WorkerView) viewer.Announcement {
 	announcement := viewer.Announcement{
-		Worker: worker.GetWorker(), Zone: zone, Born: worker.GetBorn(), Orders: worker.GetOrders(), Running: int(worker.GetRunning()), HeardAt: now,
+		Worker: worker.GetWorker(), Zone: zone, Born: worker.GetBorn(), Running: int(worker.GetRunning()), HeardAt: now,
 	}
 	if worker.GetBusyMs() > 0 {
 		announcement.BusyUntil = now.Add(time.Duration(worker.GetBusyMs()) * time.Millisecond)
--- a/tallier/tallier.go
+++ b/tallier/tallier.go
@@ -108,19 +108,6 @@
 	return t.changed
 }
 
-// RunningAt returns how many requests this node has at a worker.
-func (t *Tallier) RunningAt(worker string) int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	count := 0
-	for key, running := range t.running {
-		if key.Worker == worker {
-			count += running
-		}
-	}
-	return count
-}
-
 // Snapshot returns all counts as they are now.
 func (t *Tallier) Snapshot() (map[Key]Demand, map[RunKey]int) {
 	t.mu.Lock()
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -41,8 +41,8 @@
 type Announcement struct {
 	// Worker is its name, Zone the leader's zone.
 	Worker, Zone string
-	// Born and Orders say to which start of the worker and after how many orders the account applies.
-	Born, Orders int64
+	// Born says to which start of the worker the account applies.
+	Born int64
 	// Units are ready or coming; a model that is not among them must get no requests.
 	Units []Unit
 	// Running is how many requests all nodes together have there.
