Ask the own zone's leader what is ready there before the home zone loads it again

The kept logs of a failing run show the home zone's leader loading the unit 0.3 s after the take-over. The survivor had been told of one unit by the answer to its question, but of the other one on the same worker only by its next pull, up to 200 ms later; a request in between found no holder and asked the home zone, whose view of this zone was that of the paused leader.

Change: before the home zone is asked, the own zone's leader says from memory whether the unit is ready there; it loads nothing for that question.

Ruled out: a unit given up by the new leader (no unload before the second load); workers shown before the new leader's first report (tried, no help).

--- a/asker/asker.go
+++ b/asker/asker.go
@@ -17,6 +17,8 @@
 	questionGap  = 50 * time.Millisecond
 	// homeTime bounds a question to another zone, which may be cut off; a leader answers within 250 ms.
 	homeTime = 500 * time.Millisecond
+	// peekTime bounds the question to the own zone's leader that comes first; it answers from memory.
+	peekTime = 100 * time.Millisecond
 	// leaderlessTime is how long requests wait for a zone to have a leader. A
 	// successor needs a term of 3 s and three polls of half a second at most.
 	leaderlessTime = 8 * time.Second
@@ -130,6 +132,9 @@
 // fly asks until no request waits for the unit.
 func (a *Asker) fly(about target, f *flight) {
 	f.alone = about.worker != ""
+	if !f.alone && a.isReadyHere(about, f) {
+		return
+	}
 	for {
 		latest, class, id, waiting := a.furthest(about, f)
 		if !waiting {
@@ -146,6 +151,28 @@
 	}
 }
 
+// isReadyHere asks the own zone's leader whether the unit is ready in the zone,
+// which this node may not have heard yet, before another zone loads it once more.
+// It ends the flight if so.
+func (a *Asker) isReadyHere(about target, f *flight) bool {
+	client, err := a.own()
+	if err != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peekTime)
+	defer cancel()
+	reply, err := client.Ask(ctx, &nodewire.AskRequest{Unit: about.unit, Node: a.node, Peek: true, Config: a.version()})
+	if err != nil || reply.GetVerdict() != nodewire.Verdict_VERDICT_READY {
+		return false
+	}
+	a.ready(about.unit, reply.GetWorkers())
+	a.mu.Lock()
+	delete(a.flights, about)
+	a.mu.Unlock()
+	a.finish(f, func(*waiter) bool { return true }, nil)
+	return true
+}
+
 // furthest returns the latest deadline among the waiters and the most urgent
 // class, and ends the flight when nobody waits.
 func (a *Asker) furthest(about target, f *flight) (latest time.Time, class, id string, waiting bool) {
--- a/leader/answer.go
+++ b/leader/answer.go
@@ -184,6 +184,9 @@
 // ready or will not be in time, else after askHold with the expected time.
 func (l *Leader) Ask(ctx context.Context, request *nodewire.AskRequest) *nodewire.AskReply {
 	l.follower.Hear(request.GetConfig())
+	if request.GetPeek() {
+		return l.peek(request.GetUnit())
+	}
 	now := time.Now()
 	deadline := now.Add(time.Duration(request.GetRemainingMs()) * time.Millisecond)
 	holdUntil := now.Add(askHold)
@@ -203,6 +206,19 @@
 	}
 }
 
+// peek says where a unit is ready in the own zone, without wanting it.
+func (l *Leader) peek(unit string) *nodewire.AskReply {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if _, leading := l.elector.Leading(time.Now()); !leading || l.planner == nil {
+		return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_NOT_LEADING}
+	}
+	if workers := l.planner.Ready(unit); len(workers) > 0 {
+		return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_READY, Workers: workers}
+	}
+	return &nodewire.AskReply{Verdict: nodewire.Verdict_VERDICT_REFUSED, Reason: "not ready in this zone"}
+}
+
 // askOnce returns the reply of now and a channel that is closed at the next change.
 func (l *Leader) askOnce(request *nodewire.AskRequest, deadline time.Time) (*nodewire.AskReply, <-chan struct{}) {
 	l.mu.Lock()
--- a/planner/want.go
+++ b/planner/want.go
@@ -169,6 +169,9 @@
 	w.pins[worker] = now.Add(demandHold)
 }
 
+// Ready returns the workers that have a unit ready.
+func (p *Planner) Ready(unit string) []string { return p.holders(unit, PhaseReady) }
+
 // Ask returns what a request that waits for a unit until a deadline may
 // expect. Worker is the only one that will do, or empty for any.
 func (p *Planner) Ask(now time.Time, unit, worker string, deadline time.Time) Verdict {
