One piece for what stood twice in placer, conductor and forwarder; pages that the hold-over made untrue

The placer checked open places, summed memory and booked moves in two places each, and carried a penalty and a zone that nobody set or read; the conductor kept a list of leaving models that nothing read and chose a load's time by a switch beside the table that it gives the placer; the forwarder hashed a copy of each body where isolator.Fingerprint hashes in place, and counted shared tokens again for each holder.

Change: one function for each; dead state is gone; the pages say what is built.

Before / after: behaviour unchanged; tests of placer, conductor and forwarder pass.

--- a/conductor/charge.go
+++ b/conductor/charge.go
@@ -35,9 +35,7 @@
 	// loading is the model of a load under way, or empty; readyAt is when it should end.
 	loading string
 	readyAt time.Time
-	// leaving are the models of unloads under way, whose memory is still charged.
-	leaving map[string]bool
-	// swapping is set while a goroutine gives orders for a move.
+	// swapping is set while a goroutine gives orders for a move; nothing else is loaded there meanwhile.
 	swapping bool
 	// adapting is set while a goroutine gives an order for an adapter.
 	adapting bool
@@ -121,7 +119,7 @@
 		units[model] = unit
 	}
 	c.born, c.orders, c.units = born, orders, units
-	c.loading, c.leaving = "", map[string]bool{}
+	c.loading = ""
 	c.inMemory, c.onDisk = inMemory, onDisk
 	c.unsure = false
 	c.changedAt = now
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -116,10 +116,15 @@
 
 func modelsOf(service *cataloger.Service) map[string]placer.Model {
 	return lo.MapValues(service.Models, func(model cataloger.Model, name string) placer.Model {
-		return placer.Model{Name: name, MemoryMB: model.MemoryMB, TierMS: [3]float64{model.WarmMS, model.DiskMS, model.StoreMS}}
+		return placer.Model{Name: name, MemoryMB: model.MemoryMB, TierMS: tierMS(model)}
 	})
 }
 
+// tierMS returns the time of a model's load from each tier, in milliseconds.
+func tierMS(model cataloger.Model) [3]float64 {
+	return [3]float64{placer.TierMemory: model.WarmMS, placer.TierDisk: model.DiskMS, placer.TierStore: model.StoreMS}
+}
+
 // places describes all workers of a service for the placer; the caller holds mu.
 func (c *Conductor) places(now time.Time, service *cataloger.Service, fleet []*registrar.Worker) []placer.Place {
 	places := make([]placer.Place, 0, len(fleet))
@@ -136,7 +141,7 @@
 // ownPlace describes a worker that this leader orders; the caller holds mu.
 func (c *Conductor) ownPlace(now time.Time, service *cataloger.Service, known *charge) placer.Place {
 	place := placer.Place{
-		ID: known.worker.ID, Zone: known.worker.Zone, Mine: true, Usable: !known.worker.Leaving, MemoryMB: service.MemoryMB,
+		ID: known.worker.ID, Mine: true, Usable: !known.worker.Leaving, MemoryMB: service.MemoryMB,
 		Open: known.idle() && !known.unsure && !known.reserved && !now.Before(known.retryAt), Loading: known.loading,
 		InMemory: known.inMemory, OnDisk: known.onDisk, Running: known.total(),
 	}
@@ -153,7 +158,7 @@
 // otherPlace describes a worker of another zone; the caller holds mu.
 func (c *Conductor) otherPlace(now time.Time, service *cataloger.Service, w *registrar.Worker) placer.Place {
 	place := placer.Place{
-		ID: w.ID, Zone: w.Zone, Usable: !w.Leaving, MemoryMB: service.MemoryMB, InMemory: w.InMemory, OnDisk: w.OnDisk,
+		ID: w.ID, Usable: !w.Leaving, MemoryMB: service.MemoryMB, InMemory: w.InMemory, OnDisk: w.OnDisk,
 		Open: c.parts.View.Live(now, w.Zone),
 	}
 	place.CutOff = !place.Open
@@ -265,7 +270,6 @@
 	known.swapping = true
 	for _, victim := range move.Victims {
 		delete(known.units, victim)
-		known.leaving[victim] = true
 	}
 	known.loading = move.Model
 	known.readyAt = now.Add(time.Duration(move.TakesMS) * time.Millisecond)
--- a/conductor/swap.go
+++ b/conductor/swap.go
@@ -98,7 +98,6 @@
 func (c *Conductor) endSwap(now time.Time, known *charge) {
 	known.swapping = false
 	known.loading = ""
-	known.leaving = map[string]bool{}
 	known.changedAt = now
 	c.touch(known.worker.ID)
 	c.flush()
@@ -174,15 +173,7 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	known.leaving = map[string]bool{}
-	takes := time.Duration(model.StoreMS) * time.Millisecond
-	switch move.Tier {
-	case placer.TierMemory:
-		takes = time.Duration(model.WarmMS) * time.Millisecond
-	case placer.TierDisk:
-		takes = time.Duration(model.DiskMS) * time.Millisecond
-	}
-	known.readyAt = time.Now().Add(takes)
+	known.readyAt = time.Now().Add(time.Duration(tierMS(model)[move.Tier]) * time.Millisecond)
 	c.touch(w.ID)
 	c.flush()
 	return nil
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -200,7 +200,7 @@
 func (f *Forwarder) choose(now time.Time, c *call, holders []viewer.Holder) *registrar.Worker {
 	var best *registrar.Worker
 	bestCost := 0.0
-	preferred := f.preferred(c, holders)
+	preferred, elsewhereCost := f.preferred(c, holders)
 	for i := range holders {
 		holder := &holders[i]
 		if !holder.ReadyAt.IsZero() || !holder.HasAdapter || now.Before(c.avoid[holder.Worker.ID]) {
@@ -210,8 +210,8 @@
 		if !usable {
 			continue
 		}
-		if preferred != "" && holder.Worker.ID != preferred {
-			cost += tokenCost * float64(sharedTokens(c))
+		if holder.Worker.ID != preferred {
+			cost += elsewhereCost
 		}
 		if best == nil || cost < bestCost {
 			best, bestCost = holder.Worker, cost
@@ -256,10 +256,12 @@
 }
 
 // preferred returns the worker that rendezvous hashing assigns to a prompt's
-// shared parts, if these are long, so that all nodes send them to the same one.
-func (f *Forwarder) preferred(c *call, holders []viewer.Holder) string {
-	if sharedTokens(c) < affinityTokens {
-		return ""
+// shared parts, if these are long, so that all nodes send them to the same one,
+// and what it costs to read them anew elsewhere.
+func (f *Forwarder) preferred(c *call, holders []viewer.Holder) (worker string, elsewhereCost float64) {
+	shared := sharedTokens(c)
+	if shared < affinityTokens {
+		return "", 0
 	}
 	parts := c.Model + "/" + c.Adapter
 	for _, part := range c.Parts[:len(c.Parts)-1] {
@@ -274,5 +276,5 @@
 			best, bestScore = holders[i].Worker.ID, score
 		}
 	}
-	return best
+	return best, tokenCost * float64(shared)
 }
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -162,7 +162,6 @@
 	maxSends       = 8
 	resendLeast    = 20 * time.Millisecond
 	resendPause    = 5 * time.Millisecond
-	blockedLeast   = 30 * time.Millisecond
 )
 
 // again returns nil when a call may be sent once more, else its end.
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -1,13 +1,12 @@
 package forwarder
 
 import (
-	"strconv"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
 
+	"github.com/acaciaproxy/acaciaproxy/isolator"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
@@ -82,7 +81,7 @@
 
 // checkSuspect refuses a request that was present at too many crashes.
 func (f *Forwarder) checkSuspect(c *call) error {
-	c.fingerprint = strconv.FormatUint(xxhash.Sum64String(c.Method+" "+c.Host+c.Target+"\x00"+string(c.Body)), 16)
+	c.fingerprint = isolator.Fingerprint(c.Method+" "+c.Host+c.Target, c.Body)
 	if f.suspects.count(time.Now(), c.fingerprint) >= maxCrashes {
 		return newRefusal("crashes_workers", "this request was running at workers that crashed", suspicionTime)
 	}
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -64,7 +64,7 @@
 		move.TakesMS += drainMS
 	}
 	waiters := float64(max(w.demand.Waiting, 1))
-	cost := loss + waitLoss*waiters*move.TakesMS/1000 + place.Penalty + float64(place.Running)*crowdLoss + s.blocked(place)*move.TakesMS/1000
+	cost := loss + waitLoss*waiters*move.TakesMS/1000 + float64(place.Running)*crowdLoss + s.blocked(place)*move.TakesMS/1000
 	return move, cost, true
 }
 
@@ -88,14 +88,13 @@
 
 // victims returns the cheapest models to unload so that the memory fits.
 func (s *state) victims(place *Place, neededMB float64) (names []string, loss float64, drains, possible bool) {
-	free := place.freeMB()
+	free := s.freeMB(place)
 	type candidate struct {
 		unit Unit
 		loss float64
 	}
 	candidates := make([]candidate, 0, len(place.Units))
 	for _, unit := range place.Units {
-		free -= s.input.Models[unit.Model].MemoryMB
 		if unitLoss, allowed := s.loss(unit); allowed {
 			candidates = append(candidates, candidate{unit, unitLoss})
 		}
--- a/placer/describe.go
+++ b/placer/describe.go
@@ -40,8 +40,8 @@
 
 // Place is one worker.
 type Place struct {
-	// ID is the worker's name, Zone where it is.
-	ID, Zone string
+	// ID is the worker's name.
+	ID string
 	// Mine is set when this leader orders the worker.
 	Mine bool
 	// Open is set when an order may be given now.
@@ -60,8 +60,6 @@
 	InMemory, OnDisk map[string]bool
 	// Running is how many requests all nodes have there.
 	Running int
-	// Penalty is from 0 to 1, for a worker that fails or is slow.
-	Penalty float64
 }
 
 // tier returns where the nearest copy of a model lies for a place.
@@ -76,15 +74,6 @@
 	}
 }
 
-// freeMB returns the memory that no unit uses.
-func (p *Place) freeMB() float64 {
-	free := p.MemoryMB
-	for i := range p.Units {
-		free -= p.Units[i].AdapterMB
-	}
-	return free
-}
-
 // Demand is what callers ask of one model.
 type Demand struct {
 	Model string
--- a/placer/fill.go
+++ b/placer/fill.go
@@ -12,14 +12,10 @@
 func (s *state) fill() {
 	for i := range s.input.Places {
 		place := &s.input.Places[i]
-		if !place.Open || !place.Usable || s.taken[place.ID] || s.input.Passed[place.ID] || place.Penalty >= 1 {
+		if !s.isOpen(place) {
 			continue
 		}
-		free := place.freeMB()
-		for _, unit := range place.Units {
-			free -= s.input.Models[unit.Model].MemoryMB
-		}
-		if demand := s.fillDemand(place, free); demand != nil {
+		if demand := s.fillDemand(place, s.freeMB(place)); demand != nil {
 			s.fillPlace(place, demand)
 		}
 	}
@@ -60,12 +56,7 @@
 func (s *state) fillPlace(place *Place, demand *Demand) {
 	model := s.input.Models[demand.Model]
 	tier := place.tier(demand.Model)
-	if tier == TierStore && place.Mine {
-		s.storeLoads--
-	}
-	s.taken[place.ID] = true
-	s.coming[demand.Model]++
-	s.moves = append(s.moves, Move{
+	s.add(Move{
 		Worker: place.ID, Model: demand.Model, Tier: tier, TakesMS: model.TierMS[tier], Mine: place.Mine, Reason: "fill",
 		DueMS: demand.DueMS, Waiting: demand.Waiting,
 	})
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -79,15 +79,34 @@
 	if best == nil {
 		return
 	}
-	if best.Tier == TierStore && best.Mine {
+	s.add(*best)
+}
+
+// add takes in a move that is decided.
+func (s *state) add(move Move) {
+	if move.Tier == TierStore && move.Mine {
 		s.storeLoads--
 	}
-	s.taken[best.Worker] = true
-	s.coming[best.Model]++
-	for _, victim := range best.Victims {
+	s.taken[move.Worker] = true
+	s.coming[move.Model]++
+	for _, victim := range move.Victims {
 		s.holders[victim]--
 	}
-	s.moves = append(s.moves, *best)
+	s.moves = append(s.moves, move)
+}
+
+// isOpen reports whether a place can take a move in this plan.
+func (s *state) isOpen(place *Place) bool {
+	return place.Open && place.Usable && !s.taken[place.ID] && !s.input.Passed[place.ID]
+}
+
+// freeMB returns the memory of a place that no unit uses.
+func (s *state) freeMB(place *Place) float64 {
+	free := place.MemoryMB
+	for i := range place.Units {
+		free -= place.Units[i].AdapterMB + s.input.Models[place.Units[i].Model].MemoryMB
+	}
+	return free
 }
 
 // tieBreak orders places of equal cost differently for each model.
@@ -95,14 +114,9 @@
 
 // mayLoad reports whether a place can take a load of the wanted model now.
 func (s *state) mayLoad(place *Place, w want) bool {
-	if !place.Open || !place.Usable || s.taken[place.ID] || s.input.Passed[place.ID] || place.Penalty >= 1 {
+	if !s.isOpen(place) || holds(place, w.model.Name) {
 		return false
 	}
-	for _, unit := range place.Units {
-		if unit.Model == w.model.Name {
-			return false
-		}
-	}
 	return place.tier(w.model.Name) != TierStore || s.mayUseStore(place, w)
 }
 
