--- a/conductor/adapt.go
+++ b/conductor/adapt.go
@@ -23,11 +23,9 @@
 // their model; the caller holds mu.
 func (c *Conductor) planAdapters(now time.Time, service *cataloger.Service) {
 	var keys []demandKey
-	for key := range c.demand.keys() {
+	for key := range c.demand.waiting {
 		if key.service == service.Name && key.adapter != "" {
-			if waiting, _, _ := c.demand.waitingFor(key); waiting > 0 {
-				keys = append(keys, key)
-			}
+			keys = append(keys, key)
 		}
 	}
 	sort.Slice(keys, func(i, j int) bool { return keys[i].model+"/"+keys[i].adapter < keys[j].model+"/"+keys[j].adapter })
@@ -111,7 +109,7 @@
 	}
 	known.adapting = true
 	unit.coming[key.adapter] = now
-	c.touch(known.worker.ID)
+	c.touch(known.worker.ID, key.model)
 	log.Info().Str("worker", known.worker.ID).Str("model", key.model).Str("adapter", key.adapter).Str("victim", victim.Adapter).
 		Int64("orders", known.orders).Int64("epoch", c.epoch).Msg("adapter load decided")
 	go c.adapt(c.epoch, known, key, victim)
@@ -164,7 +162,7 @@
 		unit.adapters[key.adapter] = now
 	}
 	known.changedAt = now
-	c.touch(w.ID)
+	c.touch(w.ID, key.model)
 	c.flush()
 	c.Kick()
 }
--- a/conductor/charge.go
+++ b/conductor/charge.go
@@ -157,6 +157,14 @@
 // total returns how many requests all nodes have at the worker.
 func (c *charge) total() int { return lo.Sum(lo.Values(c.running)) }
 
+// idleMS returns for how long no request ran for a unit, in milliseconds.
+func (c *charge) idleMS(now time.Time, model string, unit *heldUnit) float64 {
+	if c.running[model] > 0 {
+		return 0
+	}
+	return float64(now.Sub(unit.usedAt).Milliseconds())
+}
+
 // models returns the units' names in order.
 func (c *charge) models() []string {
 	names := lo.Keys(c.units)
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -15,6 +15,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/nodewire"
 	"github.com/acaciaproxy/acaciaproxy/recorder"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/viewer"
@@ -79,8 +80,8 @@
 	Leading func() (epoch int64, leading bool)
 	// Quiet returns for how long orders must still wait though the lease is held.
 	Quiet func() time.Duration
-	// Written returns the lease as it was last written, and the version of its row.
-	Written func() (lease string, version int64)
+	// Known returns the leases of all zones as this node knows them.
+	Known func() []*nodewire.LeaseView
 	// CheckOrder returns an error unless an order may leave now.
 	CheckOrder func(epoch int64) error
 }
@@ -90,9 +91,11 @@
 	Node, Zone string
 	Catalog    func() *cataloger.Catalog
 	List       *registrar.Registrar
-	View       *viewer.Viewer
-	Lease      Lease
-	Recorder   *recorder.Recorder
+	// Fresh returns how well the list is known by this node's own reads.
+	Fresh    func(now time.Time) Freshness
+	View     *viewer.Viewer
+	Lease    Lease
+	Recorder *recorder.Recorder
 	// Order gives an order; check runs just before it leaves.
 	Order func(ctx context.Context, worker *registrar.Worker, order Order, check func() error) (Outcome, error)
 	// Report reads a worker's state.
@@ -108,11 +111,20 @@
 	// mu guards everything below.
 	mu sync.Mutex
 	// epoch is that of the lease under which the state below was gathered, or 0.
-	epoch   int64
+	epoch int64
+	// began is when this node began to lead.
+	began   time.Time
 	workers map[string]*charge
 	demand  *gatherer
 	// followers are the nodes that listen, by stream.
 	followers map[*follower]bool
+	// news names the models of which something changed since the last flush; changed is set when anything did.
+	news    map[string]bool
+	changed bool
+	// told is the version of the configuration that followers were last woken for.
+	told int64
+	// listed is the version of the list of workers that followers were last woken for.
+	listed int64
 	// suspicions are passed on to all followers, by fingerprint and worker.
 	suspicions map[string]suspicion
 	// storeStarts are the times at which loads from the weight store were decided.
@@ -130,7 +142,7 @@
 	return &Conductor{
 		parts: parts, stopped: make(chan struct{}), kicks: make(chan struct{}, 1),
 		workers: map[string]*charge{}, demand: newGatherer(), followers: map[*follower]bool{},
-		suspicions: map[string]suspicion{}, passed: map[string]time.Time{}, pending: map[string]time.Time{},
+		suspicions: map[string]suspicion{}, passed: map[string]time.Time{}, pending: map[string]time.Time{}, news: map[string]bool{},
 	}
 }
 
@@ -139,6 +151,11 @@
 	// planInterval is the longest pause between two plans, planPause the shortest.
 	planInterval = 100 * time.Millisecond
 	planPause    = 10 * time.Millisecond
+	// recentRead is how long before the lease the list of workers may have been read for the first plan; the leaders
+	// alone read the copies that workers keep.
+	recentRead = 1 * time.Second
+	// planShare bounds the time spent on plans: a plan that took long is followed by a pause this many times as long.
+	planShare = 10
 )
 
 // Run starts the plan loop; it ends when Stop is called.
@@ -158,15 +175,18 @@
 func (c *Conductor) loop() {
 	timer := time.NewTimer(planInterval)
 	defer timer.Stop()
+	pause := planPause
 	for {
 		select {
 		case <-c.stopped:
 			return
 		case <-c.kicks:
-			time.Sleep(planPause)
+			time.Sleep(pause)
 		case <-timer.C:
 		}
+		began := time.Now()
 		c.step()
+		pause = min(max(planShare*time.Since(began), planPause), planInterval)
 		timer.Reset(planInterval)
 	}
 }
@@ -191,12 +211,26 @@
 	c.syncWorkers(now, catalog)
 	c.refresh(now)
 	c.followQuiet(now)
-	if !now.Before(c.quietUntil) {
+	if !now.Before(c.quietUntil) && c.parts.Fresh(now).ReadAt.After(c.began.Add(-recentRead)) {
 		c.plan(now, catalog)
 	}
+	c.wakeForReads(now, catalog)
 	c.flush()
 }
 
+// wakeForReads wakes all followers when the store has told of another
+// configuration or of workers that come or go; the caller holds mu.
+func (c *Conductor) wakeForReads(now time.Time, catalog *cataloger.Catalog) {
+	listed := c.parts.List.Changed()
+	if c.told == catalog.Version() && c.listed == listed {
+		return
+	}
+	c.told, c.listed = catalog.Version(), listed
+	for f := range c.followers {
+		f.notify()
+	}
+}
+
 // followQuiet takes in for how long no orders may be given. Followers are told
 // that the workers are busy as long, so that other zones plan without them; the
 // caller holds mu.
@@ -204,8 +238,8 @@
 	wasQuiet := now.Before(c.quietUntil)
 	c.quietUntil = now.Add(c.parts.Lease.Quiet())
 	if wasQuiet != now.Before(c.quietUntil) {
-		for id := range c.workers {
-			c.touch(id)
+		for id, known := range c.workers {
+			c.touch(id, known.models()...)
 		}
 	}
 }
@@ -228,7 +262,7 @@
 // beginLocked begins to lead; the caller holds mu.
 func (c *Conductor) beginLocked(epoch int64) {
 	c.resignLocked()
-	c.epoch = epoch
+	c.epoch, c.began = epoch, time.Now()
 	c.passed, c.pending = map[string]time.Time{}, map[string]time.Time{}
 	log.Info().Str("zone", c.parts.Zone).Int64("epoch", epoch).Msg("orders begin")
 }
@@ -252,7 +286,7 @@
 				c.workers[w.ID] = known
 			}
 			if known.observe(now, w) {
-				c.touch(w.ID)
+				c.touch(w.ID, known.models()...)
 			}
 		}
 	}
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -159,8 +159,8 @@
 		list.Apply(time.Now(), []registrar.Change{{Worker: registrar.Worker{ID: id, Service: "s", Zone: "z", Slots: 8, Born: 1, OnDisk: onDisk, RowVersion: 1}}})
 	}
 	z.conductor = New(Parts{
-		Node: "n", Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, List: list, View: viewer.New(list), Recorder: recorder.New(),
-		Lease: Lease{Leading: z.lead, Quiet: z.quietLeft, Written: func() (string, int64) { return "", 0 }, CheckOrder: z.check},
+		Node: "n", Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, List: list, View: viewer.New(list), Fresh: readNow, Recorder: recorder.New(),
+		Lease: Lease{Leading: z.lead, Quiet: z.quietLeft, Known: func() []*nodewire.LeaseView { return nil }, CheckOrder: z.check},
 		Order: func(_ context.Context, w *registrar.Worker, order Order, check func() error) (Outcome, error) {
 			return z.workers[w.ID].order(order, check)
 		},
@@ -169,6 +169,17 @@
 	return z
 }
 
+// readNow is the freshness of a list that was read just now.
+func readNow(now time.Time) Freshness { return Freshness{ReadAt: now} }
+
+// subscribe returns the subscription of node "n", which wants nothing yet.
+func (z *fakeZone) subscribe() *Subscription {
+	var subscription *Subscription
+	gomega.Eventually(func() bool { subscription = z.conductor.Subscribe(); return subscription != nil }, time.Second).Should(gomega.BeTrue())
+	subscription.Take(&nodewire.Demand{Node: "n", Zone: "z", Whole: true})
+	return subscription
+}
+
 func (z *fakeZone) lead() (int64, bool) {
 	z.mu.Lock()
 	defer z.mu.Unlock()
@@ -248,12 +259,10 @@
 		w.mu.Unlock()
 		z.conductor.Run()
 		defer z.conductor.Stop()
-		var next func(<-chan struct{}) *nodewire.View
-		var end func()
-		gomega.Eventually(func() bool { next, end = z.conductor.Subscribe(func() int64 { return 1 }); return next != nil }, time.Second).Should(gomega.BeTrue())
-		defer end()
+		subscription := z.subscribe()
+		defer subscription.End()
 		told := func() bool {
-			for _, worker := range next(nil).GetWorkers() {
+			for _, worker := range subscription.Next(nil).GetWorkers() {
 				gomega.Expect(worker.GetBusyMs()).To(gomega.BeNumerically(">", 0), "other zones plan without a quiet leader's workers")
 				for _, unit := range worker.GetUnits() {
 					if unit.GetModel() == "m5" && unit.GetReadyMs() == 0 {
@@ -270,14 +279,12 @@
 		z := newFakeZone(1, 0, 0)
 		z.conductor.Run()
 		defer z.conductor.Stop()
-		var next func(<-chan struct{}) *nodewire.View
-		var end func()
-		gomega.Eventually(func() bool { next, end = z.conductor.Subscribe(func() int64 { return 1 }); return next != nil }, time.Second).Should(gomega.BeTrue())
-		defer end()
+		subscription := z.subscribe()
+		defer subscription.End()
 		z.want("m0")
 		coming, ready := false, false
 		for deadline := time.Now().Add(3 * time.Second); !ready && time.Now().Before(deadline); z.want("m0") {
-			for _, worker := range next(nil).GetWorkers() {
+			for _, worker := range subscription.Next(nil).GetWorkers() {
 				for _, unit := range worker.GetUnits() {
 					coming = coming || unit.GetReadyMs() > 0
 					ready = ready || unit.GetModel() == "m0" && unit.GetReadyMs() == 0
--- a/conductor/follow.go
+++ b/conductor/follow.go
@@ -4,17 +4,15 @@
 	"sort"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/acaciaproxy/acaciaproxy/elector"
 	"github.com/acaciaproxy/acaciaproxy/nodewire"
+	"github.com/acaciaproxy/acaciaproxy/pacer"
 )
 
-// Times of the messages to followers.
-const (
-	// beatInterval is the longest pause between two messages of a stream.
-	beatInterval = 400 * time.Millisecond
-	// viewPause is the shortest.
-	viewPause = 10 * time.Millisecond
-)
+// viewPause is the shortest pause between two messages of a stream, in which several changes come together.
+const viewPause = 10 * time.Millisecond
 
 // suspicion is a request that ran at workers that crashed.
 type suspicion struct {
@@ -27,6 +25,8 @@
 
 // follower is a node that listens.
 type follower struct {
+	// node is the node's name, empty until its first message.
+	node string
 	// whole is set when the next message must hold every worker.
 	whole bool
 	// dirty names the workers to tell about.
@@ -35,6 +35,10 @@
 	wake chan struct{}
 	// closed is closed when the leadership ends.
 	closed chan struct{}
+	// relayed is the version of the store up to which the node knows all changes of the list of workers.
+	relayed int64
+	// leases maps zones to the versions of the leases that the node was told.
+	leases map[string]int64
 }
 
 func (f *follower) close() { close(f.closed) }
@@ -46,20 +50,36 @@
 	}
 }
 
-// touch marks a worker as changed for all followers; the caller holds mu.
-func (c *Conductor) touch(worker string) {
+// touch marks a worker as changed for all followers. Those whose requests wait
+// for one of the models, and other leaders, are told at the next flush, the
+// others with their next message; the caller holds mu.
+func (c *Conductor) touch(worker string, models ...string) {
 	for f := range c.followers {
 		f.dirty[worker] = true
 	}
+	for _, model := range models {
+		c.news[model] = true
+	}
+	c.changed = true
 }
 
-// flush wakes the followers that have something to be told; the caller holds mu.
+// touchLoad marks a worker's load as changed; nobody waits for it. The caller holds mu.
+func (c *Conductor) touchLoad(worker string) {
+	for f := range c.followers {
+		f.dirty[worker] = true
+	}
+}
+
+// flush wakes the followers that wait for what was touched; the caller holds mu.
 func (c *Conductor) flush() {
 	for f := range c.followers {
-		if f.whole || len(f.dirty) > 0 {
+		node := c.demand.nodes[f.node]
+		if f.whole || c.changed && node != nil && (node.leads || node.waitsFor(c.news)) {
 			f.notify()
 		}
 	}
+	c.changed = false
+	clear(c.news)
 }
 
 // Take takes in a node's demand.
@@ -81,44 +101,76 @@
 	}
 }
 
-// Subscribe returns a function that waits for and returns the next view, and
-// one that ends the subscription. Both are nil when this node does not lead.
-func (c *Conductor) Subscribe(config func() int64) (next func(done <-chan struct{}) *nodewire.View, end func()) {
+// Subscription is a node's part in a leader's views.
+type Subscription struct {
+	conductor *Conductor
+	follower  *follower
+}
+
+// Subscribe returns a node's subscription, or nil when this node does not lead.
+func (c *Conductor) Subscribe() *Subscription {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.epoch == 0 {
-		return nil, nil
+		return nil
 	}
-	f := &follower{whole: true, dirty: map[string]bool{}, wake: make(chan struct{}, 1), closed: make(chan struct{})}
+	f := &follower{whole: true, dirty: map[string]bool{}, wake: make(chan struct{}, 1), closed: make(chan struct{}), relayed: unrelayed, leases: map[string]int64{}}
 	c.followers[f] = true
 	f.notify()
-	next = func(done <-chan struct{}) *nodewire.View {
-		select {
-		case <-done:
-			return nil
-		case <-f.closed:
-			return nil
-		case <-f.wake:
-		case <-time.After(beatInterval):
-		}
+	return &Subscription{conductor: c, follower: f}
+}
+
+// Take takes in the subscriber's demand.
+func (s *Subscription) Take(message *nodewire.Demand) {
+	s.conductor.mu.Lock()
+	s.follower.node = message.GetNode()
+	s.follower.relayed = max(s.follower.relayed, message.GetListVersion())
+	s.conductor.mu.Unlock()
+	s.conductor.Take(message)
+}
+
+// Next waits for the next view and returns it, or nil when the subscription or the leadership has ended.
+func (s *Subscription) Next(done <-chan struct{}) *nodewire.View {
+	c := s.conductor
+	select {
+	case <-done:
+		return nil
+	case <-s.follower.closed:
+		return nil
+	case <-s.follower.wake:
 		time.Sleep(viewPause)
-		return c.view(f, config())
-	}
-	end = func() {
-		c.mu.Lock()
-		defer c.mu.Unlock()
-		delete(c.followers, f)
+	case <-time.After(c.pause()):
 	}
-	return next, end
+	return c.view(s.follower)
+}
+
+// pause returns the pause between two messages that nobody waits for.
+func (c *Conductor) pause() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return pacer.Pause(len(c.demand.nodes))
+}
+
+// End ends the subscription.
+func (s *Subscription) End() {
+	s.conductor.mu.Lock()
+	defer s.conductor.mu.Unlock()
+	delete(s.conductor.followers, s.follower)
 }
 
 // view builds what a follower does not know yet.
-func (c *Conductor) view(f *follower, config int64) *nodewire.View {
+func (c *Conductor) view(f *follower) *nodewire.View {
 	now := time.Now()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	message := &nodewire.View{Zone: c.parts.Zone, Epoch: c.epoch, Config: config, Whole: f.whole, Nodes: int32(len(c.demand.nodes))}
-	message.Lease, message.LeaseVersion = c.parts.Lease.Written()
+	select {
+	case <-f.wake: // What it was for is in this view.
+	default:
+	}
+	message := &nodewire.View{
+		Zone: c.parts.Zone, Epoch: c.epoch, Config: c.configVersion(), Whole: f.whole, Nodes: int32(len(c.demand.nodes)),
+		Leases: c.leases(f), Relay: c.relay(now, f),
+	}
 	if f.whole {
 		for id := range c.workers {
 			f.dirty[id] = true
@@ -141,6 +193,27 @@
 	return message
 }
 
+// leases returns the leases that a follower of this zone was not told yet; the caller holds mu.
+func (c *Conductor) leases(f *follower) []*nodewire.LeaseView {
+	if node := c.demand.nodes[f.node]; node == nil || node.zone != c.parts.Zone {
+		return nil
+	}
+	news := lo.Filter(c.parts.Lease.Known(), func(lease *nodewire.LeaseView, _ int) bool {
+		return f.leases[lease.GetZone()] != lease.GetVersion()
+	})
+	for _, lease := range news {
+		f.leases[lease.GetZone()] = lease.GetVersion()
+	}
+	return news
+}
+
+func (c *Conductor) configVersion() int64 {
+	if catalog := c.parts.Catalog(); catalog != nil {
+		return catalog.Version()
+	}
+	return 0
+}
+
 // message describes a worker for the followers.
 func (c *charge) message(now, quietUntil time.Time, id string) *nodewire.WorkerView {
 	message := &nodewire.WorkerView{Worker: id, Born: c.born, Orders: c.orders, Running: int32(c.total())}
@@ -164,7 +237,7 @@
 	return message
 }
 
-// Members returns the other nodes of the zone that follow this leader, in the order of their names.
+// Members returns the other nodes of the zone that follow this leader, the strongest first.
 func (c *Conductor) Members() []elector.Member {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -174,12 +247,15 @@
 			members = append(members, elector.Member{Node: name, Incarnation: node.incarnation, Address: node.address})
 		}
 	}
-	sort.Slice(members, func(i, j int) bool { return members[i].Node < members[j].Node })
+	sort.Slice(members, func(i, j int) bool {
+		first, second := c.demand.nodes[members[i].Node].strength, c.demand.nodes[members[j].Node].strength
+		return first > second || first == second && members[i].Node < members[j].Node
+	})
 	return members
 }
 
-// Successor returns the address of the node that should take the lease: the
-// one of this zone that started last, as it will not be stopped next.
+// Successor returns the address of the node that should take the lease: among
+// the strongest of this zone the one that started last, as it will not be stopped next.
 func (c *Conductor) Successor() (address string, found bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -188,7 +264,7 @@
 		if node.zone != c.parts.Zone || name == c.parts.Node {
 			continue
 		}
-		if best == nil || node.bornAt.After(best.bornAt) {
+		if best == nil || node.strength > best.strength || node.strength == best.strength && node.bornAt.After(best.bornAt) {
 			best = node
 		}
 	}
--- a/conductor/gatherer.go
+++ b/conductor/gatherer.go
@@ -40,64 +40,141 @@
 	r.recent += float64(count) / recentMemory.Seconds()
 }
 
+// waits is what a node's requests wait for one key.
+type waits struct {
+	// count is positive; due is when the first of the requests is late, since when the first of them began.
+	count      int
+	due, since time.Time
+}
+
 // nodeDemand is what one node last said.
 type nodeDemand struct {
 	zone, address, incarnation string
 	heardAt                    time.Time
 	// bornAt is when the node's process started.
 	bornAt time.Time
-	asked  map[demandKey]int64
-	// waiting and due are those of the last message about a key.
-	waiting map[demandKey]int
-	due     map[demandKey]time.Time
-	since   map[demandKey]time.Time
-	running map[string]map[string]int // worker, then model
+	// leads is set when the node leads its zone, strength is its share of a core.
+	leads    bool
+	strength float64
+	asked    map[demandKey]int64
+	// waiting holds the keys for which requests wait.
+	waiting map[demandKey]waits
+	// running holds the requests at each worker by model; every count is positive.
+	running map[string]map[string]int
 }
 
-// gatherer sums the demand of all nodes.
+// waitsFor reports whether requests of the node wait for a model or an adapter of it.
+func (n *nodeDemand) waitsFor(models map[string]bool) bool {
+	for key := range n.waiting {
+		if models[key.model] {
+			return true
+		}
+	}
+	return false
+}
+
+// gatherer sums the demand of all nodes. The sums are kept up to date with each
+// message, so that a plan costs nothing for each node.
 type gatherer struct {
 	nodes map[string]*nodeDemand
 	rates map[demandKey]*rate
+	// waiting maps the keys that are waited for to the nodes whose requests wait.
+	waiting map[demandKey]map[*nodeDemand]waits
+	// running sums the requests at each worker by model; every sum is positive.
+	running map[string]map[string]int
+	// ran names the workers whose sums changed since they were last asked for.
+	ran map[string]bool
 }
 
 func newGatherer() *gatherer {
-	return &gatherer{nodes: map[string]*nodeDemand{}, rates: map[demandKey]*rate{}}
+	return &gatherer{
+		nodes: map[string]*nodeDemand{}, rates: map[demandKey]*rate{}, waiting: map[demandKey]map[*nodeDemand]waits{},
+		running: map[string]map[string]int{}, ran: map[string]bool{},
+	}
 }
 
 // take adds a node's message. It reports whether a request began to wait.
 func (g *gatherer) take(now time.Time, message *nodewire.Demand) bool {
 	node, known := g.nodes[message.GetNode()]
 	if !known {
-		node = &nodeDemand{asked: map[demandKey]int64{}}
+		node = &nodeDemand{asked: map[demandKey]int64{}, waiting: map[demandKey]waits{}, running: map[string]map[string]int{}}
 		g.nodes[message.GetNode()] = node
 	}
-	if message.GetWhole() || !known {
-		node.waiting, node.due, node.since = map[demandKey]int{}, map[demandKey]time.Time{}, map[demandKey]time.Time{}
-		node.running = map[string]map[string]int{}
+	if message.GetWhole() {
+		g.forget(node)
 	}
 	node.zone, node.address, node.incarnation, node.heardAt = message.GetZone(), message.GetAddress(), message.GetIncarnation(), now
 	node.bornAt = now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond)
-	waits := false
+	node.leads, node.strength = message.GetLeads(), message.GetStrength()
+	began := false
 	for _, model := range message.GetModels() {
 		key := demandKey{model.GetService(), model.GetModel(), model.GetAdapter()}
 		g.takeAsked(now, node, key, model.GetAsked(), known)
-		waits = waits || int(model.GetWaiting()) > node.waiting[key]
-		node.waiting[key] = int(model.GetWaiting())
-		node.due[key] = now.Add(time.Duration(model.GetDueMs()) * time.Millisecond)
-		node.since[key] = now.Add(-time.Duration(model.GetWaitedMs()) * time.Millisecond)
-		if model.GetWaiting() == 0 {
-			delete(node.waiting, key)
-			delete(node.due, key)
-			delete(node.since, key)
-		}
+		began = began || int(model.GetWaiting()) > node.waiting[key].count
+		g.setWaiting(node, key, waits{
+			count: int(model.GetWaiting()), due: now.Add(time.Duration(model.GetDueMs()) * time.Millisecond),
+			since: now.Add(-time.Duration(model.GetWaitedMs()) * time.Millisecond),
+		})
 	}
 	for _, run := range message.GetRuns() {
-		if node.running[run.GetWorker()] == nil {
-			node.running[run.GetWorker()] = map[string]int{}
+		g.setRunning(node, run.GetWorker(), run.GetModel(), int(run.GetRunning()))
+	}
+	return began
+}
+
+// setWaiting takes in what a node's requests wait for a key.
+func (g *gatherer) setWaiting(node *nodeDemand, key demandKey, w waits) {
+	if w.count == 0 {
+		delete(node.waiting, key)
+		delete(g.waiting[key], node)
+		if len(g.waiting[key]) == 0 {
+			delete(g.waiting, key)
+		}
+		return
+	}
+	node.waiting[key] = w
+	if g.waiting[key] == nil {
+		g.waiting[key] = map[*nodeDemand]waits{}
+	}
+	g.waiting[key][node] = w
+}
+
+// setRunning takes in how many requests a node has at a worker for a model.
+func (g *gatherer) setRunning(node *nodeDemand, worker, model string, count int) {
+	change := count - node.running[worker][model]
+	if change == 0 {
+		return
+	}
+	addRunning(node.running, worker, model, change)
+	addRunning(g.running, worker, model, change)
+	g.ran[worker] = true
+}
+
+// addRunning changes a count and drops those that are zero.
+func addRunning(running map[string]map[string]int, worker, model string, change int) {
+	counts := running[worker]
+	if counts == nil {
+		counts = map[string]int{}
+		running[worker] = counts
+	}
+	if counts[model] += change; counts[model] == 0 {
+		delete(counts, model)
+	}
+	if len(counts) == 0 {
+		delete(running, worker)
+	}
+}
+
+// forget takes a node's waiting and running requests out of the sums.
+func (g *gatherer) forget(node *nodeDemand) {
+	for key := range node.waiting {
+		g.setWaiting(node, key, waits{})
+	}
+	for worker, counts := range node.running {
+		for model := range counts {
+			g.setRunning(node, worker, model, 0)
 		}
-		node.running[run.GetWorker()][run.GetModel()] = int(run.GetRunning())
 	}
-	return waits
 }
 
 // takeAsked counts the requests since the node's last message. The first
@@ -129,6 +206,7 @@
 func (g *gatherer) expire(now time.Time) {
 	for name, node := range g.nodes {
 		if now.Sub(node.heardAt) > nodeSilence {
+			g.forget(node)
 			delete(g.nodes, name)
 		}
 	}
@@ -143,42 +221,23 @@
 const fadedRate = 0.001
 
 // waitingFor sums the waiting requests for a key, with when the first of them is late and began.
-func (g *gatherer) waitingFor(key demandKey) (count int, due, since time.Time) {
-	for _, node := range g.nodes {
-		count += node.waiting[key]
-		if began, waits := node.since[key]; waits && (since.IsZero() || began.Before(since)) {
-			since = began
+func (g *gatherer) waitingFor(key demandKey) waits {
+	var sum waits
+	for _, w := range g.waiting[key] {
+		if sum.count == 0 || w.since.Before(sum.since) {
+			sum.since = w.since
 		}
-		if nodeDue, waits := node.due[key]; waits && (due.IsZero() || nodeDue.Before(due)) {
-			due = nodeDue
+		if sum.count == 0 || w.due.Before(sum.due) {
+			sum.due = w.due
 		}
+		sum.count += w.count
 	}
-	return count, due, since
-}
-
-// keys returns every key that is asked for or waited for.
-func (g *gatherer) keys() map[demandKey]bool {
-	keys := make(map[demandKey]bool, len(g.rates))
-	for key := range g.rates {
-		keys[key] = true
-	}
-	for _, node := range g.nodes {
-		for key := range node.waiting {
-			keys[key] = true
-		}
-	}
-	return keys
+	return sum
 }
 
-// runningAt sums the requests that run at a worker, by model.
-func (g *gatherer) runningAt(worker string) map[string]int {
-	sum := map[string]int{}
-	for _, node := range g.nodes {
-		for model, count := range node.running[worker] {
-			if count > 0 {
-				sum[model] += count
-			}
-		}
-	}
-	return sum
+// takeRan returns the workers whose sums changed since the last call.
+func (g *gatherer) takeRan() map[string]bool {
+	ran := g.ran
+	g.ran = map[string]bool{}
+	return ran
 }
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -1,6 +1,7 @@
 package conductor
 
 import (
+	"maps"
 	"sort"
 	"time"
 
@@ -10,6 +11,7 @@
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
 	"github.com/acaciaproxy/acaciaproxy/placer"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
+	"github.com/acaciaproxy/acaciaproxy/viewer"
 )
 
 const (
@@ -29,8 +31,12 @@
 // orders may be given; the caller holds mu.
 func (c *Conductor) refresh(now time.Time) {
 	c.demand.expire(now)
-	for id, known := range c.workers {
-		c.countRuns(now, id, known)
+	for id := range c.demand.takeRan() {
+		if known, mine := c.workers[id]; mine {
+			c.takeRuns(now, id, known)
+		}
+	}
+	for _, known := range c.workers {
 		known.reserved = false
 		if known.unsure && known.idle() && !now.Before(known.retryAt) {
 			known.reporting = true
@@ -49,18 +55,18 @@
 	}
 }
 
-// countRuns takes in what runs at a worker; the caller holds mu.
-func (c *Conductor) countRuns(now time.Time, id string, known *charge) {
-	running := c.demand.runningAt(id)
-	for model := range running {
-		if unit, found := known.units[model]; found {
-			unit.usedAt = now
+// takeRuns takes in that what runs at a worker has changed; the caller holds mu.
+func (c *Conductor) takeRuns(now time.Time, id string, known *charge) {
+	running := c.demand.running[id]
+	for _, models := range []map[string]int{known.running, running} {
+		for model := range models {
+			if unit, found := known.units[model]; found {
+				unit.usedAt = now
+			}
 		}
 	}
-	if known.total() != lo.Sum(lo.Values(running)) {
-		c.touch(id)
-	}
-	known.running = running
+	known.running = maps.Clone(running)
+	c.touchLoad(id)
 }
 
 // planService plans the models of one service; the caller holds mu.
@@ -148,7 +154,7 @@
 	for _, model := range known.models() {
 		unit := known.units[model]
 		place.Units = append(place.Units, placer.Unit{
-			Model: model, Running: known.running[model], IdleMS: float64(now.Sub(unit.usedAt).Milliseconds()),
+			Model: model, Running: known.running[model], IdleMS: known.idleMS(now, model, unit),
 			AdapterMB: float64(len(unit.adapters)+len(unit.coming)) * service.Models[model].AdapterMB,
 		})
 	}
@@ -184,19 +190,27 @@
 // demands sums the demand for the models of a service; adapters count for their model. The caller holds mu.
 func (c *Conductor) demands(now time.Time, service *cataloger.Service) []placer.Demand {
 	sums := map[string]*placer.Demand{}
-	for key := range c.demand.keys() {
-		if key.service != service.Name {
-			continue
-		}
-		sum, known := sums[key.model]
+	sumOf := func(model string) *placer.Demand {
+		sum, known := sums[model]
 		if !known {
-			sum = &placer.Demand{Model: key.model}
-			sums[key.model] = sum
+			sum = &placer.Demand{Model: model}
+			sums[model] = sum
+		}
+		return sum
+	}
+	for key, r := range c.demand.rates {
+		if key.service == service.Name {
+			addRate(sumOf(key.model), key, r)
+		}
+	}
+	for key := range c.demand.waiting {
+		// Those that wait for an adapter of a model that is ready do not wait for the model.
+		if key.service == service.Name && (key.adapter == "" || !c.isHeld(now, key.service, key.model)) {
+			addWaiting(now, sumOf(key.model), c.demand.waitingFor(key))
 		}
-		c.addDemand(now, sum, key)
 	}
 	for _, w := range c.parts.List.Fleet().Of(service.Name) {
-		for model, running := range c.demand.runningAt(w.ID) {
+		for model, running := range c.demand.running[w.ID] {
 			if sum, known := sums[model]; known {
 				sum.Running += running
 			}
@@ -210,36 +224,25 @@
 	return demands
 }
 
-func (c *Conductor) addDemand(now time.Time, sum *placer.Demand, key demandKey) {
-	if r, known := c.demand.rates[key]; known {
-		sum.Rate += r.slow
-		sum.Recent += r.recent
-		if key.adapter != "" {
-			sum.AdapterRate += r.slow
-		}
-	}
-	if key.adapter != "" && c.isHeld(now, key.service, key.model) {
-		return // These wait for the adapter, not for the model.
-	}
-	waiting, due, since := c.demand.waitingFor(key)
-	if waiting == 0 {
-		return
+func addRate(sum *placer.Demand, key demandKey, r *rate) {
+	sum.Rate += r.slow
+	sum.Recent += r.recent
+	if key.adapter != "" {
+		sum.AdapterRate += r.slow
 	}
-	dueMS := float64(due.Sub(now).Milliseconds())
+}
+
+func addWaiting(now time.Time, sum *placer.Demand, w waits) {
+	dueMS := float64(w.due.Sub(now).Milliseconds())
 	if sum.Waiting == 0 || dueMS < sum.DueMS {
 		sum.DueMS = dueMS
 	}
-	sum.Waiting += waiting
-	sum.WaitedMS = max(sum.WaitedMS, float64(now.Sub(since).Milliseconds()))
+	sum.Waiting += w.count
+	sum.WaitedMS = max(sum.WaitedMS, float64(now.Sub(w.since).Milliseconds()))
 }
 
 func (c *Conductor) isHeld(now time.Time, service, model string) bool {
-	for _, holder := range c.parts.View.Holders(now, service, model, "") {
-		if holder.ReadyAt.IsZero() {
-			return true
-		}
-	}
-	return false
+	return lo.SomeBy(c.parts.View.Holders(now, service, model, ""), func(holder viewer.Holder) bool { return holder.ReadyAt.IsZero() })
 }
 
 // storeLoads returns how many loads from the weight store this zone may begin
@@ -276,7 +279,7 @@
 	if move.Tier == placer.TierStore {
 		c.storeStarts = append(c.storeStarts, now)
 	}
-	c.touch(known.worker.ID)
+	c.touch(known.worker.ID, move.Model)
 	log.Info().Str("worker", known.worker.ID).Str("model", move.Model).Strs("victims", move.Victims).Str("tier", move.Tier.String()).
 		Str("reason", move.Reason).Int("waiting", move.Waiting).Float64("due_ms", move.DueMS).Float64("loss", move.Loss).
 		Float64("takes_ms", move.TakesMS).Int64("orders", known.orders).Int64("epoch", c.epoch).Msg("load decided")
--- a/conductor/swap.go
+++ b/conductor/swap.go
@@ -96,10 +96,10 @@
 
 // endSwap makes a worker open for the next move; the caller holds mu.
 func (c *Conductor) endSwap(now time.Time, known *charge) {
+	c.touch(known.worker.ID, known.loading)
 	known.swapping = false
 	known.loading = ""
 	known.changedAt = now
-	c.touch(known.worker.ID)
 	c.flush()
 	c.Kick()
 }
@@ -174,7 +174,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	known.readyAt = time.Now().Add(time.Duration(tierMS(model)[move.Tier]) * time.Millisecond)
-	c.touch(w.ID)
+	c.touch(w.ID, model.Name)
 	c.flush()
 	return nil
 }
@@ -273,7 +273,7 @@
 		known.retryAt = now.Add(firstRetry)
 	}
 	log.Info().Str("worker", w.ID).Int64("orders", report.Orders).Bool("busy", report.Busy).Strs("models", known.models()).Msg("worker's state read")
-	c.touch(w.ID)
+	c.touch(w.ID, known.models()...)
 	c.flush()
 	c.Kick()
 }
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -206,7 +206,7 @@
 	if e.mine() && now.Before(e.ValidUntil()) {
 		return e.proposeRenewal(now, successors)
 	}
-	if !e.mayTake(now) {
+	if !e.MayTake(now) {
 		return nil
 	}
 	e.predecessor = e.seen.Lease
@@ -234,10 +234,10 @@
 	return e.inFlight
 }
 
-// mayTake reports whether the holder's lease has surely lapsed.
+// MayTake reports whether this node may take the lease: it is free, or the holder's has surely lapsed.
 // A successor that has not promised waits one term. Any other node also waits
 // the longest hold-over, because the holder may decide on promises until then.
-func (e *Elector) mayTake(now time.Time) bool {
+func (e *Elector) MayTake(now time.Time) bool {
 	if now.Before(e.promisedUntil) && e.promisedTo == e.seen.Lease.Holder.Incarnation {
 		return false
 	}
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -8,12 +8,15 @@
 import (
 	"encoding/json"
 	"fmt"
+	"sort"
 	"sync"
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/elector"
+	"github.com/acaciaproxy/acaciaproxy/nodewire"
 	"github.com/acaciaproxy/acaciaproxy/platformclient"
 )
 
@@ -25,8 +28,9 @@
 	renewAfter = 750 * time.Millisecond
 	// step is how often the lease is looked at.
 	step = 50 * time.Millisecond
-	// calmPoll is the pause between two reads of the rows while all leaders are heard of.
-	calmPoll = 5 * time.Second
+	// calmPoll is the pause between two reads of the rows while all leaders are heard of, toldPoll while the own zone's tells of the others.
+	calmPoll = 10 * time.Second
+	toldPoll = 30 * time.Second
 	// seekPoll is the pause while one is not.
 	seekPoll = 400 * time.Millisecond
 	// failedPoll is the pause after a read that failed.
@@ -46,6 +50,11 @@
 	freshRead = 500 * time.Millisecond
 	// slowWrite is how long a renewal may take before the successors are asked for promises.
 	slowWrite = 250 * time.Millisecond
+	// weakWait is how much longer than others a node without processor time waits before it takes a vacant lease;
+	// all hosts of a zone start within 0.3 s of each other.
+	weakWait = 600 * time.Millisecond
+	// fullStrength is the share of a core from which a node does not wait; a leader of 75 nodes needs about a third of it.
+	fullStrength = 0.4
 	// returnGrace is how long other nodes leave a lapsed lease to its holder after the store's return.
 	returnGrace = 700 * time.Millisecond
 )
@@ -65,6 +74,8 @@
 	Ask func(deadline time.Time, successor elector.Member, epoch int64, hold time.Duration) bool
 	// QuietMS is how long after another holder's last possible order this node may give its first, in milliseconds.
 	QuietMS int64
+	// Strength is the share of a core that this node has; the strong lead where they can.
+	Strength float64
 	// Changed is called after this node took or lost the lease, or another zone's holder changed.
 	Changed func()
 }
@@ -82,6 +93,10 @@
 	holders map[string]elector.Member
 	// epochs maps zones to the epochs of their rows.
 	epochs map[string]int64
+	// rows maps zones to their rows; a message is never changed once it is here.
+	rows map[string]*nodewire.LeaseView
+	// vacantAt is since when this node might take the lease; zero while it may not.
+	vacantAt time.Time
 	// quietUntil is when this node may give orders under its lease.
 	quietUntil time.Time
 	// readAt is when the rows were last read.
@@ -110,7 +125,7 @@
 func New(parts Parts) *Leaseholder {
 	return &Leaseholder{
 		parts: parts, stopped: make(chan struct{}), wake: make(chan struct{}, 1),
-		elector: elector.NewWithTerm(parts.Self, term, renewAfter, holdOver), holders: map[string]elector.Member{}, epochs: map[string]int64{},
+		elector: elector.NewWithTerm(parts.Self, term, renewAfter, holdOver), holders: map[string]elector.Member{}, epochs: map[string]int64{}, rows: map[string]*nodewire.LeaseView{},
 	}
 }
 
@@ -172,30 +187,34 @@
 	return nil
 }
 
-// Written returns this node's lease as it was last written, and the version of its row.
-func (l *Leaseholder) Written() (lease string, version int64) {
+// Known returns the leases of all zones as this node knows them, in the order of the zones' names.
+func (l *Leaseholder) Known() []*nodewire.LeaseView {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	text, err := json.Marshal(l.elector.Lease())
-	if err != nil {
-		return "", 0 // A lease is plain data; followers read the row themselves.
-	}
-	return string(text), l.elector.Version()
+	known := lo.Values(l.rows)
+	sort.Slice(known, func(i, j int) bool { return known[i].GetZone() < known[j].GetZone() })
+	return known
 }
 
-// Hear takes in the zone's lease as its leader last wrote it, which spares a read.
-func (l *Leaseholder) Hear(text string, version int64) {
+// Hear takes in a zone's lease as the own zone's leader knows it, which spares a read.
+func (l *Leaseholder) Hear(heard *nodewire.LeaseView) {
 	var lease elector.Lease
-	if version == 0 || json.Unmarshal([]byte(text), &lease) != nil {
+	if err := json.Unmarshal([]byte(heard.GetLease()), &lease); err != nil {
+		log.Error().Str("zone", heard.GetZone()).Err(err).Msg("lease from a leader cannot be read")
 		return
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if _, leading := l.elector.Leading(l.parts.Now()); leading || version <= l.elector.Version() {
+	if heard.GetVersion() <= l.rows[heard.GetZone()].GetVersion() {
 		return
 	}
-	l.elector.Observe(l.parts.Now(), elector.Seen{Lease: lease, Version: version})
-	l.observe(l.parts.Zone, lease)
+	if heard.GetZone() == l.parts.Zone {
+		if _, leading := l.elector.Leading(l.parts.Now()); leading || heard.GetVersion() <= l.elector.Version() {
+			return
+		}
+		l.elector.Observe(l.parts.Now(), elector.Seen{Lease: lease, Version: heard.GetVersion()})
+	}
+	l.observe(heard.GetZone(), heard.GetLease(), heard.GetVersion(), lease)
 }
 
 // Quiet returns for how long this node must still give no orders though it leads.
@@ -213,6 +232,13 @@
 	return holder, l.epochs[zone], known && holder.Incarnation != ""
 }
 
+// Zones returns the zones that have a lease row.
+func (l *Leaseholder) Zones() []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return lo.Keys(l.holders)
+}
+
 // keep reads the rows when due and takes or renews the lease.
 func (l *Leaseholder) keep() {
 	if l.due() {
@@ -223,7 +249,7 @@
 	l.elector.Inherit()
 	_, leading := l.elector.Leading(now)
 	var proposal *elector.Proposal
-	if l.mayPropose(now, leading) {
+	if l.mayPropose(now, leading) && (leading || !l.defers(now)) {
 		proposal = l.elector.Propose(now, l.successors())
 	}
 	if proposal != nil {
@@ -294,7 +320,7 @@
 	if proposal == nil {
 		return false
 	}
-	if _, err := l.write(proposal); err != nil {
+	if _, _, err := l.write(proposal); err != nil {
 		log.Warn().Str("zone", l.parts.Zone).Err(err).Msg("lease not handed over; it lapses")
 		return false
 	}
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -73,7 +74,7 @@
 func (z *zone) start(name string) {
 	self := elector.Member{Node: name, Incarnation: name + z.now.String(), Address: name}
 	z.nodes[name] = New(Parts{
-		Zone: "z", Self: self, QuietMS: quietMS, Changed: func() {}, Now: func() time.Time { z.mu.Lock(); defer z.mu.Unlock(); return z.now },
+		Zone: "z", Self: self, QuietMS: quietMS, Strength: strengthOf(name), Changed: func() {}, Now: func() time.Time { z.mu.Lock(); defer z.mu.Unlock(); return z.now },
 		Rows:       &platformclient.Platform{ReadRows: z.read(name), Write: z.write(name)},
 		Heard:      func(string) bool { return z.heard(name) },
 		Successors: func() []elector.Member { return z.others(name) },
@@ -84,6 +85,14 @@
 	})
 }
 
+// strengthOf returns a node's share of a core; names that begin with "weak" have little.
+func strengthOf(name string) float64 {
+	if strings.HasPrefix(name, "weak") {
+		return 0.1
+	}
+	return 1
+}
+
 var errAway = errors.New("the store is away")
 
 func (z *zone) read(name string) func(time.Time, []string, string) ([]platformclient.Row, error) {
--- a/leaseholder/row.go
+++ b/leaseholder/row.go
@@ -8,6 +8,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/acaciaproxy/acaciaproxy/elector"
+	"github.com/acaciaproxy/acaciaproxy/nodewire"
 	"github.com/acaciaproxy/acaciaproxy/platformclient"
 )
 
@@ -33,6 +34,19 @@
 	return fresh && !l.failing && now.Sub(l.returnedAt) >= returnGrace && (free || !l.parts.Heard(l.parts.Zone))
 }
 
+// defers reports whether a vacant lease is left to stronger nodes for now; the caller holds mu.
+func (l *Leaseholder) defers(now time.Time) bool {
+	if !l.elector.MayTake(now) {
+		l.vacantAt = time.Time{}
+		return false
+	}
+	if l.vacantAt.IsZero() {
+		l.vacantAt = now
+	}
+	weakness := 1 - min(l.parts.Strength/fullStrength, 1)
+	return now.Sub(l.vacantAt) < time.Duration(weakness*float64(weakWait))
+}
+
 // answered takes in whether the store answered; the caller holds mu.
 func (l *Leaseholder) answered(err error) {
 	if err == nil && l.failing {
@@ -55,7 +69,8 @@
 	}
 	_, ownKnown := l.holders[l.parts.Zone]
 	l.mu.Unlock()
-	if first || age >= calmPoll {
+	told := !leading && l.parts.Heard(l.parts.Zone)
+	if first || age >= toldPoll || !told && age >= calmPoll {
 		return true
 	}
 	if age < seekPoll || failing && age < failedPoll {
@@ -64,6 +79,9 @@
 	if !leading && !ownKnown {
 		return true
 	}
+	if told {
+		return false
+	}
 	for _, zone := range zones {
 		if !(zone == l.parts.Zone && leading) && !l.parts.Heard(zone) {
 			return true
@@ -94,16 +112,19 @@
 		if row.Key == l.parts.Zone {
 			own = elector.Seen{Lease: lease, Version: row.Version}
 		}
-		l.observe(row.Key, lease)
+		l.observe(row.Key, row.Value, row.Version, lease)
 	}
 	l.elector.Observe(sentAt, own)
 }
 
 // observe takes in a zone's lease; the caller holds mu.
-func (l *Leaseholder) observe(zone string, lease elector.Lease) {
+func (l *Leaseholder) observe(zone, text string, version int64, lease elector.Lease) {
 	if lease.Epoch < l.epochs[zone] {
 		return
 	}
+	if version > l.rows[zone].GetVersion() {
+		l.rows[zone] = &nodewire.LeaseView{Zone: zone, Lease: text, Version: version}
+	}
 	if l.holders[zone] != lease.Holder {
 		log.Info().Str("zone", zone).Str("holder", lease.Holder.Node).Int64("epoch", lease.Epoch).Msg("leader known")
 	}
@@ -115,7 +136,7 @@
 	l.mu.Lock()
 	l.writingAt = l.parts.Now()
 	l.mu.Unlock()
-	verdict, err := l.write(proposal)
+	text, verdict, err := l.write(proposal)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.writingAt = time.Time{}
@@ -131,7 +152,7 @@
 		return
 	}
 	l.elector.Wrote(true, verdict.Versions[l.parts.Zone])
-	l.observe(l.parts.Zone, proposal.Lease)
+	l.observe(l.parts.Zone, text, verdict.Versions[l.parts.Zone], proposal.Lease)
 }
 
 // quietAfter returns when the first order may leave after a lease that is taken
@@ -145,13 +166,15 @@
 	return now.Add(time.Duration(l.parts.QuietMS) * time.Millisecond)
 }
 
-func (l *Leaseholder) write(proposal *elector.Proposal) (platformclient.Verdict, error) {
+// write writes a lease and returns the row's text with the outcome.
+func (l *Leaseholder) write(proposal *elector.Proposal) (string, platformclient.Verdict, error) {
 	text, err := json.Marshal(proposal.Lease)
 	if err != nil {
-		return platformclient.Verdict{}, fmt.Errorf("encode lease of zone %q: %w", l.parts.Zone, err)
+		return "", platformclient.Verdict{}, fmt.Errorf("encode lease of zone %q: %w", l.parts.Zone, err)
 	}
-	return l.parts.Rows.Write(time.Now().Add(callTime), platformclient.Transaction{
+	verdict, err := l.parts.Rows.Write(time.Now().Add(callTime), platformclient.Transaction{
 		Checks: []platformclient.Check{{Key: l.parts.Zone, Version: proposal.Version}},
 		Puts:   []platformclient.Row{{Key: l.parts.Zone, Value: string(text)}},
 	})
+	return string(text), verdict, err
 }
--- a/placer/fill.go
+++ b/placer/fill.go
@@ -10,9 +10,8 @@
 // fill loads models into memory that nothing uses, as after a restart or on a
 // new worker: first those that have no holder, then the busiest ones.
 func (s *state) fill() {
-	for i := range s.input.Places {
-		place := &s.input.Places[i]
-		if !s.isOpen(place) {
+	for _, place := range s.open {
+		if s.taken[place.ID] {
 			continue
 		}
 		if demand := s.fillDemand(place, s.freeMB(place)); demand != nil {
@@ -23,6 +22,9 @@
 
 // fillDemand returns the demand for the model that should fill a place, or nil.
 func (s *state) fillDemand(place *Place, free float64) *Demand {
+	if free < s.leastMB {
+		return nil
+	}
 	var best *Demand
 	bestValue := 0.0
 	for i := range s.input.Demands {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -20,10 +20,14 @@
 	holders, coming map[string]int
 	// reached counts the holders in zones that do not seem cut off.
 	reached map[string]int
+	// open are the places that could take a move when the plan began.
+	open []*Place
 	// taken marks the places that already have a move in this plan.
 	taken      map[string]bool
 	storeLoads int
-	moves      []Move
+	// leastMB is the size of the smallest model.
+	leastMB float64
+	moves   []Move
 }
 
 // Plan returns the moves to make now, in the order of their urgency.
@@ -35,6 +39,10 @@
 	for i := range input.Demands {
 		s.demands[input.Demands[i].Model] = &input.Demands[i]
 	}
+	s.leastMB = math.Inf(1)
+	for _, model := range input.Models {
+		s.leastMB = min(s.leastMB, model.MemoryMB)
+	}
 	s.count()
 	for _, want := range s.wants() {
 		s.place(want)
@@ -50,6 +58,9 @@
 		if !place.Usable {
 			continue
 		}
+		if s.isOpen(place) {
+			s.open = append(s.open, place)
+		}
 		for _, unit := range place.Units {
 			s.holders[unit.Model]++
 			if !place.CutOff {
@@ -66,9 +77,12 @@
 func (s *state) place(w want) {
 	var best *Move
 	bestCost := math.Inf(1)
-	for i := range s.input.Places {
-		place := &s.input.Places[i]
-		if !s.mayLoad(place, w) {
+	mayUseStore := s.mayUseStore(w)
+	for _, place := range s.open {
+		if s.taken[place.ID] || holds(place, w.model.Name) {
+			continue
+		}
+		if place.tier(w.model.Name) == TierStore && (!mayUseStore || place.Mine && s.storeLoads <= 0) {
 			continue
 		}
 		move, cost, possible := s.cost(place, w)
@@ -112,23 +126,12 @@
 // tieBreak orders places of equal cost differently for each model.
 func tieBreak(place, model string) uint64 { return xxhash.Sum64String(place + "\x00" + model) }
 
-// mayLoad reports whether a place can take a load of the wanted model now.
-func (s *state) mayLoad(place *Place, w want) bool {
-	if !s.isOpen(place) || holds(place, w.model.Name) {
-		return false
-	}
-	return place.tier(w.model.Name) != TierStore || s.mayUseStore(place, w)
-}
-
-// mayUseStore reports whether a load from the weight store may begin: only for
-// models without a copy at any usable worker.
-func (s *state) mayUseStore(place *Place, w want) bool {
-	if place.Mine && s.storeLoads <= 0 {
-		return false
-	}
+// mayUseStore reports whether a wanted model may be loaded from the weight
+// store: only one without a copy at any usable worker.
+func (s *state) mayUseStore(w want) bool {
 	for i := range s.input.Places {
-		other := &s.input.Places[i]
-		if other.Usable && other.tier(w.model.Name) != TierStore && !holds(other, w.model.Name) {
+		place := &s.input.Places[i]
+		if place.Usable && place.tier(w.model.Name) != TierStore && !holds(place, w.model.Name) {
 			return false
 		}
 	}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -31,10 +31,18 @@
 	InMemory, OnDisk map[string]bool
 	// RowVersion is the version of the heartbeat's row; it only rises for one ID.
 	RowVersion int64
+	// ChangedVersion is the version at which it last said something new about whether and where it can be reached.
+	ChangedVersion int64
 	// SeenAt is when the heartbeat was read here.
 	SeenAt time.Time
 }
 
+// sameReach reports whether two heartbeats say the same about whether and where a worker can be reached.
+func (w *Worker) sameReach(other *Worker) bool {
+	return w.Service == other.Service && w.Zone == other.Zone && w.Address == other.Address && w.Slots == other.Slots &&
+		w.Leaving == other.Leaving && w.Born == other.Born
+}
+
 // Change is one heartbeat, or the end of one.
 type Change struct {
 	// Worker is the new entry; only ID and RowVersion are set when Removed.
@@ -76,6 +84,8 @@
 	doubted map[string]time.Time
 	// disturbedUntil is until when a missing entry may be one that comes back.
 	disturbedUntil time.Time
+	// changed is the newest version of a change that Since returns; it never falls.
+	changed int64
 }
 
 // lapseGrace is how long an entry that lapsed during an outage may be missing after the store's return.
@@ -98,6 +108,52 @@
 	r.disturbedUntil = now.Add(lapseGrace)
 }
 
+// DisturbedUntil returns until when a missing entry may be one that comes back.
+func (r *Registrar) DisturbedUntil() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.disturbedUntil
+}
+
+// DisturbUntil takes in that missing entries may come back until a time.
+func (r *Registrar) DisturbUntil(until time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if until.After(r.disturbedUntil) {
+		r.disturbedUntil = until
+	}
+}
+
+// Changed returns the version of the newest change that Since returns.
+func (r *Registrar) Changed() int64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.changed
+}
+
+// Since returns the workers that said something new after a version, and those
+// that are gone since, in the order of their names.
+func (r *Registrar) Since(version int64) []Change {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.changed <= version {
+		return nil
+	}
+	var changes []Change
+	for id, w := range r.workers {
+		if _, removed := r.removed[id]; !removed && w.ChangedVersion > version {
+			changes = append(changes, Change{Worker: *w})
+		}
+	}
+	for id, removed := range r.removed {
+		if removed > version {
+			changes = append(changes, Change{Worker: Worker{ID: id, RowVersion: removed}, Removed: true})
+		}
+	}
+	sort.Slice(changes, func(i, j int) bool { return changes[i].Worker.ID < changes[j].Worker.ID })
+	return changes
+}
+
 // Replace takes in the whole list as of a version of the store. It returns
 // the workers that are missing from it.
 func (r *Registrar) Replace(now time.Time, workers []Worker, version int64) []string {
@@ -163,6 +219,13 @@
 	if w.RowVersion < r.removed[w.ID] {
 		return
 	}
+	w.ChangedVersion = w.RowVersion
+	if known, found := r.workers[w.ID]; found && known.sameReach(w) {
+		if _, removed := r.removed[w.ID]; !removed {
+			w.ChangedVersion = known.ChangedVersion
+		}
+	}
+	r.changed = max(r.changed, w.ChangedVersion)
 	r.workers[w.ID] = w
 	delete(r.doubted, w.ID)
 	delete(r.removed, w.ID)
@@ -175,6 +238,7 @@
 		return
 	}
 	r.removed[id] = version
+	r.changed = max(r.changed, version)
 	if now.Before(r.disturbedUntil) {
 		if _, doubted := r.doubted[id]; !doubted {
 			r.doubted[id] = now.Add(lapseGrace)
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -37,6 +37,7 @@
 type Fleet struct {
 	settings  *settingsreader.Settings
 	watcher   *watcher.Watcher
+	registrar *registrar.Registrar
 	viewer    *viewer.Viewer
 	lease     *leaseholder.Leaseholder
 	conductor *conductor.Conductor
@@ -88,20 +89,22 @@
 	settings := do.MustInvoke[*settingsreader.Settings](i)
 	f := &Fleet{
 		settings: settings, watcher: do.MustInvoke[*watcher.Watcher](i), viewer: do.MustInvoke[*viewer.Viewer](i),
-		peers: do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: operator.NewMetrics(),
+		registrar: do.MustInvoke[*registrar.Registrar](i),
+		peers:     do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: operator.NewMetrics(),
 	}
 	f.lease = leaseholder.New(leaseholder.Parts{
 		Zone: settings.Zone(), Now: timekeeper.Now, QuietMS: settings.QuietMS(), Rows: do.MustInvoke[*platform.Store](i).Rows,
 		Self:       elector.Member{Node: settings.Name(), Incarnation: newIncarnation(settings.Name()), Address: settings.Nodes()},
 		Heard:      func(zone string) bool { return f.viewer.Live(time.Now(), zone) },
-		Changed:    func() { f.conductor.Kick() },
+		Strength:   settings.Strength(),
+		Changed:    f.leadChanged,
 		Successors: func() []elector.Member { return f.conductor.Members() },
 		Ask:        f.askPromise,
 	})
 	f.conductor = conductor.New(conductor.Parts{
-		Node: settings.Name(), Zone: settings.Zone(), Catalog: f.watcher.Catalog, List: do.MustInvoke[*registrar.Registrar](i),
+		Node: settings.Name(), Zone: settings.Zone(), Catalog: f.watcher.Catalog, List: do.MustInvoke[*registrar.Registrar](i), Fresh: f.fresh,
 		View: f.viewer, Recorder: do.MustInvoke[*recorder.Recorder](i), Order: f.workers.Order, Report: f.workers.Report,
-		Lease: conductor.Lease{Leading: f.lease.Leading, Quiet: f.lease.Quiet, CheckOrder: f.lease.CheckOrder, Written: f.lease.Written},
+		Lease: conductor.Lease{Leading: f.lease.Leading, Quiet: f.lease.Quiet, CheckOrder: f.lease.CheckOrder, Known: f.lease.Known},
 	})
 	f.subscribe = f.newSubscriber(do.MustInvoke[*registrar.Registrar](i), do.MustInvoke[*tallier.Tallier](i))
 	limits := budgeter.Limits{Ratio: settings.RepeatRatio(), Slack: settings.RepeatSlack(), WindowS: settings.RepeatWindow()}
@@ -115,6 +118,35 @@
 	return f, nil
 }
 
+// leadChanged takes in that this node has taken or lost its zone's lease. Only a leader's own reads hold
+// what it plans with.
+func (f *Fleet) leadChanged() {
+	if f.leads() {
+		f.watcher.EndRelay()
+	}
+	f.conductor.Kick()
+}
+
+// takeRelay takes in what a leader of this zone read, unless this node leads by now.
+func (f *Fleet) takeRelay(now time.Time, news watcher.Relay) {
+	if !f.leads() {
+		f.watcher.TakeRelay(now, news)
+	}
+}
+
+func (f *Fleet) leads() bool {
+	_, leading := f.lease.Leading()
+	return leading
+}
+
+// fresh returns how well this node knows the list of workers by its own reads.
+func (f *Fleet) fresh(now time.Time) conductor.Freshness {
+	return conductor.Freshness{
+		Base: f.watcher.ListBase(), Version: f.watcher.ListVersion(), ReadAt: f.watcher.ReadAt(now),
+		DisturbedUntil: f.registrar.DisturbedUntil(),
+	}
+}
+
 // isolated reports whether this node hears neither the store nor any leader.
 func (f *Fleet) isolated() bool {
 	now := time.Now()
@@ -126,9 +158,11 @@
 		Self: f.lease.Self(), Zone: f.settings.Zone(), Holder: f.lease.Holder, Client: f.peers.Fleet, Drop: f.peers.Drop,
 		Zones: func() []string {
 			zones := lo.Map(list.Fleet().All(), func(w *registrar.Worker, _ int) string { return w.Zone })
-			return lo.Uniq(append(zones, f.settings.Zone()))
+			return lo.Uniq(append(append(zones, f.settings.Zone()), f.lease.Zones()...))
 		},
 		Tally: tally, View: f.viewer, Config: f.configVersion, Hear: f.watcher.Hear, Lease: f.lease.Hear,
+		Relay: f.takeRelay, EndRelay: f.watcher.EndRelay, ListVersion: f.watcher.ListVersion, Strength: f.settings.Strength(),
+		Leads:      f.leads,
 		Suspicions: func() []forwarder.Suspicion { return f.forwarder.Suspicions() },
 		Suspect:    func(suspicion forwarder.Suspicion) { f.forwarder.Suspect(suspicion) },
 	})
--- a/server/fleetservice.go
+++ b/server/fleetservice.go
@@ -18,11 +18,11 @@
 
 // Follow implements nodewire.FleetServer.
 func (s *fleetService) Follow(stream nodewire.Fleet_FollowServer) error {
-	next, end := s.fleet.conductor.Subscribe(s.fleet.configVersion)
-	if next == nil {
+	subscription := s.fleet.conductor.Subscribe()
+	if subscription == nil {
 		return status.Error(codes.FailedPrecondition, "this node does not lead its zone")
 	}
-	defer end()
+	defer subscription.End()
 	ended := make(chan struct{})
 	go func() {
 		defer close(ended)
@@ -31,12 +31,12 @@
 			if err != nil {
 				return // The node left or the stream broke; both end it.
 			}
-			s.fleet.conductor.Take(demand)
+			subscription.Take(demand)
 			s.fleet.watcher.Hear(demand.GetConfig())
 		}
 	}()
 	for {
-		view := next(ended)
+		view := subscription.Next(ended)
 		if view == nil {
 			return nil
 		}
--- a/settingsreader/settings.go
+++ b/settingsreader/settings.go
@@ -37,6 +37,8 @@
 	configurer.NewChoiceField("form", []string{FormTable, FormFleet}, "what kind of platform this is; with \"fleet\" the operators' configuration and the workers' heartbeats lie in its store"),
 	configurer.NewTextField("ready", false, "", "IP and port for the balancer's readiness checks, with form \"fleet\""),
 	configurer.NewNumberField("quiet", 0, 60000, 3000, "milliseconds between the last order of one leader and the first of the next, with form \"fleet\""),
+	configurer.NewNumberField("cores", 0.001, 4096, 1, "cores of this host, with form \"fleet\""),
+	configurer.NewNumberField("share", 0.001, 1, 1, "share of each core that this node may use; nodes with more of the processor lead where they can, with form \"fleet\""),
 	configurer.NewNumberField("ratio", 0, 10, 0.2, "repeated sends for each request over all nodes, with form \"fleet\""),
 	configurer.NewNumberField("slack", 0, 1e6, 50, "repeated sends that are free in a window over all nodes, with form \"fleet\""),
 	configurer.NewNumberField("window", 1, 3600, 10, "seconds of the window of repeated sends, with form \"fleet\""),
@@ -130,6 +132,9 @@
 // QuietMS returns the milliseconds between the orders of two leaders.
 func (s *Settings) QuietMS() int64 { return int64(s.object.Number("quiet")) }
 
+// Strength returns how many cores this node may use.
+func (s *Settings) Strength() float64 { return s.object.Number("cores") * s.object.Number("share") }
+
 // RepeatRatio returns the repeated sends for each request.
 func (s *Settings) RepeatRatio() float64 { return s.object.Number("ratio") }
 
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -9,20 +9,20 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/elector"
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
 	"github.com/acaciaproxy/acaciaproxy/nodewire"
+	"github.com/acaciaproxy/acaciaproxy/pacer"
+	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/tallier"
 	"github.com/acaciaproxy/acaciaproxy/viewer"
+	"github.com/acaciaproxy/acaciaproxy/watcher"
 )
 
 // Times of the streams.
 const (
-	// sendPause is the shortest pause between two messages; a request that begins to wait is told after it.
-	sendPause = 15 * time.Millisecond
-	// sendInterval is the pause while nobody begins to wait.
-	sendInterval = 60 * time.Millisecond
 	// beatInterval is the longest pause between two messages.
 	beatInterval = 400 * time.Millisecond
 	// silence is how long a leader may be silent before the stream is opened anew.
@@ -46,8 +46,17 @@
 	Drop   func(address string)
 	Tally  *tallier.Tallier
 	View   *viewer.Viewer
-	// Lease takes in the own zone's lease as its leader last wrote it.
-	Lease func(lease string, version int64)
+	// Lease takes in a zone's lease as the own zone's leader knows it.
+	Lease func(lease *nodewire.LeaseView)
+	// Relay takes in what the own zone's leader read from the store, EndRelay that it was lost.
+	Relay    func(now time.Time, news watcher.Relay)
+	EndRelay func()
+	// ListVersion returns the version up to which this node knows all changes of the list of workers.
+	ListVersion func() int64
+	// Leads reports whether this node leads its zone.
+	Leads func() bool
+	// Strength is the share of a core that this node has.
+	Strength float64
 	// Config returns the version of the configuration in force, Hear takes in that a leader has another.
 	Config func() int64
 	Hear   func(version int64)
@@ -167,6 +176,9 @@
 
 func (s *Subscriber) lost(zone string, holder elector.Member, heard bool, why string) {
 	s.parts.View.Silence(zone)
+	if zone == s.parts.Zone {
+		s.parts.EndRelay()
+	}
 	if heard {
 		log.Warn().Str("zone", zone).Str("node", holder.Node).Str("why", why).Msg("leader lost")
 	}
@@ -198,7 +210,7 @@
 	s.parts.View.Announce(now, view.GetZone(), view.GetEpoch(), announcements, view.GetWhole())
 	s.parts.Hear(view.GetConfig())
 	if view.GetZone() == s.parts.Zone {
-		s.parts.Lease(view.GetLease(), view.GetLeaseVersion())
+		s.takeOwnZone(now, view)
 	}
 	s.nodes.Store(int64(view.GetNodes()))
 	for _, suspicion := range view.GetSuspicions() {
@@ -206,6 +218,35 @@
 	}
 }
 
+// takeOwnZone takes in what only the own zone's leader tells.
+func (s *Subscriber) takeOwnZone(now time.Time, view *nodewire.View) {
+	for _, lease := range view.GetLeases() {
+		s.parts.Lease(lease)
+	}
+	relay := view.GetRelay()
+	if relay == nil {
+		return
+	}
+	s.parts.Relay(now, watcher.Relay{
+		Version: relay.GetVersion(), ReadAt: now.Add(-time.Duration(relay.GetAgeMs()) * time.Millisecond),
+		DisturbedUntil: now.Add(time.Duration(relay.GetDisturbedMs()) * time.Millisecond),
+		Changes: lo.Map(relay.GetChanges(), func(heartbeat *nodewire.Heartbeat, _ int) registrar.Change {
+			return changeOf(now, heartbeat)
+		}),
+	})
+}
+
+func changeOf(now time.Time, heartbeat *nodewire.Heartbeat) registrar.Change {
+	held := map[string][]string{}
+	for _, unit := range heartbeat.GetUnits() {
+		held[unit.GetModel()] = unit.GetAdapters()
+	}
+	return registrar.Change{Removed: heartbeat.GetRemoved(), Worker: registrar.Worker{
+		ID: heartbeat.GetWorker(), Service: heartbeat.GetService(), Zone: heartbeat.GetZone(), Address: heartbeat.GetAddress(), Slots: int(heartbeat.GetSlots()),
+		Leaving: heartbeat.GetLeaving(), Born: heartbeat.GetBorn(), Held: held, RowVersion: heartbeat.GetRowVersion(), SeenAt: now,
+	}}
+}
+
 func announcementOf(now time.Time, zone string, worker *nodewire.WorkerView) viewer.Announcement {
 	announcement := viewer.Announcement{
 		Worker: worker.GetWorker(), Zone: zone, Born: worker.GetBorn(), Running: int(worker.GetRunning()), HeardAt: now,
@@ -243,9 +284,9 @@
 		case <-ctx.Done():
 			return
 		case <-changed:
-		case <-time.After(sendInterval):
+			time.Sleep(pacer.Shortest)
+		case <-time.After(pacer.Pause(s.Nodes())):
 		}
-		time.Sleep(sendPause)
 	}
 }
 
@@ -265,6 +306,7 @@
 func (s *Subscriber) header() *nodewire.Demand {
 	return &nodewire.Demand{
 		Node: s.parts.Self.Node, Zone: s.parts.Zone, Address: s.parts.Self.Address, Incarnation: s.parts.Self.Incarnation, Config: s.parts.Config(), AgeMs: time.Since(s.started).Milliseconds(),
+		Leads: s.parts.Leads(), Strength: s.parts.Strength, ListVersion: s.parts.ListVersion(),
 	}
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -20,7 +20,7 @@
 	// connection delays a change by at most this and callSlack, less if a peer has it.
 	catalogWaitMS = 2500
 	// workersPause is the least time between two calls for heartbeats; the newest are that much late.
-	workersPause = 1250 * time.Millisecond // The platform gives nodes 2 s to hear that a worker leaves.
+	workersPause = 600 * time.Millisecond // The platform gives nodes 2 s to hear that a worker leaves; a lost leader takes 1.2 s of it.
 	// workersWaitMS bounds a call for heartbeats that finds none, in milliseconds.
 	workersWaitMS = 600
 	// callSlack is the time that the store has beyond its wait.
@@ -84,15 +84,30 @@
 	fetching atomic.Bool
 	// answered is when the store last answered; never nil while running.
 	answered atomic.Pointer[time.Time]
+	// relay is what the own zone's leader tells of the list of workers.
+	relay relay
+	// listVersion is the version up to which all changes of the list are known, or -1; it never falls.
+	listVersion atomic.Int64
+	// listBase is the version from which on all changes are known, or -1.
+	listBase atomic.Int64
+	// readAt is when a read of the list by this node was last answered, or nil.
+	readAt atomic.Pointer[time.Time]
 	// calls and failures count the calls to the store.
 	calls, failures atomic.Int64
 }
 
 // New returns a watcher that does not read yet. Changed must not block.
 func New(source Source, list *registrar.Registrar, changed func()) *Watcher {
-	return &Watcher{source: source, registrar: list, changed: changed, stopped: make(chan struct{})}
+	w := &Watcher{source: source, registrar: list, changed: changed, stopped: make(chan struct{})}
+	w.listVersion.Store(unlisted)
+	w.listBase.Store(unlisted)
+	w.relay.ended = make(chan struct{})
+	return w
 }
 
+// unlisted stands for a version while no list was read.
+const unlisted = -1
+
 // Catalog returns the configuration in force, or nil before the first was read.
 func (w *Watcher) Catalog() *cataloger.Catalog { return w.catalog.Load() }
 
@@ -176,6 +191,11 @@
 	after := int64(0)
 	relistAt := time.Now()
 	for {
+		if waited, goOn := w.awaitUnrelayed(); !goOn {
+			return
+		} else if waited {
+			known = false // Changes may have come meanwhile.
+		}
 		var document Document
 		var err error
 		if !known || time.Now().After(relistAt) {
@@ -230,28 +250,28 @@
 // followWorkers keeps the list of workers up to date until Stop.
 func (w *Watcher) followWorkers() {
 	known, failing := false, false
-	after := int64(0)
 	relistAt := time.Now()
 	for {
+		if waited, goOn := w.awaitUnrelayed(); !goOn {
+			return
+		} else if waited {
+			known = false
+		}
 		startedAt := time.Now()
+		var err error
 		if !known || startedAt.After(relistAt) {
-			version, err := w.listWorkers(&failing)
-			if err == nil {
-				known, after = true, version
+			if err = w.listWorkers(&failing); err == nil {
 				relistAt = startedAt.Add(relistAfter)
 			}
 		} else {
-			version, err := w.feedWorkers(after, &failing)
-			after = max(after, version)
-			known = err == nil
-			var compacted *CompactedError
-			if errors.As(err, &compacted) {
-				continue
-			}
+			err = w.feedWorkers(&failing)
 		}
-		for _, id := range w.registrar.Expire(time.Now()) {
-			log.Info().Str("worker", id).Msg("worker gone: its entry did not come back after the store's outage")
+		known = err == nil
+		var compacted *CompactedError
+		if errors.As(err, &compacted) {
+			continue
 		}
+		w.expire()
 		pause := time.Until(startedAt.Add(workersPause))
 		if !known {
 			pause = retryPause
@@ -262,11 +282,19 @@
 	}
 }
 
-func (w *Watcher) listWorkers(failing *bool) (int64, error) {
-	changes, version, err := w.source.ListWorkers(time.Now().Add(callSlack))
+// expire drops the workers whose entries did not come back after an outage.
+func (w *Watcher) expire() {
+	for _, id := range w.registrar.Expire(time.Now()) {
+		log.Info().Str("worker", id).Msg("worker gone: its entry did not come back after the store's outage")
+	}
+}
+
+func (w *Watcher) listWorkers(failing *bool) error {
+	sentAt := time.Now()
+	changes, version, err := w.source.ListWorkers(sentAt.Add(callSlack))
 	w.called(err, "workers", failing)
 	if err != nil {
-		return 0, err
+		return err
 	}
 	workers := make([]registrar.Worker, len(changes))
 	for i := range changes {
@@ -275,21 +303,37 @@
 	for _, id := range w.registrar.Replace(time.Now(), workers, version) {
 		log.Info().Str("worker", id).Int64("version", version).Msg("worker missing from the list")
 	}
+	w.listBase.CompareAndSwap(unlisted, version)
 	w.listed.Store(true)
-	w.changed()
-	return version, nil
+	w.tookList(sentAt, version)
+	return nil
 }
 
-func (w *Watcher) feedWorkers(after int64, failing *bool) (int64, error) {
-	changes, version, err := w.source.FeedWorkers(time.Now().Add(workersWaitMS*time.Millisecond+callSlack), after, workersWaitMS)
+func (w *Watcher) feedWorkers(failing *bool) error {
+	changes, version, err := w.source.FeedWorkers(time.Now().Add(workersWaitMS*time.Millisecond+callSlack), w.listVersion.Load(), workersWaitMS)
 	w.called(err, "workers", failing)
 	if err != nil {
-		return after, err
+		return err
 	}
 	w.logChanges(changes)
 	w.registrar.Apply(time.Now(), changes)
+	w.tookList(time.Now(), version)
+	return nil
+}
+
+// tookList takes in that all changes up to a version are known.
+func (w *Watcher) tookList(at time.Time, version int64) {
+	w.raiseList(version)
+	w.readAt.Store(&at)
 	w.changed()
-	return version, nil
+}
+
+func (w *Watcher) raiseList(version int64) {
+	for known := w.listVersion.Load(); known < version; known = w.listVersion.Load() {
+		if w.listVersion.CompareAndSwap(known, version) {
+			return
+		}
+	}
 }
 
 // logChanges logs workers that come, leave or go.
