Refuse at once what the weight store cannot bring in time; store loads by value and age

The store was used badly: one request that had just come, and that no load could serve in time, went before seven that waited longer (due times were compared with a load from memory); at most three loads ran though four are at full speed; nothing was loaded ahead.

Ruled out: holding longer (the callers leave), more loads at once (the store gives no more a second).

Change: the plan says when each waiting model without a move should be loaded, the leaders pass that on to the nodes that wait, and these refuse at once with a Retry-After. Refused requests keep their model wanted, since they come back. Values grow with the time a model was loaded nowhere. How many loads run at once is learned from how long they take. Idle store loads bring models without any copy. Copies are taken from every heartbeat; a load that outlasts its copy's time counts as one from the store and is announced so. Histogram 'estimate': by how much the first estimate was wrong.

--- a/conductor/charge.go
+++ b/conductor/charge.go
@@ -75,8 +75,11 @@
 		c.unsure = true
 		return true
 	}
-	if w.Born == c.born && c.idle() {
+	if w.Born == c.born {
+		// Also of a worker that is never idle, whose loads evict copies.
 		c.inMemory, c.onDisk = w.InMemory, w.OnDisk
+	}
+	if w.Born == c.born && c.idle() {
 		if now.Sub(c.changedAt) > heartbeatLag && !c.matches(w.Held) {
 			c.unsure = true
 		}
--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -129,6 +129,12 @@
 	suspicions map[string]suspicion
 	// storeStarts are the times at which loads from the weight store were decided.
 	storeStarts []time.Time
+	// atOnce bounds those under way.
+	atOnce throttle
+	// unserved maps the models that are asked for but loaded nowhere to since when.
+	unserved map[demandKey]time.Time
+	// waits holds when the models that got no move should be ready, in milliseconds, by service and model.
+	waits map[string]map[string]float64
 	// passed maps workers of other zones to until when plans pass them by.
 	passed map[string]time.Time
 	// quietUntil is when orders may be given under the lease.
@@ -143,6 +149,7 @@
 		parts: parts, stopped: make(chan struct{}), kicks: make(chan struct{}, 1),
 		workers: map[string]*charge{}, demand: newGatherer(), followers: map[*follower]bool{},
 		suspicions: map[string]suspicion{}, passed: map[string]time.Time{}, pending: map[string]time.Time{}, news: map[string]bool{},
+		atOnce: throttle{limit: firstAtOnce}, unserved: map[demandKey]time.Time{}, waits: map[string]map[string]float64{},
 	}
 }
 
@@ -264,6 +271,7 @@
 	c.resignLocked()
 	c.epoch, c.began = epoch, time.Now()
 	c.passed, c.pending = map[string]time.Time{}, map[string]time.Time{}
+	c.unserved, c.waits = map[demandKey]time.Time{}, map[string]map[string]float64{}
 	log.Info().Str("zone", c.parts.Zone).Int64("epoch", epoch).Msg("orders begin")
 }
 
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -28,8 +28,11 @@
 const (
 	fakeLoad   = 20 * time.Millisecond
 	fakeUnload = 5 * time.Millisecond
-	fakePlaces = 2 // models that fit
-	reportAge  = 30 * time.Millisecond
+	// fakeStoreLoad is a little longer than the configuration says.
+	fakeStoreLoad = (fakeStoreMS + 400) * time.Millisecond
+	fakeStoreMS   = 1000
+	fakePlaces    = 2 // models that fit
+	reportAge     = 30 * time.Millisecond
 )
 
 // fakeWorker takes orders as the users' workers do.
@@ -44,6 +47,8 @@
 	// crashed is set when a load did not fit.
 	crashed bool
 	random  *rand.Rand
+	// evicted is set when the worker has no copies any more though its heartbeats say so.
+	evicted bool
 	// lost and late are the shares of orders whose answer is lost, and of these carried out later.
 	lost, late float64
 }
@@ -83,6 +88,9 @@
 	takes := fakeUnload
 	if !order.Unload {
 		takes = fakeLoad
+		if w.evicted {
+			takes = fakeStoreLoad
+		}
 		w.crashed = w.crashed || len(w.held) >= fakePlaces
 	}
 	time.AfterFunc(takes, func() {
@@ -148,7 +156,7 @@
 	onDisk := map[string]bool{}
 	for i := range 6 {
 		name := fmt.Sprintf("m%d", i)
-		models[name] = cataloger.Model{Name: name, MemoryMB: 100, StoreMS: 500, DiskMS: 20, WarmMS: 20}
+		models[name] = cataloger.Model{Name: name, MemoryMB: 100, StoreMS: fakeStoreMS, DiskMS: 20, WarmMS: 20}
 		onDisk[name] = true
 	}
 	catalog := cataloger.New(1, nil, []cataloger.Service{{Name: "s", Models: models, MemoryMB: 100*fakePlaces + 50, AdapterSlots: 2, LoadsPerS: 10}}, cataloger.Limits{})
@@ -275,6 +283,28 @@
 		gomega.Eventually(told, 2*time.Second, time.Millisecond).Should(gomega.BeTrue())
 		gomega.Expect(z.given).To(gomega.BeZero())
 	})
+	ginkgo.It("waits for a load that turns out to come from the store, and tells when it will end", func() {
+		z := newFakeZone(1, 0, 0)
+		z.workers["w0"].evicted = true
+		z.conductor.Run()
+		defer z.conductor.Stop()
+		subscription := z.subscribe()
+		defer subscription.End()
+		z.want("m0")
+		told := int64(0)
+		for deadline := time.Now().Add(3 * time.Second); !z.holds("m0") && time.Now().Before(deadline); {
+			for _, worker := range subscription.Next(nil).GetWorkers() {
+				for _, unit := range worker.GetUnits() {
+					told = max(told, unit.GetReadyMs())
+				}
+			}
+		}
+		gomega.Expect(z.holds("m0")).To(gomega.BeTrue())
+		gomega.Expect(told).To(gomega.BeNumerically(">", fakeStoreMS/4), "the end of a load from the store")
+		z.conductor.mu.Lock()
+		defer z.conductor.mu.Unlock()
+		gomega.Expect(z.conductor.workers["w0"].failures).To(gomega.BeZero())
+	})
 	ginkgo.It("tells followers at once what is coming, and then what is there", func() {
 		z := newFakeZone(1, 0, 0)
 		z.conductor.Run()
--- a/conductor/follow.go
+++ b/conductor/follow.go
@@ -169,7 +169,7 @@
 	}
 	message := &nodewire.View{
 		Zone: c.parts.Zone, Epoch: c.epoch, Config: c.configVersion(), Whole: f.whole, Nodes: int32(len(c.demand.nodes)),
-		Leases: c.leases(f), Relay: c.relay(now, f),
+		Leases: c.leases(f), Relay: c.relay(now, f), Waits: c.waitsOf(f),
 	}
 	if f.whole {
 		for id := range c.workers {
@@ -193,6 +193,21 @@
 	return message
 }
 
+// waitsOf returns when the models that a follower's requests wait for should be ready; the caller holds mu.
+func (c *Conductor) waitsOf(f *follower) []*nodewire.WaitView {
+	node := c.demand.nodes[f.node]
+	if node == nil {
+		return nil
+	}
+	var waits []*nodewire.WaitView
+	for key := range node.waiting {
+		if endsMS, known := c.waits[key.service][key.model]; known {
+			waits = append(waits, &nodewire.WaitView{Service: key.service, Model: key.model, EndsMs: int64(endsMS)})
+		}
+	}
+	return waits
+}
+
 // leases returns the leases that a follower of this zone was not told yet; the caller holds mu.
 func (c *Conductor) leases(f *follower) []*nodewire.LeaseView {
 	if node := c.demand.nodes[f.node]; node == nil || node.zone != c.parts.Zone {
--- a/conductor/gatherer.go
+++ b/conductor/gatherer.go
@@ -21,7 +21,9 @@
 // rate is the requests a second for one key over two memories.
 type rate struct {
 	slow, recent float64
-	at           time.Time
+	// refused is how many requests were refused, with the memory of slow.
+	refused float64
+	at      time.Time
 }
 
 func (r *rate) decay(now time.Time) {
@@ -31,6 +33,7 @@
 	}
 	r.slow *= math.Exp(-elapsed / rateMemory.Seconds())
 	r.recent *= math.Exp(-elapsed / recentMemory.Seconds())
+	r.refused *= math.Exp(-elapsed / rateMemory.Seconds())
 	r.at = now
 }
 
@@ -56,7 +59,8 @@
 	// leads is set when the node leads its zone, strength is its share of a core.
 	leads    bool
 	strength float64
-	asked    map[demandKey]int64
+	// asked and refused are the counts that the node last told.
+	asked, refused map[demandKey]int64
 	// waiting holds the keys for which requests wait.
 	waiting map[demandKey]waits
 	// running holds the requests at each worker by model; every count is positive.
@@ -97,7 +101,7 @@
 func (g *gatherer) take(now time.Time, message *nodewire.Demand) bool {
 	node, known := g.nodes[message.GetNode()]
 	if !known {
-		node = &nodeDemand{asked: map[demandKey]int64{}, waiting: map[demandKey]waits{}, running: map[string]map[string]int{}}
+		node = &nodeDemand{asked: map[demandKey]int64{}, refused: map[demandKey]int64{}, waiting: map[demandKey]waits{}, running: map[string]map[string]int{}}
 		g.nodes[message.GetNode()] = node
 	}
 	if message.GetWhole() {
@@ -109,7 +113,14 @@
 	began := false
 	for _, model := range message.GetModels() {
 		key := demandKey{model.GetService(), model.GetModel(), model.GetAdapter()}
-		g.takeAsked(now, node, key, model.GetAsked(), known)
+		if asked := increase(node.asked, key, model.GetAsked(), known); asked > 0 {
+			g.rateOf(now, key).add(now, asked)
+		}
+		if refused := increase(node.refused, key, model.GetRefused(), known); refused > 0 {
+			r := g.rateOf(now, key)
+			r.decay(now)
+			r.refused += float64(refused)
+		}
 		began = began || int(model.GetWaiting()) > node.waiting[key].count
 		g.setWaiting(node, key, waits{
 			count: int(model.GetWaiting()), due: now.Add(time.Duration(model.GetDueMs()) * time.Millisecond),
@@ -177,26 +188,27 @@
 	}
 }
 
-// takeAsked counts the requests since the node's last message. The first
-// message of a node says nothing of when its requests came.
-func (g *gatherer) takeAsked(now time.Time, node *nodeDemand, key demandKey, asked int64, known bool) {
-	before, seen := node.asked[key]
-	node.asked[key] = asked
-	if asked < before {
-		before = 0 // The node's process has started again.
-	}
+// increase returns by how much a node's count has risen since its last message.
+// The first message of a node says nothing of when its requests came.
+func increase(told map[demandKey]int64, key demandKey, count int64, known bool) int64 {
+	before, seen := told[key]
+	told[key] = count
 	if !known && !seen {
-		before = asked
+		return 0
 	}
-	if asked == before {
-		return
+	if count < before {
+		return count // The node's process has started again.
 	}
+	return count - before
+}
+
+func (g *gatherer) rateOf(now time.Time, key demandKey) *rate {
 	r, found := g.rates[key]
 	if !found {
 		r = &rate{at: now}
 		g.rates[key] = r
 	}
-	r.add(now, asked-before)
+	return r
 }
 
 // nodeSilence is how long a node's demand counts after its last message.
--- a/conductor/plan.go
+++ b/conductor/plan.go
@@ -15,9 +15,6 @@
 )
 
 const (
-	// storeLoadsAtOnce bounds the loads from the weight store under way over all zones; the users' store
-	// is at full speed with four at once, and one is left for a zone that does not know of the others.
-	storeLoadsAtOnce = 3
 	// storeWindow is the window in which loads from the store are counted against its rate.
 	storeWindow = 5 * time.Second // The platform's ceilingWindowS.
 	// runsPerHolder is the share of a worker's slots that a model's requests should take at each of its holders.
@@ -72,10 +69,15 @@
 // planService plans the models of one service; the caller holds mu.
 func (c *Conductor) planService(now time.Time, service *cataloger.Service) {
 	fleet := c.parts.List.Fleet().Of(service.Name)
+	underWay := c.storeLoadsUnderWay(now, service)
 	input := placer.Input{
 		Models: modelsOf(service), Places: c.places(now, service, fleet), Demands: c.demands(now, service),
-		Passed: map[string]bool{}, Limits: placer.Limits{StoreLoads: c.storeLoads(now, service), RunsPerHolder: c.runsPerHolder(fleet)},
+		Passed: map[string]bool{}, Limits: placer.Limits{
+			StoreLoads: c.storeLoads(now, service, underWay), StoreAtOnce: c.atOnce.limit, StoreUnderWay: underWay,
+			RunsPerHolder: c.runsPerHolder(fleet),
+		},
 	}
+	c.markUnserved(now, service.Name, input)
 	for id, until := range c.passed {
 		if now.Before(until) {
 			input.Passed[id] = true
@@ -83,13 +85,54 @@
 			delete(c.passed, id)
 		}
 	}
-	moves := placer.Plan(input)
-	c.passIdle(now, moves)
-	for _, move := range moves {
+	decision := placer.Plan(input)
+	c.passIdle(now, decision.Moves)
+	for _, move := range decision.Moves {
 		if known := c.workers[move.Worker]; move.Mine && known != nil {
 			c.startMove(now, known, service, move)
 		}
 	}
+	c.expect(service.Name, decision.Waits)
+}
+
+// markUnserved takes in since when each model is asked for but loaded nowhere, and
+// tells the plan; the caller holds mu.
+func (c *Conductor) markUnserved(now time.Time, service string, input placer.Input) {
+	held := map[string]bool{}
+	for i := range input.Places {
+		for _, unit := range input.Places[i].Units {
+			held[unit.Model] = true
+		}
+	}
+	for i := range input.Demands {
+		demand := &input.Demands[i]
+		key := demandKey{service: service, model: demand.Model}
+		if held[demand.Model] {
+			delete(c.unserved, key)
+			continue
+		}
+		since, known := c.unserved[key]
+		if !known {
+			since = now
+			c.unserved[key] = now
+		}
+		demand.UnservedMS = float64(now.Sub(since).Milliseconds())
+	}
+}
+
+// expect takes in when models that got no move should be ready. Nodes whose
+// requests wait for one are told at once the first time; the caller holds mu.
+func (c *Conductor) expect(service string, waits []placer.Wait) {
+	before := c.waits[service]
+	expected := make(map[string]float64, len(waits))
+	for _, wait := range waits {
+		expected[wait.Model] = wait.EndsMS
+		if _, told := before[wait.Model]; !told {
+			c.news[wait.Model] = true
+			c.changed = true
+		}
+	}
+	c.waits[service] = expected
 }
 
 // runsPerHolder returns the load at which a model gets another holder.
@@ -227,6 +270,9 @@
 func addRate(sum *placer.Demand, key demandKey, r *rate) {
 	sum.Rate += r.slow
 	sum.Recent += r.recent
+	if key.adapter == "" {
+		sum.Refused += r.refused
+	}
 	if key.adapter != "" {
 		sum.AdapterRate += r.slow
 	}
@@ -245,9 +291,8 @@
 	return lo.SomeBy(c.parts.View.Holders(now, service, model, ""), func(holder viewer.Holder) bool { return holder.ReadyAt.IsZero() })
 }
 
-// storeLoads returns how many loads from the weight store this zone may begin
-// now; the caller holds mu.
-func (c *Conductor) storeLoads(now time.Time, service *cataloger.Service) int {
+// storeLoadsUnderWay counts the loads from the weight store in all zones; the caller holds mu.
+func (c *Conductor) storeLoadsUnderWay(now time.Time, service *cataloger.Service) int {
 	underWay := 0
 	for _, w := range c.parts.List.Fleet().Of(service.Name) {
 		if known, mine := c.workers[w.ID]; mine {
@@ -262,10 +307,16 @@
 			}
 		}
 	}
+	return underWay
+}
+
+// storeLoads returns how many loads from the weight store this zone may begin
+// now; the caller holds mu.
+func (c *Conductor) storeLoads(now time.Time, service *cataloger.Service, underWay int) int {
 	c.storeStarts = lo.Filter(c.storeStarts, func(at time.Time, _ int) bool { return now.Sub(at) < storeWindow })
 	zones := lo.Uniq(lo.Map(c.parts.List.Fleet().Of(service.Name), func(w *registrar.Worker, _ int) string { return w.Zone }))
 	share := service.LoadsPerS * storeWindow.Seconds() / float64(max(len(zones), 1))
-	return min(storeLoadsAtOnce-underWay, int(share)-len(c.storeStarts))
+	return min(c.atOnce.limit-underWay, int(share)-len(c.storeStarts))
 }
 
 // startMove begins a move; the caller holds mu.
--- a/conductor/swap.go
+++ b/conductor/swap.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -22,8 +23,10 @@
 	orderPoll = 25 * time.Millisecond
 	// unloadLimit is how long an unload may take: its runs end by themselves.
 	unloadLimit = 6 * time.Second
-	// loadSlack is the least time that a load may take beyond the expected one; loadFactor is the factor.
-	loadSlack  = 1500 * time.Millisecond
+	// loadSlack is how much longer than expected a load from a copy may take before it counts as one from the store;
+	// it leaves time for a report.
+	loadSlack = 600 * time.Millisecond
+	// loadFactor is how many times longer than expected a load from the store may take.
 	loadFactor = 3
 	// firstRetry and lastRetry bound the pause after moves that failed.
 	firstRetry = 100 * time.Millisecond
@@ -35,6 +38,8 @@
 	// order is what was ordered, outcome what became of it.
 	order   Order
 	outcome Outcome
+	// underWay is set when the worker was busy and its count of orders as expected.
+	underWay bool
 	// cause is nil when the worker answered.
 	cause error
 }
@@ -70,7 +75,7 @@
 		return
 	}
 	ordered := time.Now()
-	if err := c.awaitLoad(epoch, known, w, model); err != nil {
+	if err := c.awaitLoad(epoch, known, w, model, move.Tier); err != nil {
 		c.swapFailed(epoch, known, err)
 		return
 	}
@@ -84,10 +89,24 @@
 	known.units[model.Name].usedAt = now
 	c.endSwap(now, known)
 	known.failures = 0
+	c.learnStore(model, move, now.Sub(ordered))
 	log.Info().Str("worker", w.ID).Str("model", model.Name).Str("tier", move.Tier.String()).Int64("unload_ms", ordered.Sub(began).Milliseconds()).
 		Int64("load_ms", now.Sub(ordered).Milliseconds()).Int64("orders", known.orders).Int64("epoch", epoch).Msg("load done")
 }
 
+// learnStore takes in how long a load from the weight store took; the caller holds mu.
+func (c *Conductor) learnStore(model cataloger.Model, move placer.Move, took time.Duration) {
+	if move.Tier != placer.TierStore {
+		return
+	}
+	before := c.atOnce.limit
+	c.atOnce.ended(took, time.Duration(model.StoreMS)*time.Millisecond, move.StoreUnderWay+1)
+	if c.atOnce.limit != before {
+		log.Info().Int("at_once", c.atOnce.limit).Int("before", before).Int("under_way", move.StoreUnderWay+1).
+			Int64("took_ms", took.Milliseconds()).Float64("expected_ms", model.StoreMS).Msg("loads from the weight store at once")
+	}
+}
+
 func (c *Conductor) workerOf(known *charge) *registrar.Worker {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -190,6 +209,8 @@
 type conflicts struct {
 	// deadline is when the order is given up, reportAt when the next report is read.
 	deadline, reportAt time.Time
+	// busy is set once a report has shown that the worker carries the order out.
+	busy bool
 }
 
 func newConflicts(deadline time.Time) *conflicts {
@@ -204,7 +225,7 @@
 	c.mu.Unlock()
 	now := time.Now()
 	if now.After(tries.deadline) {
-		return &SwapError{order: order, outcome: OutcomeConflict}
+		return &SwapError{order: order, outcome: OutcomeConflict, underWay: tries.busy}
 	}
 	if now.After(tries.reportAt) {
 		tries.reportAt = now.Add(patience)
@@ -217,20 +238,44 @@
 		if report.Orders != order.Expected || report.Born != born || !report.Busy {
 			return &SwapError{order: order, outcome: OutcomeConflict}
 		}
+		tries.busy = true
 	}
 	time.Sleep(orderPoll)
 	return nil
 }
 
-// awaitLoad returns once a load has ended.
-func (c *Conductor) awaitLoad(epoch int64, known *charge, w *registrar.Worker, model cataloger.Model) error {
+// awaitLoad returns once a load has ended. A worker that is still busy with it
+// when it should have ended had no copy of the weights any more and fetches them
+// from the store.
+func (c *Conductor) awaitLoad(epoch int64, known *charge, w *registrar.Worker, model cataloger.Model, tier placer.Tier) error {
+	ordered := time.Now()
 	c.mu.Lock()
-	readyAt := known.readyAt
+	expected := known.readyAt.Sub(ordered)
 	c.mu.Unlock()
-	expected := time.Until(readyAt)
-	deadline := time.Now().Add(max(loadFactor*expected, expected+loadSlack))
 	time.Sleep(expected)
-	return c.awaitHolds(epoch, known, w, Order{Model: model.Name}, deadline)
+	order := Order{Model: model.Name}
+	fromStore := time.Duration(model.StoreMS) * time.Millisecond
+	if tier == placer.TierStore {
+		return c.awaitHolds(epoch, known, w, order, ordered.Add(loadFactor*expected))
+	}
+	err := c.awaitHolds(epoch, known, w, order, ordered.Add(expected+loadSlack))
+	if !isUnderWay(err) {
+		return err
+	}
+	c.mu.Lock()
+	known.readyAt = ordered.Add(fromStore)
+	c.touch(w.ID, model.Name)
+	c.flush()
+	c.mu.Unlock()
+	log.Warn().Str("worker", w.ID).Str("model", model.Name).Int64("expected_ms", expected.Milliseconds()).Int64("store_ms", fromStore.Milliseconds()).
+		Int64("epoch", epoch).Msg("load takes longer than its copy would")
+	return c.awaitHolds(epoch, known, w, order, ordered.Add(loadFactor*fromStore))
+}
+
+// isUnderWay reports whether an order failed only because the worker was still busy with it at the deadline.
+func isUnderWay(err error) bool {
+	var failed *SwapError
+	return errors.As(err, &failed) && failed.outcome == OutcomeConflict && failed.underWay
 }
 
 // awaitHolds repeats an order until the worker answers that it holds; reports lag.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -170,6 +170,8 @@
 	// worker is where it was last sent, load what that worker was believed to run then.
 	worker string
 	load   int
+	// expectedAt is when its model should have been ready by the first estimate; zero while there is none.
+	expectedAt time.Time
 	// heldMS is how long it waited for its model, firstMS after how long the answer began, both in milliseconds.
 	heldMS, firstMS int64
 }
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -110,7 +110,7 @@
 }
 
 // acquire returns a worker that has the call's model ready, waiting for a load if need be.
-func (f *Forwarder) acquire(ctx context.Context, c *call) (*registrar.Worker, error) {
+func (f *Forwarder) acquire(ctx context.Context, c *call) (worker *registrar.Worker, err error) {
 	var endWait func()
 	began := time.Now()
 	defer func() {
@@ -120,6 +120,7 @@
 			f.parts.Recorder.Observe(recorder.MeasureCold, c.service.Name, c.route.Name, time.Since(began))
 		}
 	}()
+	defer func() { f.checkEstimate(c, err) }()
 	for {
 		changed := f.parts.View.Changed()
 		now := time.Now()
@@ -149,13 +150,18 @@
 		latest = end.Add(-streamReserve)
 	}
 	if !now.Before(latest) {
+		f.parts.Tally.Refuse(c.key())
 		return f.without(c, newRefusal("not_loaded", "the model was not loaded in time", swapRetry))
 	}
-	expected, coming := earliest(holders)
-	if coming && expected.After(latest) {
+	expected, estimated := f.estimate(now, c, holders)
+	if estimated && c.expectedAt.IsZero() {
+		c.expectedAt = expected
+	}
+	if estimated && expected.After(latest) {
+		f.parts.Tally.Refuse(c.key())
 		return f.without(c, newRefusal("loads_late", "the model will not be loaded in time", expected.Sub(now)))
 	}
-	if coming || len(f.parts.View.Zones(now)) > 0 {
+	if estimated || len(f.parts.View.Zones(now)) > 0 {
 		return nil
 	}
 	if f.parts.Isolated() {
@@ -167,6 +173,26 @@
 	return nil
 }
 
+// estimate returns when a call's model should be ready: by the load under way,
+// or by what the leaders expect while none is.
+func (f *Forwarder) estimate(now time.Time, c *call, holders []viewer.Holder) (at time.Time, known bool) {
+	if at, coming := earliest(holders); coming {
+		return at, true
+	}
+	if len(holders) > 0 {
+		return time.Time{}, false // The model is there; an adapter, or a worker that can be reached, is not.
+	}
+	return f.parts.View.Expected(now, c.service.Name, c.Model)
+}
+
+// checkEstimate records by how much the first estimate of a held call's model was wrong.
+func (f *Forwarder) checkEstimate(c *call, err error) {
+	if err != nil || c.expectedAt.IsZero() {
+		return
+	}
+	f.parts.Recorder.Observe(recorder.MeasureEstimate, c.service.Name, c.route.Name, time.Since(c.expectedAt).Abs())
+}
+
 // earliest returns when the first load under way should end.
 func earliest(holders []viewer.Holder) (at time.Time, coming bool) {
 	for _, holder := range holders {
--- a/placer/describe.go
+++ b/placer/describe.go
@@ -89,12 +89,24 @@
 	Running int
 	// AdapterRate is the part of Rate that names adapters.
 	AdapterRate float64
+	// Refused is how many requests were refused lately because it is loaded nowhere; they may come back.
+	Refused float64
+	// UnservedMS is for how many milliseconds it has been asked for without being loaded anywhere.
+	UnservedMS float64
 }
 
+// isWanted reports whether callers would use the model if it were loaded.
+func (d *Demand) isWanted() bool { return d.Waiting > 0 || d.Refused >= refusedWanted }
+
+// refusedWanted is the count of refused requests from which a model is loaded for those that come back.
+const refusedWanted = 0.3
+
 // Limits bound a plan.
 type Limits struct {
 	// StoreLoads is how many more loads from the weight store may begin now, at this leader's workers.
 	StoreLoads int
+	// StoreAtOnce is how many may be under way over all zones, StoreUnderWay how many are.
+	StoreAtOnce, StoreUnderWay int
 	// RunsPerHolder is the load at which a model gets another holder.
 	RunsPerHolder float64
 }
@@ -120,6 +132,8 @@
 	// Tier is where the weights come from, TakesMS the expected time of unloads and load.
 	Tier    Tier
 	TakesMS float64
+	// StoreUnderWay is how many loads from the weight store were under way before.
+	StoreUnderWay int
 	// Mine is set when this leader carries the move out.
 	Mine bool
 	// Reason is "waiting", "replica" or "fill".
@@ -130,6 +144,22 @@
 	Loss    float64
 }
 
+// Wait says when a model that callers wait for, but that got no move, should be ready.
+type Wait struct {
+	// Model is loaded nowhere and not on its way.
+	Model string
+	// EndsMS is in how many milliseconds, if nothing more urgent comes.
+	EndsMS float64
+}
+
+// Decision is what a plan came to.
+type Decision struct {
+	// Moves are to be made now, the most urgent first.
+	Moves []Move
+	// Waits are in the order in which the models are likely to be loaded.
+	Waits []Wait
+}
+
 func holds(place *Place, model string) bool {
 	for _, unit := range place.Units {
 		if unit.Model == model {
--- a/placer/fill.go
+++ b/placer/fill.go
@@ -46,12 +46,13 @@
 }
 
 // mayFillFromStore reports whether a model may be loaded from the weight store
-// unasked: a busy one with at most one holder, while the store is idle.
+// unasked, while the store is idle: a busy one with at most one holder, or one
+// that no worker has a copy of.
 func (s *state) mayFillFromStore(place *Place, demand *Demand, held int) bool {
 	if place.Mine && s.storeLoads < fillStoreLoads {
 		return false
 	}
-	return held <= 1 && demand.Rate*valueS >= hotValue
+	return held <= 1 && demand.Rate*valueS >= hotValue || held == 0 && s.nearest(demand.Model) == TierStore
 }
 
 // fillPlace adds the move that fills a place.
--- a/placer/pattern_test.go
+++ b/placer/pattern_test.go
@@ -30,9 +30,14 @@
 	// BurstS is when rare models are asked for Burst times as often, for five seconds.
 	BurstS int
 	Burst  float64
-	// CrashS is when a quarter of the workers restart empty.
-	CrashS  int
-	Seconds int
+	// CrashS is when a quarter of the workers restart empty, ReplaceS when half of them are replaced by new ones without copies.
+	CrashS, ReplaceS int
+	Seconds          int
+	// VainShare is the most of all time that requests for rare models may be held and then not answered, as a share of
+	// what they could be held; 1 when it is not given.
+	VainShare float64
+	// Unserved is how many of the rare models may never be answered though they were asked for four times or more.
+	Unserved int
 	// RareShare and BusyShare are the least shares in time, StaticRare what a placement that never changes serves at most.
 	RareShare, BusyShare, StaticRare float64
 }
@@ -49,11 +54,18 @@
 			gomega.Expect(planned.share("rare")).To(gomega.BeNumerically(">=", p.RareShare), "rare models in time")
 			gomega.Expect(planned.share("busy")).To(gomega.BeNumerically(">=", p.BusyShare), "busy models in time")
 			gomega.Expect(static.share("rare")).To(gomega.BeNumerically("<=", p.StaticRare), "rare models in time without moves")
+			if p.VainShare > 0 {
+				gomega.Expect(planned.vainMS/float64(holdMS*planned.asked["rare"])).To(gomega.BeNumerically("<=", p.VainShare), "time held in vain")
+				gomega.Expect(len(planned.starved())).To(gomega.BeNumerically("<=", p.Unserved), "rare models never answered: %v", planned.starved())
+			}
 			gomega.Expect(planned.overfull).To(gomega.BeZero(), "loads beyond a worker's memory")
 		})
 	}
 })
 
+// storeAtOnce is how many loads from the weight store may be under way.
+const storeAtOnce = 3
+
 // stepMS is the pause between two plans, holdMS how long requests wait at most, busyAimMS within what a busy model's answer is in time.
 const (
 	stepMS    = 50
@@ -74,18 +86,34 @@
 type waiting struct {
 	model string
 	since int64
+	// again is set when it was refused before.
+	again bool
+}
+
+// returning is a refused request that comes back.
+type returning struct {
+	waiting
+	at int64
 }
 
 // play is a pattern being played.
 type play struct {
-	pattern  pattern
-	plans    bool
-	random   *rand.Rand
-	now      int64
-	workers  []*worker
-	models   map[string]placer.Model
-	rates    map[string]*[2]float64
-	waiting  []waiting
+	pattern pattern
+	plans   bool
+	random  *rand.Rand
+	now     int64
+	workers []*worker
+	models  map[string]placer.Model
+	rates   map[string]*[2]float64
+	waiting []waiting
+	// expects holds when models without a move should be ready, in milliseconds.
+	expects   map[string]float64
+	returning []returning
+	refused   map[string]float64
+	unserved  map[string]int64
+	// vainMS is for how long requests were held that got no answer.
+	vainMS   float64
+	answered map[string]int
 	asked    map[string]int
 	inTime   map[string]int
 	overfull int
@@ -94,7 +122,8 @@
 func newPlay(p pattern, plans bool) *play {
 	y := &play{
 		pattern: p, plans: plans, random: rand.New(rand.NewPCG(1, 2)), models: map[string]placer.Model{}, rates: map[string]*[2]float64{},
-		asked: map[string]int{}, inTime: map[string]int{},
+		asked: map[string]int{}, inTime: map[string]int{}, expects: map[string]float64{}, refused: map[string]float64{},
+		unserved: map[string]int64{}, answered: map[string]int{},
 	}
 	var names []string
 	for i := range p.Rare {
@@ -128,6 +157,7 @@
 func (y *play) run() *play {
 	for y.now = 0; y.now < int64(y.pattern.Seconds)*1000; y.now += stepMS {
 		y.crash()
+		y.replace()
 		y.arrive()
 		y.finish()
 		y.serve()
@@ -148,6 +178,27 @@
 	}
 }
 
+// replace takes half of the workers away and adds new ones without copies.
+func (y *play) replace() {
+	if y.pattern.ReplaceS == 0 || y.now != int64(y.pattern.ReplaceS)*1000 {
+		return
+	}
+	for i := range len(y.workers) / 2 {
+		y.workers[i] = &worker{units: map[string]int64{}, disk: map[string]bool{}, warm: map[string]bool{}, runs: map[string][]int64{}, busyTo: y.now + 1000}
+	}
+}
+
+// starved returns the rare models that were asked for often and never answered.
+func (y *play) starved() []string {
+	var names []string
+	for i := range y.pattern.Rare {
+		if name := fmt.Sprintf("rare%d", i); y.asked[name] >= 4 && y.answered[name] == 0 {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
 // arrive draws the requests of one step.
 func (y *play) arrive() {
 	rareRate := y.pattern.RareRate
@@ -166,6 +217,18 @@
 			y.ask("busy", name)
 		}
 	}
+	kept := y.returning[:0]
+	for _, r := range y.returning {
+		if r.at > y.now {
+			kept = append(kept, r)
+			continue
+		}
+		y.waiting = append(y.waiting, r.waiting)
+	}
+	y.returning = kept
+	for model := range y.refused {
+		y.refused[model] *= 1 - stepMS/5000.0
+	}
 	for _, r := range y.rates {
 		r[0] *= 1 - stepMS/5000.0
 		r[1] *= 1 - stepMS/1000.0
@@ -184,9 +247,10 @@
 
 func (y *play) ask(kind, model string) {
 	y.asked[kind]++
+	y.asked[model]++
 	y.rates[model][0] += 1 / 5.0
 	y.rates[model][1] += 1
-	y.waiting = append(y.waiting, waiting{model, y.now})
+	y.waiting = append(y.waiting, waiting{model: model, since: y.now})
 }
 
 // finish ends loads and runs.
@@ -216,13 +280,33 @@
 		switch {
 		case best != nil:
 			y.answer(best, request)
-		case y.now-request.since < holdMS:
+		case y.isHopeless(request):
+			y.refuse(request)
+		default:
 			kept = append(kept, request)
 		}
 	}
 	y.waiting = kept
 }
 
+// isHopeless reports whether a request will not be served while it may be held.
+func (y *play) isHopeless(request waiting) bool {
+	left := float64(holdMS - (y.now - request.since))
+	return left <= 0 || y.expects[request.model] > left
+}
+
+// comeBackMS is when a refused request comes back, once.
+const comeBackMS = 4000
+
+func (y *play) refuse(request waiting) {
+	y.vainMS += float64(y.now - request.since)
+	y.refused[request.model]++
+	if !request.again {
+		request.again, request.since = true, y.now+comeBackMS
+		y.returning = append(y.returning, returning{waiting: request, at: y.now + comeBackMS})
+	}
+}
+
 func (y *play) holder(model string) *worker {
 	var best *worker
 	for _, w := range y.workers {
@@ -246,6 +330,10 @@
 
 func (y *play) answer(w *worker, request waiting) {
 	took := y.now - request.since
+	y.answered[request.model]++
+	if request.again {
+		took += comeBackMS
+	}
 	if w.load() >= slowRuns {
 		took += busyAimMS
 	}
@@ -262,8 +350,12 @@
 
 // plan plans and carries the moves out.
 func (y *play) plan() {
-	moves := placer.Plan(y.input())
-	for _, move := range moves {
+	decision := placer.Plan(y.input())
+	y.expects = map[string]float64{}
+	for _, wait := range decision.Waits {
+		y.expects[wait.Model] = wait.EndsMS
+	}
+	for _, move := range decision.Moves {
 		var index int
 		if _, err := fmt.Sscanf(move.Worker, "w%d", &index); err != nil {
 			ginkgo.Fail(err.Error())
@@ -284,7 +376,16 @@
 }
 
 func (y *play) input() placer.Input {
-	input := placer.Input{Models: y.models, Limits: placer.Limits{StoreLoads: 2, RunsPerHolder: 12.8}}
+	underWay := 0
+	for _, w := range y.workers {
+		if w.loads != "" && !w.disk[w.loads] && !w.warm[w.loads] {
+			underWay++
+		}
+	}
+	input := placer.Input{Models: y.models, Limits: placer.Limits{
+		StoreLoads: storeAtOnce - underWay, StoreAtOnce: storeAtOnce, StoreUnderWay: underWay, RunsPerHolder: 12.8,
+	}}
+	held := map[string]bool{}
 	running := map[string]int{}
 	for i, w := range y.workers {
 		place := placer.Place{
@@ -292,6 +393,7 @@
 			Loading: w.loads, OnDisk: w.disk, InMemory: w.warm, Running: w.load(),
 		}
 		for model, usedAt := range w.units {
+			held[model] = true
 			place.Units = append(place.Units, placer.Unit{Model: model, Running: len(w.runs[model]), IdleMS: float64(y.now - usedAt)})
 			running[model] += len(w.runs[model])
 		}
@@ -303,7 +405,11 @@
 		waits[request.model] = append(waits[request.model], request)
 	}
 	for model, r := range y.rates {
-		demand := placer.Demand{Model: model, Rate: r[0], Recent: r[1], Running: running[model], Waiting: len(waits[model])}
+		demand := placer.Demand{Model: model, Rate: r[0], Recent: r[1], Running: running[model], Waiting: len(waits[model]), Refused: y.refused[model]}
+		if held[model] || r[0] < 0.001 {
+			y.unserved[model] = y.now
+		}
+		demand.UnservedMS = float64(y.now - y.unserved[model])
 		if demand.Waiting > 0 {
 			demand.WaitedMS = float64(y.now - waits[model][0].since)
 			demand.DueMS = float64(y.pattern.RareMS) - demand.WaitedMS
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -20,6 +20,8 @@
 	holders, coming map[string]int
 	// reached counts the holders in zones that do not seem cut off.
 	reached map[string]int
+	// usable counts the places that requests may go to.
+	usable int
 	// open are the places that could take a move when the plan began.
 	open []*Place
 	// taken marks the places that already have a move in this plan.
@@ -28,10 +30,13 @@
 	// leastMB is the size of the smallest model.
 	leastMB float64
 	moves   []Move
+	waits   []Wait
+	// storeQueue and swapQueue count the waits for the weight store and for workers with copies.
+	storeQueue, swapQueue int
 }
 
-// Plan returns the moves to make now, in the order of their urgency.
-func Plan(input Input) []Move {
+// Plan returns what to load now, and when what must wait is likely to be loaded.
+func Plan(input Input) Decision {
 	s := &state{
 		input: input, demands: map[string]*Demand{}, holders: map[string]int{}, coming: map[string]int{}, reached: map[string]int{}, taken: map[string]bool{},
 		storeLoads: input.Limits.StoreLoads,
@@ -45,10 +50,12 @@
 	}
 	s.count()
 	for _, want := range s.wants() {
-		s.place(want)
+		if !s.place(want) && !want.replica && want.demand.Waiting > 0 {
+			s.wait(want)
+		}
 	}
 	s.fill()
-	return s.moves
+	return Decision{Moves: s.moves, Waits: s.waits}
 }
 
 // count counts the holders of every model.
@@ -58,6 +65,7 @@
 		if !place.Usable {
 			continue
 		}
+		s.usable++
 		if s.isOpen(place) {
 			s.open = append(s.open, place)
 		}
@@ -73,11 +81,12 @@
 	}
 }
 
-// place finds the cheapest place for a want and adds the move.
-func (s *state) place(w want) {
+// place finds the cheapest place for a want and adds the move. It reports whether there is one.
+func (s *state) place(w want) bool {
 	var best *Move
 	bestCost := math.Inf(1)
-	mayUseStore := s.mayUseStore(w)
+	// The weight store is only for models without a copy at any usable worker.
+	mayUseStore := w.nearest == TierStore && (!w.replica || w.pressure > overloaded)
 	for _, place := range s.open {
 		if s.taken[place.ID] || holds(place, w.model.Name) {
 			continue
@@ -91,15 +100,34 @@
 		}
 	}
 	if best == nil {
-		return
+		return false
 	}
 	s.add(*best)
+	return true
+}
+
+// wait adds when a want without a move is likely to be loaded.
+func (s *state) wait(w want) {
+	ends := w.model.TierMS[w.nearest]
+	if w.nearest == TierStore {
+		// Loads under way are taken to be half done.
+		ends *= 1 + (float64(s.input.Limits.StoreUnderWay)/2+float64(s.storeQueue))/float64(max(s.input.Limits.StoreAtOnce, 1))
+		s.storeQueue++
+	} else {
+		ends = (ends + unloadMS) * (1 + float64(s.swapQueue)/float64(max(s.usable, 1)))
+		s.swapQueue++
+	}
+	s.waits = append(s.waits, Wait{Model: w.model.Name, EndsMS: ends})
 }
 
 // add takes in a move that is decided.
 func (s *state) add(move Move) {
-	if move.Tier == TierStore && move.Mine {
-		s.storeLoads--
+	if move.Tier == TierStore {
+		move.StoreUnderWay = s.input.Limits.StoreUnderWay
+		s.input.Limits.StoreUnderWay++
+		if move.Mine {
+			s.storeLoads--
+		}
 	}
 	s.taken[move.Worker] = true
 	s.coming[move.Model]++
@@ -126,14 +154,14 @@
 // tieBreak orders places of equal cost differently for each model.
 func tieBreak(place, model string) uint64 { return xxhash.Sum64String(place + "\x00" + model) }
 
-// mayUseStore reports whether a wanted model may be loaded from the weight
-// store: only one without a copy at any usable worker.
-func (s *state) mayUseStore(w want) bool {
+// nearest returns the nearest tier from which a usable worker that does not hold a model could load it.
+func (s *state) nearest(model string) Tier {
+	nearest := TierStore
 	for i := range s.input.Places {
 		place := &s.input.Places[i]
-		if place.Usable && place.tier(w.model.Name) != TierStore && !holds(place, w.model.Name) {
-			return false
+		if place.Usable && !holds(place, model) {
+			nearest = min(nearest, place.tier(model))
 		}
 	}
-	return !w.replica || w.pressure > overloaded
+	return nearest
 }
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -52,7 +52,7 @@
 		gomega.Expect(scripter.Read(file, &scripts)).To(gomega.Succeed())
 		for _, s := range scripts {
 			ginkgo.It(filepath.Base(file)+": "+s.Name, func() {
-				gomega.Expect(outcome(placer.Plan(inputOf(s)))).To(gomega.Equal(append([]expected{}, s.Moves...)))
+				gomega.Expect(outcome(placer.Plan(inputOf(s)).Moves)).To(gomega.Equal(append([]expected{}, s.Moves...)))
 			})
 		}
 	}
--- a/placer/want.go
+++ b/placer/want.go
@@ -10,6 +10,8 @@
 	model  Model
 	// replica is set when the model has holders already.
 	replica bool
+	// nearest is the nearest tier from which any worker could load it.
+	nearest Tier
 	// pressure orders replicas: the load of each holder as a share of the wanted one.
 	pressure float64
 }
@@ -26,17 +28,17 @@
 		}
 		held := s.holders[demand.Model] + s.coming[demand.Model]
 		if held == 0 {
-			if demand.Waiting > 0 {
-				wants = append(wants, want{demand: demand, model: model})
+			if demand.isWanted() {
+				wants = append(wants, want{demand: demand, model: model, nearest: s.nearest(model.Name)})
 			}
 			continue
 		}
 		if demand.Waiting > 0 && demand.WaitedMS > unreachedMS && s.reached[demand.Model]+s.coming[demand.Model] == 0 {
-			wants = append(wants, want{demand: demand, model: model})
+			wants = append(wants, want{demand: demand, model: model, nearest: s.nearest(model.Name)})
 			continue
 		}
 		if pressure := s.pressure(demand, held); pressure > 1 {
-			wants = append(wants, want{demand: demand, model: model, replica: true, pressure: pressure})
+			wants = append(wants, want{demand: demand, model: model, replica: true, pressure: pressure, nearest: s.nearest(model.Name)})
 		}
 	}
 	sort.SliceStable(wants, func(i, j int) bool { return wants[i].before(&wants[j]) })
@@ -81,6 +83,8 @@
 	hotValue = 6
 	// lateShare is what a late answer is worth, as a share of one in time.
 	lateShare = 0.15
+	// ageMS is the time without any holder that doubles a model's value, so that none is passed over for good.
+	ageMS = 4000
 	// valueS is for how long the requests to come count, in seconds.
 	valueS = 2.5
 )
@@ -94,11 +98,13 @@
 	if !w.timely() {
 		waiting *= lateShare
 	}
-	return waiting + w.demand.Rate*valueS
+	return (waiting + w.demand.Rate*valueS) * (1 + w.demand.UnservedMS/ageMS)
 }
 
 // timely reports whether the first waiting request can still be in time.
-func (w *want) timely() bool { return w.demand.DueMS >= w.model.TierMS[TierMemory] }
+func (w *want) timely() bool {
+	return w.demand.Waiting > 0 && w.demand.DueMS >= w.model.TierMS[w.nearest]
+}
 
 func (w *want) rank() int {
 	switch {
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -22,6 +22,8 @@
 	MeasureQueue = "queue"
 	// MeasureCold is the wait for a unit that was loaded nowhere.
 	MeasureCold = "cold"
+	// MeasureEstimate is by how much the first estimate of a wait for a unit was wrong, either way.
+	MeasureEstimate = "estimate"
 	// MeasureFirst is the time to the first token.
 	MeasureFirst = "first"
 	// MeasureBetween is the time between two tokens.
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -208,6 +208,9 @@
 		announcements = append(announcements, announcementOf(now, view.GetZone(), worker))
 	}
 	s.parts.View.Announce(now, view.GetZone(), view.GetEpoch(), announcements, view.GetWhole())
+	for _, wait := range view.GetWaits() {
+		s.parts.View.Expect(now, view.GetZone(), wait.GetService(), wait.GetModel(), now.Add(time.Duration(wait.GetEndsMs())*time.Millisecond))
+	}
 	s.parts.Hear(view.GetConfig())
 	if view.GetZone() == s.parts.Zone {
 		s.takeOwnZone(now, view)
@@ -321,7 +324,7 @@
 			continue
 		}
 		t.demands[key] = demand
-		entry := &nodewire.ModelDemand{Service: key.Service, Model: key.Model, Adapter: key.Adapter, Waiting: int32(demand.Waiting), Asked: demand.Asked}
+		entry := &nodewire.ModelDemand{Service: key.Service, Model: key.Model, Adapter: key.Adapter, Waiting: int32(demand.Waiting), Asked: demand.Asked, Refused: demand.Refused}
 		if demand.Waiting > 0 {
 			entry.DueMs, entry.WaitedMs = demand.Due.Sub(now).Milliseconds(), now.Sub(demand.Since).Milliseconds()
 		}
--- a/tallier/tallier.go
+++ b/tallier/tallier.go
@@ -22,8 +22,9 @@
 	// Waiting is how many requests wait, Due when the first of them is late, Since when the first of them began.
 	Waiting    int
 	Due, Since time.Time
-	// Asked counts the requests since the process started; it never falls.
-	Asked int64
+	// Asked counts the requests since the process started, Refused those that were refused because it is loaded
+	// nowhere; neither falls.
+	Asked, Refused int64
 }
 
 // wait is one waiting request.
@@ -36,8 +37,8 @@
 type Tallier struct {
 	// mu guards everything below.
 	mu sync.Mutex
-	// asked counts requests.
-	asked map[Key]int64
+	// asked counts requests, refused those that were refused because the key is loaded nowhere.
+	asked, refused map[Key]int64
 	// waiting maps each key to the requests that wait, by ticket.
 	waiting map[Key]map[int64]wait
 	running map[RunKey]int
@@ -49,7 +50,7 @@
 
 // New returns an empty count.
 func New() *Tallier {
-	return &Tallier{asked: map[Key]int64{}, waiting: map[Key]map[int64]wait{}, running: map[RunKey]int{}, changed: make(chan struct{})}
+	return &Tallier{asked: map[Key]int64{}, refused: map[Key]int64{}, waiting: map[Key]map[int64]wait{}, running: map[RunKey]int{}, changed: make(chan struct{})}
 }
 
 // Ask counts a request.
@@ -59,6 +60,13 @@
 	t.asked[key]++
 }
 
+// Refuse counts a request that was refused because the key is loaded nowhere.
+func (t *Tallier) Refuse(key Key) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.refused[key]++
+}
+
 // Wait counts a request as waiting until the returned function is called.
 func (t *Tallier) Wait(key Key, due time.Time) (end func()) {
 	t.mu.Lock()
@@ -114,7 +122,7 @@
 	defer t.mu.Unlock()
 	demands := make(map[Key]Demand, len(t.asked))
 	for key, asked := range t.asked {
-		demands[key] = Demand{Asked: asked}
+		demands[key] = Demand{Asked: asked, Refused: t.refused[key]}
 	}
 	for key, tickets := range t.waiting {
 		demand := demands[key]
--- a/viewer/viewer.go
+++ b/viewer/viewer.go
@@ -82,6 +82,8 @@
 	announced map[string]*Announcement
 	zones     map[string]zoneNews
 	absent    map[absence]time.Time
+	// expected holds what leaders expect of models that are not on their way, by zone.
+	expected map[indexKey]map[string]expectation
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 	// fleet is the list for which index was built; index maps service and model to the workers that hold it.
@@ -92,6 +94,12 @@
 
 type indexKey struct{ service, model string }
 
+// expectation is when a zone's leader expects a model to be ready.
+type expectation struct{ readyAt, heardAt time.Time }
+
+// expectationTime is how long an expectation counts; leaders repeat it while requests wait.
+const expectationTime = 1 * time.Second
+
 type indexed struct {
 	worker  *registrar.Worker
 	unit    Unit
@@ -101,7 +109,7 @@
 // New returns a view of a list of workers.
 func New(list *registrar.Registrar) *Viewer {
 	return &Viewer{
-		list: list, announced: map[string]*Announcement{}, zones: map[string]zoneNews{}, absent: map[absence]time.Time{},
+		list: list, announced: map[string]*Announcement{}, zones: map[string]zoneNews{}, absent: map[absence]time.Time{}, expected: map[indexKey]map[string]expectation{},
 		changed: make(chan struct{}), index: map[indexKey][]indexed{},
 	}
 }
@@ -239,6 +247,42 @@
 	return holders
 }
 
+// Expect takes in when a zone's leader expects a model to be ready that is not on its way.
+func (v *Viewer) Expect(now time.Time, zone, service, model string, readyAt time.Time) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	key := indexKey{service, model}
+	if v.expected[key] == nil {
+		v.expected[key] = map[string]expectation{}
+	}
+	_, known := v.expected[key][zone]
+	v.expected[key][zone] = expectation{readyAt: readyAt, heardAt: now}
+	if !known {
+		v.notify()
+	}
+}
+
+// Expected returns when a model that is not on its way should be ready by the
+// most hopeful leader, if any has said so lately.
+func (v *Viewer) Expected(now time.Time, service, model string) (readyAt time.Time, known bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	key := indexKey{service, model}
+	for zone, e := range v.expected[key] {
+		if now.Sub(e.heardAt) > expectationTime {
+			delete(v.expected[key], zone)
+			continue
+		}
+		if !known || e.readyAt.Before(readyAt) {
+			readyAt, known = e.readyAt, true
+		}
+	}
+	if len(v.expected[key]) == 0 {
+		delete(v.expected, key)
+	}
+	return readyAt, known
+}
+
 func (v *Viewer) isAbsent(now time.Time, worker, model, adapter string) bool {
 	key := absence{worker, model, adapter}
 	until, known := v.absent[key]
