Load in a cut-off zone what is held and copied only beyond the cut

A busy model had its only holder and its copies in other zones; the cut zone's leader saw requests wait and did not load it, since a model with a copy anywhere is not loaded from the weight store. It also unloaded the zone's own holders as spares of holders beyond the cut. Ruled out: the lease (held over by promises, orders went on).

Change: copies and holders in zones that seem cut off do not count for either.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -119,7 +119,7 @@
 		return 0, true
 	}
 	loss := float64(unit.Running) * runningLoss
-	others := s.holders[unit.Model] - 1
+	others := s.reached[unit.Model] - 1
 	if others > 0 {
 		remaining := s.pressure(demand, others)
 		if remaining > overfull {
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -133,6 +133,7 @@
 	s.coming[move.Model]++
 	for _, victim := range move.Victims {
 		s.holders[victim]--
+		s.reached[victim]--
 	}
 	s.moves = append(s.moves, move)
 }
@@ -154,12 +155,13 @@
 // tieBreak orders places of equal cost differently for each model.
 func tieBreak(place, model string) uint64 { return xxhash.Sum64String(place + "\x00" + model) }
 
-// nearest returns the nearest tier from which a usable worker that does not hold a model could load it.
+// nearest returns the nearest tier from which a usable worker that does not hold
+// a model could load it; workers beyond a cut load nothing for callers here.
 func (s *state) nearest(model string) Tier {
 	nearest := TierStore
 	for i := range s.input.Places {
 		place := &s.input.Places[i]
-		if place.Usable && !holds(place, model) {
+		if place.Usable && !place.CutOff && !holds(place, model) {
 			nearest = min(nearest, place.tier(model))
 		}
 	}
