A busy model keeps the holders that its others cannot replace

The loss of a spare holder did not count how many requests become late at the others.

Ruled out: herding at the holders (loads told by leaders matched).

Change: the loss of a holder whose others would be above the wanted load grows with the model's rate.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -121,9 +121,8 @@
 	loss := float64(unit.Running) * runningLoss
 	others := s.reached[unit.Model] - 1
 	if others > 0 {
-		remaining := s.pressure(demand, others)
-		if remaining > overfull {
-			loss += remaining
+		if remaining := s.pressure(demand, others); remaining > overfull {
+			loss += remaining + min(remaining-overfull, 1)*demand.Rate*horizonS
 		}
 		return loss + demand.Rate*spareLoss/float64(others), demand.Waiting == 0
 	}
