Wait for adapters beside loads from the store; fewer calls that a store refuses

Change: no estimate while any worker holds the model; a failed read of a hinted configuration is followed by a pause; retries double up to a second.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -112,8 +112,9 @@
 	if r.Header.Get("Bad") != "" {
 		return nil, forwarder.NewBadRequestError("Bad", "1")
 	}
+	model, adapter, _ := strings.Cut(r.Header.Get("Model"), "/")
 	return &forwarder.Request{
-		ID: "r", Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: http.Header{}, Model: r.Header.Get("Model"), Deadline: arrived.Add(5 * time.Second),
+		ID: "r", Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: http.Header{}, Model: model, Adapter: adapter, Deadline: arrived.Add(5 * time.Second),
 	}, nil
 }
 
@@ -254,6 +255,36 @@
 		gomega.Expect(response.Header.Get("Retry-After")).To(gomega.MatchRegexp(`^5\.9`))
 		gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 100*time.Millisecond))
 	})
+	ginkgo.It("wait for an adapter at a holder while another holder loads from the store", func() {
+		f := newFixture([]send{{Status: 200, Body: "id:1\ndata:x\n\n", Worker: "m1"}}, false)
+		defer f.server.Close()
+		announce := func(adapters ...string) {
+			now := time.Now()
+			f.view.Announce(now, "z", 1, []viewer.Announcement{
+				{Worker: "m1", Zone: "z", HeardAt: now, Units: []viewer.Unit{{Model: "m", Adapters: adapters}}},
+				{Worker: "m2", Zone: "z", HeardAt: now, Units: []viewer.Unit{{Model: "m", ReadyAt: now.Add(6 * time.Second)}}},
+			}, true)
+		}
+		announce()
+		time.AfterFunc(100*time.Millisecond, func() { announce("a9") })
+		response, err := http.DefaultTransport.RoundTrip(f.request("/stream/x", "m/a9"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+	})
+	ginkgo.It("are refused at once when the leaders expect a load too late for them", func() {
+		f := newFixture(nil, false)
+		defer f.server.Close()
+		now := time.Now()
+		f.view.Announce(now, "z", 1, nil, true)
+		f.view.Expect(now, "z", "models", "cold", now.Add(20*time.Second))
+		f.view.Expect(now, "y", "models", "cold", now.Add(8*time.Second))
+		began := time.Now()
+		response, err := http.DefaultTransport.RoundTrip(f.request("/stream/x", "cold"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(response.Header.Get("Retry-After")).To(gomega.MatchRegexp(`^7\.9`), "the most hopeful leader's")
+		gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 100*time.Millisecond))
+	})
 	ginkgo.It("are refused after a short wait while no leader is known", func() {
 		f := newFixture(nil, false)
 		defer f.server.Close()
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/recorder"
@@ -176,12 +177,12 @@
 // estimate returns when a call's model should be ready: by the load under way,
 // or by what the leaders expect while none is.
 func (f *Forwarder) estimate(now time.Time, c *call, holders []viewer.Holder) (at time.Time, known bool) {
+	if lo.SomeBy(holders, func(holder viewer.Holder) bool { return holder.ReadyAt.IsZero() }) {
+		return time.Time{}, false // The model is there; an adapter, or a worker that can be reached, is not.
+	}
 	if at, coming := earliest(holders); coming {
 		return at, true
 	}
-	if len(holders) > 0 {
-		return time.Time{}, false // The model is there; an adapter, or a worker that can be reached, is not.
-	}
 	return f.parts.View.Expected(now, c.service.Name, c.Model)
 }
 
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -25,8 +25,9 @@
 	workersWaitMS = 600
 	// callSlack is the time that the store has beyond its wait.
 	callSlack = 700 * time.Millisecond
-	// retryPause is the pause after a call that failed.
-	retryPause = 250 * time.Millisecond
+	// retryPause is the pause after a call that failed, longestRetry the one after several in a row; refused calls are paid for too.
+	retryPause   = 250 * time.Millisecond
+	longestRetry = 1 * time.Second // Half of the time in which lapsed entries come back after an outage.
 	// awayAfter is how long calls must have failed before the store counts as away.
 	awayAfter = 1 * time.Second
 	// relistAfter is the age at which a list is read whole again, since a feed may have lost changes.
@@ -80,8 +81,10 @@
 	// listed is set once the list of workers was read whole.
 	listed  atomic.Bool
 	stopped chan struct{}
-	// fetching is set while the configuration is read because a peer has a newer one.
+	// fetching is set while the configuration is read because a peer has a newer one, and for a pause after that failed.
 	fetching atomic.Bool
+	// fetchFailing is set while such reads fail; only the reader that set fetching uses it.
+	fetchFailing bool
 	// answered is when the store last answered; never nil while running.
 	answered atomic.Pointer[time.Time]
 	// relay is what the own zone's leader tells of the list of workers.
@@ -141,12 +144,13 @@
 	}
 	go func() {
 		defer w.fetching.Store(false)
-		failing := false
 		document, err := w.source.ListCatalog(time.Now().Add(callSlack))
-		w.called(err, "configuration that a peer has", &failing)
-		if err == nil {
-			w.take(document.Catalog)
+		w.called(err, "configuration that a peer has", &w.fetchFailing)
+		if err != nil {
+			w.sleep(retryPause)
+			return
 		}
+		w.take(document.Catalog)
 	}()
 }
 
@@ -188,6 +192,7 @@
 // followCatalog keeps the configuration up to date until Stop.
 func (w *Watcher) followCatalog() {
 	known, failing := false, false
+	pause := retryPause
 	after := int64(0)
 	relistAt := time.Now()
 	for {
@@ -218,11 +223,13 @@
 		}
 		if err != nil {
 			known = false
-			if !w.sleep(retryPause) {
+			if !w.sleep(pause) {
 				return
 			}
+			pause = min(2*pause, longestRetry)
 			continue
 		}
+		pause = retryPause
 		if !w.sleep(0) {
 			return
 		}
@@ -250,6 +257,7 @@
 // followWorkers keeps the list of workers up to date until Stop.
 func (w *Watcher) followWorkers() {
 	known, failing := false, false
+	retry := retryPause
 	relistAt := time.Now()
 	for {
 		if waited, goOn := w.awaitUnrelayed(); !goOn {
@@ -273,8 +281,11 @@
 		}
 		w.expire()
 		pause := time.Until(startedAt.Add(workersPause))
-		if !known {
-			pause = retryPause
+		if known {
+			retry = retryPause
+		} else {
+			pause = retry
+			retry = min(2*retry, longestRetry)
 		}
 		if !w.sleep(pause) {
 			return
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -131,6 +131,13 @@
 		gomega.Eventually(version, 500*time.Millisecond).Should(gomega.Equal(int64(15)))
 		s.set(func() { s.silent = false })
 	})
+	ginkgo.It("is not asked for again and again while the store refuses and peers tell of a newer one", func() {
+		s.set(func() { s.away = true })
+		time.Sleep(50 * time.Millisecond)
+		before, _ := w.Calls()
+		gomega.Consistently(func() int64 { w.Hear(15); made, _ := w.Calls(); return made - before }, time.Second, 5*time.Millisecond).
+			Should(gomega.BeNumerically("<=", 16), "calls in a second: the two feeds and the peers' hints, each four times")
+	})
 	ginkgo.It("never goes back", func() {
 		s.set(func() { s.stale, s.compacted = true, true })
 		gomega.Consistently(version, 300*time.Millisecond).Should(gomega.Equal(int64(10)))
