Lines and counters for judged workers, repeats and estimates; each decision's line from data files

Ruled out: holding without an estimate (that was the state before).

Change: 'worker judged', 'send repeated'; 'expected_ms' and 'age_ms' in the lines that rest on them; counters for both. Expected ends count copies beyond a cut as 5 s later. The test of a load that turns out to come from the store passed without its mechanism, since the fake reports named no copies; they do now, and it fails without it.

--- a/assessor/assessor.go
+++ b/assessor/assessor.go
@@ -31,6 +31,8 @@
 	// penalty is at least 0 as of penaltyAt; it fades by itself.
 	penalty   float64
 	penaltyAt time.Time
+	// ejected is set from ejectedPenalty on until backPenalty is reached.
+	ejected bool
 	// sends are the times of the last sends, oldest first.
 	sends []time.Time
 	// running counts this node's requests there.
@@ -98,8 +100,31 @@
 	})
 }
 
-// End takes in that a request at a worker has ended. Failed is set when the worker is to blame.
-func (a *Assessor) End(now time.Time, worker string, failed bool) {
+// Change is what a request's end changed about a worker.
+type Change int
+
+// The changes.
+const (
+	// Unchanged means that the worker goes on as before.
+	Unchanged Change = iota
+	// Ejected means that it gets hardly any traffic from now on.
+	Ejected
+	// Back means that it gets traffic again.
+	Back
+)
+
+// String returns the change's name in logs and metrics.
+func (c Change) String() string { return [...]string{"unchanged", "ejected", "back"}[c] }
+
+const (
+	// ejectedPenalty and backPenalty are the penalties from which a worker counts as ejected, and as back after that.
+	ejectedPenalty = 0.7
+	backPenalty    = 0.2
+)
+
+// End takes in that a request at a worker has ended. Failed is set when the
+// worker is to blame. It returns what that changed, and the worker's penalty.
+func (a *Assessor) End(now time.Time, worker string, failed bool) (change Change, penalty float64) {
 	a.with(worker, func(e *evidence) {
 		e.running--
 		e.fade(now)
@@ -108,7 +133,15 @@
 		} else {
 			e.penalty *= 1 - successRelief
 		}
+		penalty = e.penalty
+		switch {
+		case !e.ejected && penalty >= ejectedPenalty:
+			e.ejected, change = true, Ejected
+		case e.ejected && penalty <= backPenalty:
+			e.ejected, change = false, Back
+		}
 	})
+	return change, penalty
 }
 
 // outTime is how long a worker that could not be reached gets nothing.
--- a/conductor/conductor_test.go
+++ b/conductor/conductor_test.go
@@ -42,6 +42,8 @@
 	orders int64
 	busy   bool
 	held   map[string]bool
+	// onDisk are the copies that heartbeats and reports name.
+	onDisk map[string]bool
 	// past holds older reports, since reports lag.
 	past []Report
 	// crashed is set when a load did not fit.
@@ -110,7 +112,7 @@
 
 // remember keeps the present state for reports that lag; the caller holds mu.
 func (w *fakeWorker) remember() {
-	report := Report{Born: 1, Orders: w.orders, Busy: w.busy, Held: map[string][]string{}}
+	report := Report{Born: 1, Orders: w.orders, Busy: w.busy, Held: map[string][]string{}, OnDisk: w.onDisk}
 	for model := range w.held {
 		report.Held[model] = nil
 	}
@@ -125,7 +127,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if len(w.past) == 0 {
-		return Report{Born: 1, Held: map[string][]string{}}
+		return Report{Born: 1, Held: map[string][]string{}, OnDisk: w.onDisk}
 	}
 	return w.past[len(w.past)-1]
 }
@@ -163,7 +165,7 @@
 	list := registrar.New()
 	for i := range count {
 		id := fmt.Sprintf("w%d", i)
-		z.workers[id] = &fakeWorker{held: map[string]bool{}, random: rand.New(rand.NewPCG(uint64(i), 7)), lost: lost, late: late}
+		z.workers[id] = &fakeWorker{held: map[string]bool{}, onDisk: onDisk, random: rand.New(rand.NewPCG(uint64(i), 7)), lost: lost, late: late}
 		list.Apply(time.Now(), []registrar.Change{{Worker: registrar.Worker{ID: id, Service: "s", Zone: "z", Slots: 8, Born: 1, OnDisk: onDisk, RowVersion: 1}}})
 	}
 	z.conductor = New(Parts{
--- /dev/null
+++ b/conductor/lines_test.go
@@ -0,0 +1,50 @@
+package conductor
+
+import (
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/acaciaproxy/acaciaproxy/scripter"
+)
+
+var _ = ginkgo.Describe("decisions in logs and counters", func() {
+	var scripts []struct {
+		Name string
+		// Evicted is set when the worker has none of the copies that its heartbeats name, Lost is the share of orders whose answer is lost.
+		Evicted bool
+		Lost    float64
+		// Wants are the models that are waited for, one after the other.
+		Wants []string
+		// Ends is set when the lease is lost at the end.
+		Ends bool
+		// Lines are log lines that must come, Counts counters that must rise.
+		Lines, Counts []string
+	}
+	gomega.Expect(scripter.Read("testdata/lines.json", &scripts)).To(gomega.Succeed())
+	for _, s := range scripts {
+		ginkgo.It(s.Name, func() {
+			logged := scripter.NewCapture()
+			defer logged.Close()
+			z := newFakeZone(1, s.Lost, 0)
+			z.workers["w0"].evicted = s.Evicted
+			recorder := z.conductor.parts.Recorder
+			before := lo.SliceToMap(s.Counts, func(name string) (string, int64) { return name, recorder.Counted(name) })
+			z.conductor.Run()
+			defer z.conductor.Stop()
+			for _, model := range s.Wants {
+				gomega.Eventually(func() bool { z.want(model); return z.holds(model) }, 4*time.Second, 10*time.Millisecond).Should(gomega.BeTrue(), model)
+			}
+			time.Sleep(100 * time.Millisecond) // The end of the last load is noticed.
+			z.mu.Lock()
+			z.leading = !s.Ends
+			z.mu.Unlock()
+			gomega.Eventually(func() []string { return logged.Missing(s.Lines) }, 3*time.Second).Should(gomega.BeEmpty(), "log lines: %s", logged)
+			for _, name := range s.Counts {
+				gomega.Eventually(func() int64 { return recorder.Counted(name) }, time.Second).Should(gomega.BeNumerically(">", before[name]), name)
+			}
+		})
+	}
+})
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -170,8 +170,12 @@
 	// worker is where it was last sent, load what that worker was believed to run then.
 	worker string
 	load   int
+	// ageMS is how old what was believed of it was, in milliseconds.
+	ageMS int64
 	// expectedAt is when its model should have been ready by the first estimate; zero while there is none.
 	expectedAt time.Time
+	// lastEvent is the id of the last whole event that was passed on.
+	lastEvent string
 	// heldMS is how long it waited for its model, firstMS after how long the answer began, both in milliseconds.
 	heldMS, firstMS int64
 }
@@ -222,7 +226,7 @@
 // logAnswered logs an answer with what decided where it came from.
 func (f *Forwarder) logAnswered(c *call) {
 	logger.Info("request answered").Str("request", c.ID).Str("route", c.route.Name).Str("model", c.Model).Str("adapter", c.Adapter).Str("worker", c.worker).
-		Int("sends", c.sends).Int("runs", c.runs).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstMS).Int("load", c.load).
+		Int("sends", c.sends).Int("runs", c.runs).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstMS).Int("load", c.load).Int64("age_ms", c.ageMS).
 		Int64("after_ms", time.Since(c.arrived).Milliseconds()).Msg("request answered")
 }
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/assessor"
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
@@ -56,12 +57,15 @@
 	Status int
 	Retry  bool
 	Body   string
+	// Lines are log lines that must come, Counts counters that must rise.
+	Lines, Counts []string
 }
 
 // fixture is a forwarder with two workers of a plain service and two of a model service.
 type fixture struct {
 	forwarder *forwarder.Forwarder
 	server    *httptest.Server
+	recorder  *recorder.Recorder
 	view      *viewer.Viewer
 	list      *registrar.Registrar
 	crashed   bool
@@ -76,7 +80,7 @@
 }
 
 func newFixture(sends []send, noBudget bool) *fixture {
-	f := &fixture{sends: sends, list: registrar.New(), left: make(chan struct{}, 8)}
+	f := &fixture{sends: sends, list: registrar.New(), recorder: recorder.New(), left: make(chan struct{}, 8)}
 	f.view = viewer.New(f.list)
 	now := time.Now()
 	worker := func(id, service string, held map[string][]string) registrar.Worker {
@@ -100,7 +104,7 @@
 	}, cataloger.Limits{BodyBytes: 100})
 	f.forwarder = forwarder.New(forwarder.Parts{
 		Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, List: f.list, View: f.view, Tally: tallier.New(),
-		Assessor: assessor.New(), Recorder: recorder.New(), Ready: func() bool { return true }, Isolated: func() bool { return f.isolated },
+		Assessor: assessor.New(), Recorder: f.recorder, Ready: func() bool { return true }, Isolated: func() bool { return f.isolated },
 		Decode: decode, Send: f.send, Echo: func(http.Header, string) {}, Crashed: func(*registrar.Worker) bool { return f.crashed },
 		Budget: forwarder.Budget{Earn: func(time.Time, string) {}, Spend: func(time.Time, string) bool { return !noBudget }},
 	}, "/ready")
@@ -179,6 +183,15 @@
 		ginkgo.It(s.Name, func() {
 			f := newFixture(s.Sends, s.NoBudget)
 			defer f.server.Close()
+			logged := scripter.NewCapture()
+			defer logged.Close()
+			before := lo.SliceToMap(s.Counts, func(name string) (string, int64) { return name, f.recorder.Counted(name) })
+			defer func() {
+				gomega.Eventually(func() []string { return logged.Missing(s.Lines) }, time.Second).Should(gomega.BeEmpty(), "log lines")
+				for _, name := range s.Counts {
+					gomega.Eventually(func() int64 { return f.recorder.Counted(name) }, time.Second).Should(gomega.BeNumerically(">", before[name]), name)
+				}
+			}()
 			response, err := http.DefaultTransport.RoundTrip(f.request("/"+s.Route+"/x", s.Model))
 			if s.Status == 0 {
 				if err == nil {
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -82,7 +82,7 @@
 	defer cancel() // Closes the worker's connection, so that it stops work.
 	send := f.sendOf(c, worker)
 	send.Urgency = urgencyOf(c)
-	send.ResumeAfter = relay.lastEvent
+	send.ResumeAfter = c.lastEvent
 	sentAt := time.Now()
 	answer, err := f.parts.Send(attempt, c.Request, send)
 	if err == nil {
@@ -132,7 +132,7 @@
 		if endWait == nil {
 			endWait = f.parts.Tally.Wait(c.key(), c.arrived.Add(c.route.Aim()))
 			logger.Info("request held").Str("request", c.ID).Str("model", c.Model).Str("adapter", c.Adapter).Int("holders", len(holders)).
-				Int64("left_ms", time.Until(c.firstBy()).Milliseconds()).Int("leaders", len(f.parts.View.Zones(now))).Msg("request held")
+				Int64("left_ms", time.Until(c.firstBy()).Milliseconds()).Int("leaders", len(f.parts.View.Zones(now))).Int64("expected_ms", f.expectedMS(now, c, holders)).Msg("request held")
 			f.parts.Recorder.Count("held " + c.route.Name)
 		}
 		if err := f.mayWait(now, began, c, holders); err != nil {
@@ -186,6 +186,15 @@
 	return f.parts.View.Expected(now, c.service.Name, c.Model)
 }
 
+// expectedMS returns in how many milliseconds a call's model should be ready, or -1 when nobody knows yet.
+func (f *Forwarder) expectedMS(now time.Time, c *call, holders []viewer.Holder) int64 {
+	at, known := f.estimate(now, c, holders)
+	if !known {
+		return -1
+	}
+	return at.Sub(now).Milliseconds()
+}
+
 // checkEstimate records by how much the first estimate of a held call's model was wrong.
 func (f *Forwarder) checkEstimate(c *call, err error) {
 	if err != nil || c.expectedAt.IsZero() {
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -10,6 +10,7 @@
 
 	"github.com/phuslu/log"
 
+	"github.com/acaciaproxy/acaciaproxy/assessor"
 	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
@@ -83,11 +84,30 @@
 // begin counts a send and returns the function that counts its end.
 func (f *Forwarder) begin(c *call, worker *registrar.Worker) (end func(error)) {
 	c.sends++
-	c.worker = worker.ID
+	c.worker, c.ageMS = worker.ID, f.ageOf(worker).Milliseconds()
 	f.parts.Assessor.Begin(time.Now(), worker.ID)
 	log.Debug().Str("request", c.ID).Str("worker", worker.ID).Int("send", c.sends).Int64("left_ms", time.Until(c.deadline).Milliseconds()).
-		Int64("heartbeat_ms", time.Since(worker.SeenAt).Milliseconds()).Msg("request sent")
-	return func(err error) { f.parts.Assessor.End(time.Now(), worker.ID, f.blames(c, err)) }
+		Int64("age_ms", c.ageMS).Msg("request sent")
+	return func(err error) { f.judge(c, worker, f.blames(c, err)) }
+}
+
+// ageOf returns the age of the newest that was heard of a worker.
+func (f *Forwarder) ageOf(worker *registrar.Worker) time.Duration {
+	heardAt := worker.SeenAt
+	if announcement := f.parts.View.Announcement(worker.ID); announcement != nil && announcement.HeardAt.After(heardAt) {
+		heardAt = announcement.HeardAt
+	}
+	return time.Since(heardAt)
+}
+
+// judge takes in how a send ended, and logs a worker that loses its traffic or gets it back.
+func (f *Forwarder) judge(c *call, worker *registrar.Worker, failed bool) {
+	change, penalty := f.parts.Assessor.End(time.Now(), worker.ID, failed)
+	if change == assessor.Unchanged {
+		return
+	}
+	f.parts.Recorder.Count("workers " + change.String())
+	logger.Info("worker judged").Str("request", c.ID).Str("worker", worker.ID).Str("change", change.String()).Float64("penalty", penalty).Msg("worker judged")
 }
 
 // blames reports whether a failed send speaks against the worker.
@@ -167,7 +187,7 @@
 // again returns nil when a call may be sent once more, else its end.
 func (f *Forwarder) again(ctx context.Context, c *call, worker *registrar.Worker, err error) error {
 	now := time.Now()
-	logger.Info("send failed").Str("request", c.ID).Str("worker", worker.ID).Int("send", c.sends).Err(err).Msg("send failed")
+	logger.Info("send failed").Str("request", c.ID).Str("worker", worker.ID).Int("send", c.sends).Int64("age_ms", c.ageMS).Err(err).Msg("send failed")
 	var notRun *NotRunError
 	if errors.As(err, &notRun) {
 		return f.afterNotRun(ctx, c, worker, notRun)
@@ -188,6 +208,8 @@
 		return newFailure(http.StatusBadGateway, "no_budget", "the budget for repeated sends is spent: "+err.Error())
 	}
 	f.parts.Recorder.Count("sends repeated")
+	logger.Info("send repeated").Str("request", c.ID).Int("sends", c.sends).Int("runs", c.runs).Str("after_event", c.lastEvent).
+		Int64("left_ms", c.deadline.Sub(now).Milliseconds()).Msg("send repeated")
 	return nil
 }
 
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -17,8 +17,6 @@
 	call      *call
 	// started is set once the answer's head was passed on.
 	started bool
-	// lastEvent is the id of the last whole event that was passed on.
-	lastEvent string
 	// pending holds the beginning of an event that is not whole yet.
 	pending []byte
 }
@@ -129,7 +127,7 @@
 func (r *relay) note(events []byte) {
 	for _, line := range bytes.Split(events, []byte("\n")) {
 		if id, found := bytes.CutPrefix(line, eventID); found {
-			r.lastEvent = string(bytes.TrimSpace(id))
+			r.call.lastEvent = string(bytes.TrimSpace(id))
 		}
 	}
 }
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -51,10 +51,14 @@
 		Name  string
 		Nodes []string
 		Steps []event
+		// Lines are log lines that must come.
+		Lines []string
 	}
 	gomega.Expect(scripter.Read("testdata/leases.json", &scripts)).To(gomega.Succeed())
 	for _, s := range scripts {
 		ginkgo.It(s.Name, func() {
+			logged := scripter.NewCapture()
+			defer logged.Close()
 			z := &zone{now: time.Unix(1e6, 0), cut: map[string]bool{}, nodes: map[string]*Leaseholder{}, ordered: map[string]time.Time{}}
 			for _, name := range s.Nodes {
 				z.start(name)
@@ -65,6 +69,7 @@
 					gomega.Expect(z.leader()).To(gomega.Equal(next.Leads), "step %d", i)
 				}
 			}
+			gomega.Expect(logged.Missing(s.Lines)).To(gomega.BeEmpty(), "log lines: %s", logged)
 		})
 	}
 })
--- a/placer/fill.go
+++ b/placer/fill.go
@@ -52,7 +52,7 @@
 	if place.Mine && s.storeLoads < fillStoreLoads {
 		return false
 	}
-	return held <= 1 && demand.Rate*valueS >= hotValue || held == 0 && s.nearest(demand.Model) == TierStore
+	return held <= 1 && demand.Rate*valueS >= hotValue || held == 0 && s.nearest(demand.Model, false) == TierStore
 }
 
 // fillPlace adds the move that fills a place.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -112,6 +112,9 @@
 	if w.nearest == TierStore {
 		// Loads under way are taken to be half done.
 		ends *= 1 + (float64(s.input.Limits.StoreUnderWay)/2+float64(s.storeQueue))/float64(max(s.input.Limits.StoreAtOnce, 1))
+		if beyond := s.nearest(w.model.Name, true); beyond != TierStore {
+			ends = min(ends, beyondMS+w.model.TierMS[beyond])
+		}
 		s.storeQueue++
 	} else {
 		ends = (ends + unloadMS) * (1 + float64(s.swapQueue)/float64(max(s.usable, 1)))
@@ -155,13 +158,16 @@
 // tieBreak orders places of equal cost differently for each model.
 func tieBreak(place, model string) uint64 { return xxhash.Sum64String(place + "\x00" + model) }
 
+// beyondMS is in how long a zone that seems cut off may load again: its next leader's lease and quiet time.
+const beyondMS = 5000
+
 // nearest returns the nearest tier from which a usable worker that does not hold
-// a model could load it; workers beyond a cut load nothing for callers here.
-func (s *state) nearest(model string) Tier {
+// a model could load it. Workers of zones that seem cut off count only beyond the cut.
+func (s *state) nearest(model string, beyond bool) Tier {
 	nearest := TierStore
 	for i := range s.input.Places {
 		place := &s.input.Places[i]
-		if place.Usable && !place.CutOff && !holds(place, model) {
+		if place.Usable && place.CutOff == beyond && !holds(place, model) {
 			nearest = min(nearest, place.tier(model))
 		}
 	}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -35,6 +35,8 @@
 	StoreLoads int
 	Passed     []string
 	Moves      []expected
+	// Waits maps models to when they should be ready, in milliseconds; it is checked when it is given.
+	Waits map[string]float64
 }
 
 // expected is what a move must be.
@@ -52,7 +54,11 @@
 		gomega.Expect(scripter.Read(file, &scripts)).To(gomega.Succeed())
 		for _, s := range scripts {
 			ginkgo.It(filepath.Base(file)+": "+s.Name, func() {
-				gomega.Expect(outcome(placer.Plan(inputOf(s)).Moves)).To(gomega.Equal(append([]expected{}, s.Moves...)))
+				decision := placer.Plan(inputOf(s))
+				gomega.Expect(outcome(decision.Moves)).To(gomega.Equal(append([]expected{}, s.Moves...)))
+				for model, endsMS := range s.Waits {
+					gomega.Expect(decision.Waits).To(gomega.ContainElement(placer.Wait{Model: model, EndsMS: endsMS}))
+				}
 			})
 		}
 	}
@@ -62,7 +68,7 @@
 func inputOf(s script) placer.Input {
 	input := placer.Input{
 		Models: map[string]placer.Model{}, Demands: s.Demands, Passed: map[string]bool{},
-		Limits: placer.Limits{StoreLoads: s.StoreLoads, RunsPerHolder: 10},
+		Limits: placer.Limits{StoreLoads: s.StoreLoads, StoreAtOnce: 2, RunsPerHolder: 10},
 	}
 	for _, id := range s.Passed {
 		input.Passed[id] = true
--- a/placer/want.go
+++ b/placer/want.go
@@ -29,16 +29,16 @@
 		held := s.holders[demand.Model] + s.coming[demand.Model]
 		if held == 0 {
 			if demand.isWanted() {
-				wants = append(wants, want{demand: demand, model: model, nearest: s.nearest(model.Name)})
+				wants = append(wants, want{demand: demand, model: model, nearest: s.nearest(model.Name, false)})
 			}
 			continue
 		}
 		if demand.Waiting > 0 && demand.WaitedMS > unreachedMS && s.reached[demand.Model]+s.coming[demand.Model] == 0 {
-			wants = append(wants, want{demand: demand, model: model, nearest: s.nearest(model.Name)})
+			wants = append(wants, want{demand: demand, model: model, nearest: s.nearest(model.Name, false)})
 			continue
 		}
 		if pressure := s.pressure(demand, held); pressure > 1 {
-			wants = append(wants, want{demand: demand, model: model, replica: true, pressure: pressure, nearest: s.nearest(model.Name)})
+			wants = append(wants, want{demand: demand, model: model, replica: true, pressure: pressure, nearest: s.nearest(model.Name, false)})
 		}
 	}
 	sort.SliceStable(wants, func(i, j int) bool { return wants[i].before(&wants[j]) })
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -88,6 +88,15 @@
 // Count adds one to a counter.
 func (r *Recorder) Count(name string) { r.counters.Add(name, 1) }
 
+// Counted returns a counter.
+func (r *Recorder) Counted(name string) int64 {
+	counter, known := r.counters.Get(name).(*expvar.Int)
+	if !known {
+		return 0
+	}
+	return counter.Value()
+}
+
 // Observe records one or more durations of a measure.
 func (r *Recorder) Observe(measure, tenant, class string, durations ...time.Duration) {
 	key := seriesKey{measure, tenant, class}
--- /dev/null
+++ b/scripter/capture.go
@@ -0,0 +1,72 @@
+package scripter
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+
+	"github.com/phuslu/log"
+)
+
+// Capture holds the log lines of a test.
+type Capture struct {
+	// mu guards text.
+	mu   sync.Mutex
+	text bytes.Buffer
+	// before is the logger that Close puts back.
+	before log.Logger
+}
+
+// NewCapture makes all log lines go to a new capture until Close is called.
+func NewCapture() *Capture {
+	c := &Capture{before: log.DefaultLogger}
+	log.DefaultLogger = log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: c}}
+	return c
+}
+
+// Write takes a line in.
+func (c *Capture) Write(line []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.text.Write(line)
+}
+
+// Close puts the logger back that was there before.
+func (c *Capture) Close() { log.DefaultLogger = c.before }
+
+// Missing returns the wanted lines that did not come. A wanted line is a list of
+// texts, separated by a bar, that one line must hold.
+func (c *Capture) Missing(wanted []string) []string {
+	c.mu.Lock()
+	lines := strings.Split(c.text.String(), "\n")
+	c.mu.Unlock()
+	var missing []string
+	for _, want := range wanted {
+		if !hasLine(lines, strings.Split(want, "|")) {
+			missing = append(missing, want)
+		}
+	}
+	return missing
+}
+
+func hasLine(lines, parts []string) bool {
+	for _, line := range lines {
+		found := 0
+		for _, part := range parts {
+			if strings.Contains(line, part) {
+				found++
+			}
+		}
+		if found == len(parts) {
+			return true
+		}
+	}
+	return false
+}
+
+// String returns all lines.
+func (c *Capture) String() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.text.String()
+}
