A leader that lost the store does not make its zone doubt removed workers

Traced from logs of all nodes: the leader of riga-c alone lost the store at 17.5 s and told its zone so; its nodes read by themselves from 18.9 s on, saw that an entry was gone (removed at 17.9 s) and kept the worker two seconds longer, as for an entry that lapsed in an outage.

Ruled out: slow relays (the slowest took 0.58 s from the first node to the last).

Change: a leader's failed reads are not relayed. In an outage of the store the nodes' own reads fail, from 1.5 s on; entries lapse after three intervals of 1.2 s.

Before and after: with the old behaviour put back the new test of watcher fails.

--- a/conductor/relay.go
+++ b/conductor/relay.go
@@ -13,7 +13,8 @@
 const unrelayed = -1
 
 // relay returns what a follower of this zone does not know yet of the list of
-// workers, so that it need not read the store. The caller holds mu.
+// workers, so that it need not read the store. That this node's own reads fail is
+// not told: the store may be there for others, and who reads by itself finds out. The caller holds mu.
 func (c *Conductor) relay(now time.Time, f *follower) *nodewire.Relay {
 	node := c.demand.nodes[f.node]
 	if node == nil || node.zone != c.parts.Zone || node.leads || f.relayed == unrelayed {
@@ -25,7 +26,7 @@
 	}
 	changes := c.parts.List.Since(f.relayed)
 	message := &nodewire.Relay{
-		Version: freshness.Version, AgeMs: now.Sub(freshness.ReadAt).Milliseconds(), DisturbedMs: max(freshness.DisturbedUntil.Sub(now).Milliseconds(), 0),
+		Version: freshness.Version, AgeMs: now.Sub(freshness.ReadAt).Milliseconds(),
 		Changes: lo.Map(changes, func(change registrar.Change, _ int) *nodewire.Heartbeat { return heartbeatOf(&change) }),
 	}
 	f.relayed = max(f.relayed, freshness.Version)
@@ -38,8 +39,6 @@
 	Base, Version int64
 	// ReadAt is when the store last answered; zero when this node does not read by itself.
 	ReadAt time.Time
-	// DisturbedUntil is until when a missing entry may still come back after an outage.
-	DisturbedUntil time.Time
 }
 
 func heartbeatOf(change *registrar.Change) *nodewire.Heartbeat {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -108,22 +108,6 @@
 	r.disturbedUntil = now.Add(lapseGrace)
 }
 
-// DisturbedUntil returns until when a missing entry may be one that comes back.
-func (r *Registrar) DisturbedUntil() time.Time {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.disturbedUntil
-}
-
-// DisturbUntil takes in that missing entries may come back until a time.
-func (r *Registrar) DisturbUntil(until time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if until.After(r.disturbedUntil) {
-		r.disturbedUntil = until
-	}
-}
-
 // Changed returns the version of the newest change that Since returns.
 func (r *Registrar) Changed() int64 {
 	r.mu.Lock()
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -37,7 +37,6 @@
 type Fleet struct {
 	settings  *settingsreader.Settings
 	watcher   *watcher.Watcher
-	registrar *registrar.Registrar
 	viewer    *viewer.Viewer
 	lease     *leaseholder.Leaseholder
 	conductor *conductor.Conductor
@@ -89,8 +88,7 @@
 	settings := do.MustInvoke[*settingsreader.Settings](i)
 	f := &Fleet{
 		settings: settings, watcher: do.MustInvoke[*watcher.Watcher](i), viewer: do.MustInvoke[*viewer.Viewer](i),
-		registrar: do.MustInvoke[*registrar.Registrar](i),
-		peers:     do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: operator.NewMetrics(),
+		peers: do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: operator.NewMetrics(),
 	}
 	f.lease = leaseholder.New(leaseholder.Parts{
 		Zone: settings.Zone(), Now: timekeeper.Now, QuietMS: settings.QuietMS(), Rows: do.MustInvoke[*platform.Store](i).Rows,
@@ -143,7 +141,6 @@
 func (f *Fleet) fresh(now time.Time) conductor.Freshness {
 	return conductor.Freshness{
 		Base: f.watcher.ListBase(), Version: f.watcher.ListVersion(), ReadAt: f.watcher.ReadAt(now),
-		DisturbedUntil: f.registrar.DisturbedUntil(),
 	}
 }
 
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -232,7 +232,6 @@
 	}
 	s.parts.Relay(now, watcher.Relay{
 		Version: relay.GetVersion(), ReadAt: now.Add(-time.Duration(relay.GetAgeMs()) * time.Millisecond),
-		DisturbedUntil: now.Add(time.Duration(relay.GetDisturbedMs()) * time.Millisecond),
 		Changes: lo.Map(relay.GetChanges(), func(heartbeat *nodewire.Heartbeat, _ int) registrar.Change {
 			return changeOf(now, heartbeat)
 		}),
--- a/watcher/relay.go
+++ b/watcher/relay.go
@@ -18,8 +18,6 @@
 	Version int64
 	// ReadAt is when the store last answered the leader.
 	ReadAt time.Time
-	// DisturbedUntil is until when a missing entry may still come back after an outage.
-	DisturbedUntil time.Time
 	// Changes are those that this node did not know when it last told the leader its version.
 	Changes []registrar.Change
 }
@@ -37,7 +35,6 @@
 // TakeRelay takes in what the own zone's leader read. This node reads by itself
 // again when the relay grows old or EndRelay is called.
 func (w *Watcher) TakeRelay(now time.Time, news Relay) {
-	w.registrar.DisturbUntil(news.DisturbedUntil)
 	if len(news.Changes) > 0 {
 		w.logChanges(news.Changes)
 		w.registrar.Apply(now, news.Changes)
--- a/watcher/relay_test.go
+++ b/watcher/relay_test.go
@@ -49,6 +49,12 @@
 		w.EndRelay()
 		gomega.Eventually(calls, 200*time.Millisecond, 5*time.Millisecond).Should(gomega.BeNumerically(">", before))
 	})
+	ginkgo.It("takes in at once what it reads by itself, though its leader lost the store", func() {
+		relay()
+		s.set(func() { s.workers, s.version = nil, 21 })
+		w.EndRelay()
+		gomega.Eventually(func() int { return list.Fleet().Size() }, 300*time.Millisecond, 10*time.Millisecond).Should(gomega.BeZero())
+	})
 	ginkgo.It("reads by itself when what its leader read is old", func() {
 		before := calls()
 		old := time.Now().Add(-2 * time.Second)
