A fault soak over real processes, and the lock-up of leaders that it found

Cause: no test ran the fleet form as separate processes with several threads under faults.

Ruled out: the store's lost answers, after which the lines of the lease stopped (the renewal had returned).

Change: successors are asked for before the lease's lock is taken.

The new test of leaseholder failed before.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build quickstart up test unit race process format lint generate cases
+.PHONY: build quickstart up test unit race process soak format lint generate cases
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -38,6 +38,12 @@
 process: build
 	@echo "passed over as known red: $(KNOWN_RED)"
 	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 8m ./launcher $(if $(KNOWN_RED),-ginkgo.skip "$(KNOWN_RED)")
+	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 4m ./soaker
+
+# Plays one seed of the fault soak (docs/SOAK.md).
+SEED ?= 1
+soak: build
+	bin/soak -seed $(SEED)
 
 # Rewrites the expected outputs of the regression cases and the docs' examples.
 cases:
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -68,7 +68,7 @@
 	Rows *platformclient.Platform
 	// Heard reports whether a zone's leader was heard of lately.
 	Heard func(zone string) bool
-	// Successors returns the nodes of the zone that follow this leader.
+	// Successors returns the nodes of the zone that follow this leader. It is called without any lock.
 	Successors func() []elector.Member
 	// Ask asks a successor for a promise and reports whether it gave it.
 	Ask func(deadline time.Time, successor elector.Member, epoch int64, hold time.Duration) bool
@@ -244,13 +244,14 @@
 	if l.due() {
 		l.read()
 	}
+	successors := l.successors()
 	l.mu.Lock()
 	now := l.parts.Now()
 	l.elector.Inherit()
 	_, leading := l.elector.Leading(now)
 	var proposal *elector.Proposal
 	if l.mayPropose(now, leading) && (leading || !l.defers(now)) {
-		proposal = l.elector.Propose(now, l.successors())
+		proposal = l.elector.Propose(now, successors)
 	}
 	if proposal != nil {
 		if !leading {
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -74,6 +74,27 @@
 	}
 })
 
+var _ = ginkgo.Describe("a node that is asked while it renews its lease", func() {
+	ginkgo.It("answers, also when the question comes from who names its successors", func() {
+		z := &zone{now: time.Unix(1e6, 0), cut: map[string]bool{}, nodes: map[string]*Leaseholder{}, ordered: map[string]time.Time{}}
+		z.start("a")
+		asked := 0
+		z.nodes["a"].parts.Successors = func() []elector.Member {
+			asked++
+			z.nodes["a"].Known()
+			z.nodes["a"].Quiet()
+			return nil
+		}
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			z.play(event{AfterMS: 2000, Leads: "a"})
+		}()
+		gomega.Eventually(done, 2*time.Second).Should(gomega.BeClosed(), "the lease's lock is held while others are asked")
+		gomega.Expect(asked).To(gomega.BeNumerically(">", 0))
+	})
+})
+
 const quietMS = 3000
 
 func (z *zone) start(name string) {
--- a/leaseholder/row.go
+++ b/leaseholder/row.go
@@ -12,7 +12,8 @@
 	"github.com/acaciaproxy/acaciaproxy/platformclient"
 )
 
-// successors returns the nodes that a lease names; the caller holds mu.
+// successors returns the nodes that a lease names. The leader whom it asks asks
+// back, so the caller must not hold mu.
 func (l *Leaseholder) successors() []elector.Member {
 	all := l.parts.Successors()
 	return all[:min(len(all), elector.MaxSuccessors)]
