--- a/launcher/process.go
+++ b/launcher/process.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"os/exec"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -117,14 +119,25 @@
 	<-p.ended
 }
 
-// FreeAddress returns an unused address on the loopback interface.
+// given holds the addresses that FreeAddress returned.
+var given sync.Map
+
+// FreeAddress returns an unused address on a loopback interface of this
+// process's own, so that tests beside each other do not take it before it is used.
 func FreeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	const hosts = 250
+	host := fmt.Sprintf("127.%d.%d.1:0", 1+os.Getpid()%hosts, 1+os.Getpid()/hosts%hosts)
+	for {
+		listener, err := net.Listen("tcp", host)
+		if err != nil {
+			panic(err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close() // It was never used.
+		if _, taken := given.LoadOrStore(address, true); !taken {
+			return address
+		}
 	}
-	defer listener.Close()
-	return listener.Addr().String()
 }
 
 // readyPoll is how often a starting process is asked.
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/acaciaproxy/acaciaproxy/disturber"
+	"github.com/acaciaproxy/acaciaproxy/launcher"
 	"github.com/acaciaproxy/acaciaproxy/platform/fleetstandin"
 )
 
@@ -216,13 +217,7 @@
 func (w *world) addNode(zone string, index int) error {
 	n := &node{
 		name: fmt.Sprintf("%s%d", zone, index+1), zone: zone,
-	}
-	for _, address := range []*string{&n.callers, &n.ready, &n.nodes, &n.ops} {
-		free, err := w.freeAddress()
-		if err != nil {
-			return err
-		}
-		*address = free
+		callers: launcher.FreeAddress(), ready: launcher.FreeAddress(), nodes: launcher.FreeAddress(), ops: launcher.FreeAddress(),
 	}
 	var err error
 	if n.store, err = disturber.New(w.storeAddress); err != nil {
@@ -238,17 +233,6 @@
 	return w.startNode(n)
 }
 
-// freeAddress returns an unused address on a loopback interface of this run's own, so that runs beside each
-// other do not take it.
-func (w *world) freeAddress() (string, error) {
-	listener, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.1:0", 1+w.spec.Seed%200, 1+os.Getpid()%200))
-	if err != nil {
-		return "", fmt.Errorf("soak address: %w", err)
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
-
 // startNode starts a node's process, whose log goes to a file.
 func (w *world) startNode(n *node) error {
 	n.mu.Lock()
