--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -24,7 +24,7 @@
 	log.DefaultLogger.SetLevel(log.WarnLevel) // The proxies tell of each target that is down.
 	failed := 0
 	for i := range *count {
-		report, err := soaker.Run(soaker.Spec{Program: *program, Folder: *folder, Seed: *seed + uint64(i), Span: *span, Nodes: *nodes, Only: *only})
+		report, err := soaker.Run(soaker.Spec{Program: *program, Folder: *folder, Seed: *seed + uint64(i), Until: time.Now().Add(*span), Nodes: *nodes, Only: *only})
 		if err != nil {
 			fmt.Fprintln(os.Stderr, "soak:", err)
 			os.Exit(1)
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -18,8 +18,8 @@
 	Program, Folder string
 	// Seed fixes the schedule of faults and the callers' draws.
 	Seed uint64
-	// Span is for how long faults begin. The run goes on until all have ended and calm has returned.
-	Span time.Duration
+	// Until is until when faults begin. The run goes on until all have ended and calm has returned.
+	Until time.Time
 	// Nodes is how many nodes each of the two zones has.
 	Nodes int
 	// Only restricts the faults to those whose name begins so; empty allows all.
@@ -71,7 +71,7 @@
 	defer w.close()
 	callers := newCallers(w, rand.New(rand.NewPCG(spec.Seed, 1)))
 	callers.run()
-	acts := newSchedule(w, rand.New(rand.NewPCG(spec.Seed, 2)), spec.Only).run(time.Now().Add(spec.Span))
+	acts := newSchedule(w, rand.New(rand.NewPCG(spec.Seed, 2)), spec.Only).run(spec.Until)
 	callers.awaitCalm()
 	callers.stop()
 	report := &Report{Seed: spec.Seed, Acts: acts, Ends: callers.counts()}
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -38,7 +38,7 @@
 	for i, seed := range seeds {
 		all.Go(func() {
 			reports[i], errs[i] = soaker.Run(soaker.Spec{
-				Program: filepath.Join(programs, "acaciaproxy"), Folder: folder, Seed: seed.Seed, Span: time.Duration(seed.Seconds) * time.Second, Nodes: seed.Nodes,
+				Program: filepath.Join(programs, "acaciaproxy"), Folder: folder, Seed: seed.Seed, Until: time.Now().Add(time.Duration(seed.Seconds) * time.Second), Nodes: seed.Nodes,
 			})
 		})
 	}
