Calm phases in the soak

Change: six seconds of all acts, then nine of planned ones only; a leaving worker ends when it is idle.

--- a/soaker/schedule.go
+++ b/soaker/schedule.go
@@ -8,6 +8,8 @@
 	"syscall"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/acaciaproxy/acaciaproxy/disturber"
 	"github.com/acaciaproxy/acaciaproxy/platform/fleetstandin"
 )
@@ -46,6 +48,16 @@
 	seriesShare   = 4
 )
 
+// Phases: after stormTime of all acts comes calmPhase of planned ones only, in which the promises with a bound in
+// seconds hold once the last faults are over.
+const (
+	stormTime = 6 * time.Second
+	calmPhase = 9 * time.Second
+)
+
+// isCalm reports whether only planned acts may begin now.
+func (s *schedule) isCalm() bool { return time.Since(s.began)%(stormTime+calmPhase) > stormTime }
+
 // run begins acts until the deadline and returns once all are over.
 func (s *schedule) run(deadline time.Time) []string {
 	for time.Now().Before(deadline) {
@@ -96,6 +108,9 @@
 	span := 300*time.Millisecond + time.Duration(s.random.Int64N(int64(3700*time.Millisecond)))
 	acts := append(s.nodeActs(n, span), append(s.storeActs(span), s.workerActs(at, span)...)...)
 	acts = append(acts, act{name: "configuration", planned: true, do: s.world.configure})
+	if s.isCalm() {
+		acts = lo.Filter(acts, func(a act, _ int) bool { return a.planned })
+	}
 	next := acts[s.random.IntN(len(acts))]
 	if !strings.HasPrefix(next.name, s.only) {
 		return act{}, false
@@ -181,8 +196,9 @@
 			at.worker.Leave()
 			at.worker.Beat(s.world.store, at.proxy.Address())
 			time.Sleep(leaveTime)
-			end := s.world.begin() // Streams that last longer break off.
-			defer end()
+			if !at.worker.AwaitIdle(time.Now().Add(leaveTime)) {
+				defer s.world.begin()() // What still runs breaks off.
+			}
 			at.stopWorker()
 			at.worker.DropEntry(s.world.store)
 			s.world.startWorker(at, nil, nil)
