A model that several wait for may take the place of a busy one

Cause: in the soak without faults (nine equally busy models, eight places) 3 in 100 requests were refused after 3.5 s: the loss of every victim was above the fixed limit, so the ninth model was loaded only when a holder happened to be idle. Traced: 'request not answered' with loads_late after 3,458 ms, no 'load decided' for its model before.

Ruled out: the estimate (0.3 s, right), the weight store (copies on disk).

Change: the limit of the loss is the waiting model's own value where that is higher; it grows with those who wait and with the time that it is loaded nowhere.

--- a/placer/cost.go
+++ b/placer/cost.go
@@ -22,7 +22,7 @@
 	runningLoss = 0.2
 	// waitLoss is the loss for each second that one waiting request waits longer.
 	waitLoss = 0.25
-	// maxLoss is the loss above which a waiting model is not worth its victims.
+	// maxLoss is the loss above which a waiting model is not worth its victims, unless its own value is above it.
 	maxLoss = 3.0
 	// replicaMaxLoss is the same for a replica.
 	replicaMaxLoss = 1.0
@@ -49,7 +49,7 @@
 	if !possible {
 		return move, 0, false
 	}
-	limit := maxLoss
+	limit := max(maxLoss, w.value())
 	if w.replica {
 		limit = replicaMaxLoss * min(w.pressure, maxLoss)
 	}
