--- a/conductor/conductor.go
+++ b/conductor/conductor.go
@@ -221,13 +221,13 @@
 	if !now.Before(c.quietUntil) && c.parts.Fresh(now).ReadAt.After(c.began.Add(-recentRead)) {
 		c.plan(now, catalog)
 	}
-	c.wakeForReads(now, catalog)
+	c.wakeForReads(catalog)
 	c.flush()
 }
 
 // wakeForReads wakes all followers when the store has told of another
 // configuration or of workers that come or go; the caller holds mu.
-func (c *Conductor) wakeForReads(now time.Time, catalog *cataloger.Catalog) {
+func (c *Conductor) wakeForReads(catalog *cataloger.Catalog) {
 	listed := c.parts.List.Changed()
 	if c.told == catalog.Version() && c.listed == listed {
 		return
