A node that is starting outlives SIGHUP

Ruled out: a second handler. Change: signals are handled from the first line of serve on. What is left is the start of the runtime itself. Before and after: the new test of commander, which sends SIGHUP while the settings are read, was ended by the signal before, passes after.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -35,6 +35,10 @@
 }
 
 func serve(path string, s streams) int {
+	// Before anything else: by default, SIGHUP ends a process.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
 	settings, err := settingsreader.Read(path)
 	if err != nil {
 		return refuseFaults(verbServe(), s, err)
@@ -45,8 +49,6 @@
 	if err != nil {
 		return verbServe().refuse(s, err)
 	}
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	stop := make(chan struct{})
 	go func() {
 		for received := range signals {
