A handed-over lease counts the time in which its last order may still be under way

Ruled out: clocks (boot clock; both nodes on one machine).

Change: the pause that a handover leaves is 0.3 s longer than the platform's.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -55,6 +55,8 @@
 	weakWait = 600 * time.Millisecond
 	// fullStrength is the share of a core from which a node does not wait; a leader of 75 nodes needs about a third of it.
 	fullStrength = 0.4
+	// orderTravel is how long an order that has left may take to reach its worker, over a lossy or delayed link.
+	orderTravel = 300 * time.Millisecond
 	// returnGrace is how long other nodes leave a lapsed lease to its holder after the store's return.
 	returnGrace = 700 * time.Millisecond
 )
@@ -315,7 +317,7 @@
 		if l.orderedAt.IsZero() {
 			sinceOrder = 0 // The orders of a holder before this one may be recent.
 		}
-		proposal.Lease.Quiet = min(max(l.parts.QuietMS-sinceOrder, 0), l.parts.QuietMS)
+		proposal.Lease.Quiet = max(l.parts.QuietMS+orderTravel.Milliseconds()-max(sinceOrder, 0), 0)
 	}
 	l.mu.Unlock()
 	if proposal == nil {
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -1,6 +1,7 @@
 package leaseholder
 
 import (
+	"encoding/json"
 	"errors"
 	"strings"
 	"sync"
@@ -95,6 +96,19 @@
 	})
 })
 
+var _ = ginkgo.Describe("a lease that is handed over right after an order", func() {
+	ginkgo.It("keeps the next leader quiet for longer, since the order may still be on its way", func() {
+		z := &zone{now: time.Unix(1e6, 0), cut: map[string]bool{}, nodes: map[string]*Leaseholder{}, ordered: map[string]time.Time{}}
+		z.start("a")
+		z.play(event{AfterMS: 5000})
+		gomega.Expect(z.leader()).To(gomega.Equal("a"))
+		gomega.Expect(z.nodes["a"].Resign()).To(gomega.BeTrue())
+		var lease elector.Lease
+		gomega.Expect(json.Unmarshal([]byte(z.row.Value), &lease)).To(gomega.Succeed())
+		gomega.Expect(lease.Quiet).To(gomega.BeNumerically(">=", quietMS+orderTravel.Milliseconds()))
+	})
+})
+
 const quietMS = 3000
 
 func (z *zone) start(name string) {
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -134,11 +134,10 @@
 // configure writes the next version of the configuration.
 func (w *world) configure() {
 	w.mu.Lock()
+	defer w.mu.Unlock() // An operator's versions rise.
 	w.newest++
-	version := w.newest
-	w.versions[version] = time.Now()
-	w.mu.Unlock()
-	w.store.PutDocument(fleetstandin.Document(version, max(version-keptVersions, 1), w.models))
+	w.versions[w.newest] = time.Now()
+	w.store.PutDocument(fleetstandin.Document(w.newest, max(w.newest-keptVersions, 1), w.models))
 }
 
 // keptVersions is how many earlier versions' routes stay.
