--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"sort"
+	"strings"
 	"time"
 )
 
@@ -33,6 +34,8 @@
 	Acts []string
 	// Broken names the promises that were broken, with what was seen.
 	Broken []string
+	// Notes say when the machine did not run a process.
+	Notes []string
 	// Ends counts attempts by how they ended.
 	Ends map[string]int
 }
@@ -55,6 +58,12 @@
 	for _, broken := range r.Broken {
 		text += "\n  " + broken
 	}
+	if len(r.Broken) > 0 {
+		text += "\n  acts: " + strings.Join(r.Acts, ", ")
+	}
+	if len(r.Notes) > 0 {
+		text += "\n  notes: " + strings.Join(r.Notes, ", ")
+	}
 	return text
 }
 
@@ -75,6 +84,7 @@
 	callers.awaitCalm()
 	callers.stop()
 	report := &Report{Seed: spec.Seed, Acts: acts, Ends: callers.counts()}
+	report.Notes = w.noted()
 	report.Broken = append(append(report.Broken, w.broken()...), callers.check()...)
 	return report, nil
 }
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -47,7 +47,7 @@
 		gomega.Expect(errs[i]).NotTo(gomega.HaveOccurred())
 		t.Log(reports[i])
 		if len(reports[i].Broken) > 0 {
-			t.Errorf("%s\n%v", reports[i], reports[i].Acts)
+			t.Errorf("a promise was broken: %s", reports[i])
 		}
 	}
 }
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -86,6 +86,10 @@
 	newest   int
 	born     int
 	failures []string
+	// notes say when the machine did not run a process.
+	notes []string
+	// began is when the first act may come.
+	began time.Time
 }
 
 func newWorld(spec Spec, folder string) (*world, error) {
@@ -117,7 +121,13 @@
 			}
 		}
 	}
-	return w, w.awaitReady()
+	if err := w.awaitReady(); err != nil {
+		w.close()
+		return nil, err
+	}
+	w.began = time.Now()
+	go w.watchStarvation()
+	return w, nil
 }
 
 // listen serves a handler at an address of its own.
@@ -339,6 +349,13 @@
 	return append(w.record.Broken(), w.failures...)
 }
 
+// noted returns when the machine did not run a process.
+func (w *world) noted() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return append([]string(nil), w.notes...)
+}
+
 func (w *world) close() {
 	close(w.stopped)
 	for _, n := range w.nodes {
