Signals are handled from the initialisation of the program on

Ruled out: the handler of serve. Before and after: TestEarlySignal is ended by the signal without the initialisation, passes with it.

--- a/commander/serve.go
+++ b/commander/serve.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"os"
-	"os/signal"
 	"syscall"
 
 	"github.com/phuslu/log"
@@ -12,6 +11,7 @@
 	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/server"
 	"github.com/acaciaproxy/acaciaproxy/settingsreader"
+	"github.com/acaciaproxy/acaciaproxy/signaler"
 )
 
 func verbServe() verb {
@@ -35,10 +35,9 @@
 }
 
 func serve(path string, s streams) int {
-	// Before anything else: by default, SIGHUP ends a process.
+	// Before anything else, so that no signal is lost.
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	defer signaler.Notify(signals)()
 	settings, err := settingsreader.Read(path)
 	if err != nil {
 		return refuseFaults(verbServe(), s, err)
--- a/pacer/pacer_test.go
+++ b/pacer/pacer_test.go
@@ -19,5 +19,5 @@
 	}
 	gomega.Expect(pacer.Pause(0)).To(gomega.Equal(pacer.Shortest))
 	gomega.Expect(pacer.Pause(400)).To(gomega.Equal(pacer.Longest))
-	gomega.Expect(3 * pacer.Longest).To(gomega.BeNumerically("<=", 1200*time.Millisecond), "a stream that is silent for so long is opened anew")
+	gomega.Expect(3*pacer.Longest).To(gomega.BeNumerically("<=", 1200*time.Millisecond), "a stream that is silent for so long is opened anew")
 }
--- /dev/null
+++ b/signaler/signaler_test.go
@@ -0,0 +1,24 @@
+package signaler_test
+
+import (
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/onsi/gomega"
+
+	"github.com/acaciaproxy/acaciaproxy/signaler"
+)
+
+// TestEarlySignal sends SIGHUP before anybody asked for signals. Without the
+// package's initialisation it would end the test.
+func TestEarlySignal(t *testing.T) {
+	gomega.RegisterTestingT(t)
+	gomega.Expect(syscall.Kill(os.Getpid(), syscall.SIGHUP)).To(gomega.Succeed())
+	time.Sleep(50 * time.Millisecond)
+	signals := make(chan os.Signal, 4)
+	stop := signaler.Notify(signals)
+	defer stop()
+	gomega.Eventually(signals, time.Second).Should(gomega.Receive(gomega.Equal(syscall.SIGHUP)))
+}
