The soak judges times when it knows whether the machine ran the processes

Change: bounds in seconds are judged at the end, against all spans of faults and starvation; a node is reloaded once it has written a line. How soon a starting node holds a signal is tested in signaler and commander.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -30,15 +30,14 @@
 
 // attempt is one request and its end.
 type attempt struct {
-	id         string
-	kind       fleetstandin.Kind
-	node       *node
-	start      int // the node's process
-	sentAt     time.Time
-	endedAt    time.Time
-	end        fleetstandin.End
-	calmBefore bool // no fault from contact before the request to its end
-	stopped    bool // the process was told to stop before or while it was under way
+	id      string
+	kind    fleetstandin.Kind
+	node    *node
+	start   int // the node's process
+	sentAt  time.Time
+	endedAt time.Time
+	end     fleetstandin.End
+	stopped bool // the process was told to stop before or while it was under way
 }
 
 // callers send requests and keep what they saw.
@@ -141,12 +140,10 @@
 func (c *callers) send(client *http.Client, a *attempt, model string) {
 	stoppedBefore, start := a.node.stopping()
 	a.start = start
-	calm := c.world.calmSince()
 	a.sentAt = time.Now()
 	a.end = fleetstandin.Send(client, a.node.callers, a.kind, "/"+string(a.kind)+"/x", a.id, model, patience)
 	a.endedAt = time.Now()
 	stoppedAfter, startAfter := a.node.stopping()
-	a.calmBefore = a.sentAt.After(calm) && c.world.calmSince().Equal(calm)
 	a.stopped = !stoppedBefore.IsZero() || !stoppedAfter.IsZero() || startAfter != start
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -50,9 +50,9 @@
 		return "DENIED: status 404"
 	case a.end.RetryAfter != "" && !isDelay(a.end.RetryAfter):
 		return fmt.Sprintf("RETRY: Retry-After %q is no time", a.end.RetryAfter)
-	case a.endedAt.Sub(a.sentAt) > patience+answerSlack && a.calmBefore:
+	case a.endedAt.Sub(a.sentAt) > patience+answerSlack && c.world.wasCalm(a.sentAt, a.endedAt):
 		return fmt.Sprintf("LATE: its end came after %s", a.endedAt.Sub(a.sentAt).Round(time.Millisecond))
-	case a.end.Status == 0 && len(runs) > 0 && a.calmBefore && a.stopped:
+	case a.end.Status == 0 && len(runs) > 0 && a.stopped && c.world.wasCalm(a.sentAt, a.endedAt):
 		return fmt.Sprintf("LOST: a planned stop cut it: %v", a.end.Cause)
 	}
 	return ""
--- a/soaker/schedule.go
+++ b/soaker/schedule.go
@@ -149,7 +149,7 @@
 		{name: "node killed " + n.name, do: func() { n.signal(syscall.SIGKILL); s.restart(n, span/4) }},
 		{name: "node paused " + n.name, do: func() { n.signal(syscall.SIGSTOP); time.Sleep(span); n.signal(syscall.SIGCONT) }},
 		{name: "node stopped " + n.name, planned: true, do: func() { n.signal(syscall.SIGTERM); s.restart(n, span/8) }},
-		{name: "node reloaded " + n.name, planned: true, do: func() { n.signal(syscall.SIGHUP) }},
+		{name: "node reloaded " + n.name, planned: true, do: func() { n.awaitStarted(); n.signal(syscall.SIGHUP) }},
 		{name: "node cut from the store " + n.name, do: func() { s.disturb(n.store, disturber.ModeSilent, span) }},
 		{name: "node hears the store one way " + n.name, do: func() { s.disturb(n.store, disturber.ModeOneWay, span) }},
 		{name: "node far from the store " + n.name, do: func() { s.disturb(n.store, disturber.ModeDelay, span) }},
--- a/soaker/world.go
+++ b/soaker/world.go
@@ -11,6 +11,8 @@
 	"syscall"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/acaciaproxy/acaciaproxy/disturber"
 	"github.com/acaciaproxy/acaciaproxy/launcher"
 	"github.com/acaciaproxy/acaciaproxy/platform/fleetstandin"
@@ -43,6 +45,8 @@
 	// mu guards everything below.
 	mu      sync.Mutex
 	command *exec.Cmd
+	// log is the file of the present process.
+	log string
 	// ended is closed when the process has ended; expected is set when a fault has ended it.
 	ended    chan struct{}
 	expected bool
@@ -81,6 +85,8 @@
 	// faults counts those under way; lastFault is when one last began or ended.
 	faults    int
 	lastFault time.Time
+	// spans holds all faults.
+	spans []*faultSpan
 	// versions maps versions of the configuration to when they were written.
 	versions map[int]time.Time
 	newest   int
@@ -247,7 +253,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.starts++
-	output, err := os.Create(filepath.Join(w.folder, fmt.Sprintf("%s-%d.log", n.name, n.starts)))
+	n.log = filepath.Join(w.folder, fmt.Sprintf("%s-%d.log", n.name, n.starts))
+	output, err := os.Create(n.log)
 	if err != nil {
 		return fmt.Errorf("log of node %q: %w", n.name, err)
 	}
@@ -272,6 +279,22 @@
 	return nil
 }
 
+// awaitStarted waits until the node's process has written a line. Before the runtime of a program runs, and the kernel
+// may not run it for a while, nothing in it can hold a signal; how soon it can is tested in signaler and commander.
+func (n *node) awaitStarted() {
+	for deadline := time.Now().Add(startTime); time.Now().Before(deadline); time.Sleep(startPoll) {
+		n.mu.Lock()
+		path := n.log
+		n.mu.Unlock()
+		if written, err := os.Stat(path); err == nil && written.Size() > 0 {
+			return
+		}
+	}
+}
+
+// startPoll is the pause between two looks at a node that starts.
+const startPoll = 20 * time.Millisecond
+
 // signal sends a signal to a node's process.
 func (n *node) signal(signal syscall.Signal) {
 	n.mu.Lock()
@@ -318,14 +341,36 @@
 	defer w.mu.Unlock()
 	w.faults++
 	w.lastFault = time.Now()
+	span := &faultSpan{began: w.lastFault}
+	w.spans = append(w.spans, span)
 	return func() {
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.faults--
 		w.lastFault = time.Now()
+		span.ended = w.lastFault
 	}
 }
 
+// wasCalm reports whether no fault touched a time, with contact before it. It is
+// asked at the end, when it is known that the machine did not run a process.
+func (w *world) wasCalm(from, to time.Time) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return !lo.SomeBy(w.spans, func(span *faultSpan) bool {
+		return span.began.Before(to.Add(noticeTime)) && (span.ended.IsZero() || span.ended.After(from.Add(-contact)))
+	})
+}
+
+// noticeTime is how long after it a starved node is noticed at the latest, when the soak itself runs.
+const noticeTime = time.Second
+
+// faultSpan is the time of one fault.
+type faultSpan struct {
+	// ended is zero while the fault is under way.
+	began, ended time.Time
+}
+
 // calmSince returns from when on promises with a bound in seconds hold; it is in the future while a fault is under way.
 func (w *world) calmSince() time.Time {
 	w.mu.Lock()
