An order whose time is over is looked at before it is given up

The first is the program's: a node that got no processor between the order and its deadline gave up a load without having read a report, and counted a failure. Ruled out: the fakes (the worker held the model 1.4 s after its order, as it should).

--- a/conductor/swap.go
+++ b/conductor/swap.go
@@ -224,9 +224,6 @@
 	born := known.born
 	c.mu.Unlock()
 	now := time.Now()
-	if now.After(tries.deadline) {
-		return &SwapError{order: order, outcome: OutcomeConflict, underWay: tries.busy}
-	}
 	if now.After(tries.reportAt) {
 		tries.reportAt = now.Add(patience)
 		ctx, cancel := context.WithTimeout(context.Background(), reportTime)
@@ -240,6 +237,10 @@
 		}
 		tries.busy = true
 	}
+	// After the report, so that a node that was slow does not give up what it has not looked at.
+	if now.After(tries.deadline) {
+		return &SwapError{order: order, outcome: OutcomeConflict, underWay: tries.busy}
+	}
 	time.Sleep(orderPoll)
 	return nil
 }
