Captured log lines without a change of the logger

Ruled out: the program; only tests set the logger there. Change: the logger of tests is set once, at the start; a capture is an atomic switch behind it.

--- a/scripter/capture.go
+++ b/scripter/capture.go
@@ -2,25 +2,44 @@
 
 import (
 	"bytes"
+	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 
 	"github.com/phuslu/log"
 )
 
+// capturing is the capture that takes lines now, or nil. The logger itself is set once,
+// since goroutines of an earlier test may still log.
+var capturing atomic.Pointer[Capture]
+
+// output passes lines to the present capture, or to standard error.
+type output struct{}
+
+// Write takes a line in.
+func (output) Write(line []byte) (int, error) {
+	if c := capturing.Load(); c != nil {
+		return c.Write(line)
+	}
+	return os.Stderr.Write(line)
+}
+
+func init() {
+	log.DefaultLogger = log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: output{}}}
+}
+
 // Capture holds the log lines of a test.
 type Capture struct {
 	// mu guards text.
 	mu   sync.Mutex
 	text bytes.Buffer
-	// before is the logger that Close puts back.
-	before log.Logger
 }
 
 // NewCapture makes all log lines go to a new capture until Close is called.
 func NewCapture() *Capture {
-	c := &Capture{before: log.DefaultLogger}
-	log.DefaultLogger = log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: c}}
+	c := &Capture{}
+	capturing.Store(c)
 	return c
 }
 
@@ -31,8 +50,8 @@
 	return c.text.Write(line)
 }
 
-// Close puts the logger back that was there before.
-func (c *Capture) Close() { log.DefaultLogger = c.before }
+// Close ends the capture.
+func (c *Capture) Close() { capturing.CompareAndSwap(c, nil) }
 
 // Missing returns the wanted lines that did not come. A wanted line is a list of
 // texts, separated by a bar, that one line must hold.
