Failing test: requests alike are sent together while one of them crashes workers

Copies of one crashing request, or requests with one crashing part, reach all nodes at the same moment and wait for the same load.

--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -36,10 +36,9 @@
 		breaches = append(breaches, fmt.Sprintf("RECOVER: %d of %d attempts were answered %s after the last fault", answered, sent, recoveryTime))
 	}
 	e := c.environment
-	breaches = append(breaches, checkCrashes(e.record.Crashes(fleetstandin.CauseBody), e.hadNoFault)...)
-	partCrashes := e.record.Crashes(fleetstandin.CausePart)
-	breaches = append(breaches, checkPartArrivals(partCrashes, e.record.PartArrivals(), e.hadNoFault)...)
-	breaches = append(breaches, e.parts.blamed(partCrashes)...)
+	breaches = append(breaches, checkCrashingRequests(e.record, fleetstandin.CauseBody, e.hadNoFault)...)
+	breaches = append(breaches, checkCrashingRequests(e.record, fleetstandin.CausePart, e.hadNoFault)...)
+	breaches = append(breaches, e.parts.blamed(e.record.Crashes(fleetstandin.CausePart))...)
 	return append(breaches, e.streams.check()...)
 }
 
@@ -88,23 +87,24 @@
 	return counts
 }
 
-// maxCountedCrashes is the number of crashed workers after which a crashing request may reach at most maxLateCrashes more workers, counted
-// faultEffectTime after that crash, by nodes that no fault affects.
-const (
-	maxCountedCrashes = 3
-	maxLateCrashes    = 3
-)
+// maxEndedRuns is the number of runs that have ended with their workers after which a crashing request may reach workers at most maxLateArrivals more
+// times, counted from faultEffectTime after the last of these ends, sent by nodes that no fault affects. Copies that run beside each other count one by one.
+var maxEndedRuns = map[fleetstandin.CrashCause]int{fleetstandin.CauseBody: 3, fleetstandin.CausePart: 5}
+
+const maxLateArrivals = 3
 
-// checkCrashes returns the breach of the guarantee that a crashing request is no longer sent once it has crashed workers. The
-// crashes are in order; faultFree reports whether no fault affected the nodes at a crash.
-func checkCrashes(crashes []time.Time, faultFree func(time.Time) bool) []string {
-	if len(crashes) < maxCountedCrashes {
+// checkCrashingRequests returns the breach of the guarantee that crashing requests with a cause are no longer sent once they have ended enough workers. The
+// function faultFree reports whether no fault affected the nodes at an arrival.
+func checkCrashingRequests(record *fleetstandin.Record, cause fleetstandin.CrashCause, faultFree func(time.Time) bool) []string {
+	ends := record.EndedRuns(cause)
+	if len(ends) < maxEndedRuns[cause] {
 		return nil
 	}
-	since := crashes[maxCountedCrashes-1].Add(faultEffectTime)
-	late := lo.CountBy(crashes, func(at time.Time) bool { return at.After(since) && faultFree(at) })
-	if late <= maxLateCrashes {
+	since := ends[maxEndedRuns[cause]-1].Add(faultEffectTime)
+	late := lo.CountBy(record.Arrivals(cause), func(at time.Time) bool { return at.After(since) && faultFree(at) })
+	if late <= maxLateArrivals {
 		return nil
 	}
-	return []string{fmt.Sprintf("CRASH: a request that had crashed %d workers crashed %d more later than %s after that; %d workers in all", maxCountedCrashes, late, faultEffectTime, len(crashes))}
+	return []string{fmt.Sprintf("CRASH: requests that crash workers (%s), of which %d had ended with them, reached workers %d times later than %s after that; %d runs ended in all, %d workers crashed",
+		cause, maxEndedRuns[cause], late, faultEffectTime, len(ends), len(record.Crashes(cause)))}
 }
--- a/soaker/crashing_part_test.go
+++ b/soaker/crashing_part_test.go
@@ -45,7 +45,7 @@
 	if len(crashes) < minPartCrashes {
 		return []string{fmt.Sprintf("the script is void: only %d workers were crashed", len(crashes))}
 	}
-	breaches := checkPartArrivals(crashes, record.PartArrivals(), func(time.Time) bool { return true })
+	breaches := checkCrashingRequests(record, fleetstandin.CausePart, func(time.Time) bool { return true })
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	last := crashes[min(len(crashes), partCrashes)-1].Add(2 * faultEffectTime)
--- a/soaker/crashing_request_test.go
+++ b/soaker/crashing_request_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -15,8 +16,8 @@
 var _ = ginkgo.Describe("a request that crashes workers", func() {
 	ginkgo.It("is not sent to more workers after the nodes that counted its crashes were killed", func() {
 		playScripts("testdata/crashing_requests.json", func(e *environment) []string {
-			breaches := checkCrashes(e.record.Crashes(fleetstandin.CauseBody), func(time.Time) bool { return true })
-			if crashes := len(e.record.Crashes(fleetstandin.CauseBody)); crashes < maxCountedCrashes-1 {
+			breaches := checkCrashingRequests(e.record, fleetstandin.CauseBody, func(time.Time) bool { return true })
+			if crashes := len(e.record.Crashes(fleetstandin.CauseBody)); crashes < minCrashes {
 				breaches = append(breaches, fmt.Sprintf("the script is void: only %d workers were crashed", crashes))
 			}
 			return breaches
@@ -24,6 +25,46 @@
 	})
 })
 
+// minCrashes is how many workers a script must crash at least; with fewer it shows nothing.
+const minCrashes = 2
+
+// Guards against requests alike, or with one crashing part, being sent together when the model for which they wait is loaded: each was checked before any of
+// them crashed the worker.
+var _ = ginkgo.Describe("requests that crash workers and come together", func() {
+	ginkgo.It("are tried one at a time once one of them has crashed a worker", func() {
+		playScripts("testdata/crashing_bursts.json", func(e *environment) []string {
+			var breaches []string
+			crashes := 0
+			for _, cause := range []fleetstandin.CrashCause{fleetstandin.CauseBody, fleetstandin.CausePart} {
+				breaches = append(breaches, checkCrashingRequests(e.record, cause, func(time.Time) bool { return true })...)
+				crashes += len(e.record.Crashes(cause))
+			}
+			if crashes < minCrashes {
+				breaches = append(breaches, fmt.Sprintf("the script is void: only %d workers were crashed", crashes))
+			}
+			return breaches
+		})
+	})
+})
+
+// sendTogether sends crashing requests to all nodes at the same moment, and returns when all have ended. Those with a part differ in all else.
+func (e *environment) sendTogether(count int, cause fleetstandin.CrashCause) {
+	var sending sync.WaitGroup
+	for i := range count {
+		sending.Go(func() {
+			client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+			n := e.nodes[i%len(e.nodes)]
+			if cause == fleetstandin.CausePart {
+				e.parts.sendCrashing(client, n)
+				return
+			}
+			id := fmt.Sprintf("together-%d-%d", i, time.Now().UnixNano())
+			fleetstandin.SendCrashing(client, n.callerAddress, fleetstandin.KindStream, "/stream/x", id, e.models[0], requestTimeout)
+		})
+	}
+	sending.Wait()
+}
+
 // sendUntilCrash sends the crashing request to a node until it has crashed a worker or is refused for its crashes.
 func (e *environment) sendUntilCrash(n *node) error {
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
--- a/soaker/parts.go
+++ b/soaker/parts.go
@@ -28,12 +28,8 @@
 	crashingPartDelay = 3 * time.Second
 )
 
-// Limits of the guarantees on a crashing part. After partCrashes crashes, maxLateArrivals more requests with it may reach workers later than
-// faultEffectTime.
-const (
-	partCrashes     = 5
-	maxLateArrivals = 3
-)
+// partCrashes is the number of crashes after which requests without the crashing part must not be refused for them any more.
+const partCrashes = 5
 
 // partAttempt is a request with the sound part.
 type partAttempt struct {
@@ -134,17 +130,3 @@
 	}
 	return []string{fmt.Sprintf("LOST: %d sound requests were refused for crashes that others caused", count)}
 }
-
-// checkPartArrivals returns the breach of the guarantee that requests with a crashing part are no longer sent once it has crashed workers. Crashes and
-// arrivals are in order; faultFree reports whether no fault affected the nodes at an arrival.
-func checkPartArrivals(crashes, arrivals []time.Time, faultFree func(time.Time) bool) []string {
-	if len(crashes) < partCrashes {
-		return nil
-	}
-	since := crashes[partCrashes-1].Add(faultEffectTime)
-	late := lo.CountBy(arrivals, func(at time.Time) bool { return at.After(since) && faultFree(at) })
-	if late <= maxLateArrivals {
-		return nil
-	}
-	return []string{fmt.Sprintf("CRASH: %d requests with a part that had crashed %d workers reached workers later than %s after that; %d workers crashed in all", late, partCrashes, faultEffectTime, len(crashes))}
-}
--- a/soaker/script_test.go
+++ b/soaker/script_test.go
@@ -127,6 +127,12 @@
 		return e.awaitReady()
 	case "send":
 		return e.sendUntilCrash(nodes[0])
+	case "together":
+		count, err := strconv.Atoi(words[0])
+		if err != nil {
+			return err
+		}
+		e.sendTogether(count, fleetstandin.CrashCause(words[1]))
 	case "cut":
 		return e.forWorkers(words, func(target *endpoint, every float64) { target.cutStreams(int(every)) })
 	case "crash":
