Send requests that may crash workers one at a time, over all nodes

What callers saw: a request under which three workers had ended was sent 12 times more (BUDGET); workers of one service ended with everything that ran there.

Cause: a verdict counts crashes that were found, and each copy is checked alone. The same holds for requests with one crashing prompt part.

Change: package trier. A request with a suspected fingerprint is sent on trial; the leader of the first zone by name lets one at a time begin, over all nodes, and the next one a second after a crash. Nodes that reach no leader begin few.

--- a/Makefile
+++ b/Makefile
@@ -37,7 +37,7 @@
 
 # Runs the race detector on the packages in which goroutines share state.
 RACE_PACKAGES = $(shell $(GO) list ./claimer ./queuer ./publisher ./fleetleader ./forwarder ./leaseholder ./fleettracker ./watcher ./assessor \
-	./budgeter ./crashkeeper ./demandcounter ./limiter ./registrar ./streamkeeper ./logger ./platform)
+	./budgeter ./crashkeeper ./demandcounter ./limiter ./registrar ./streamkeeper ./trier ./logger ./platform)
 # Name in KNOWN-RED.txt of the race detector's run over the tests with a fake clock.
 RACE_SERVER = race detector on ./server
 race:
--- a/crashkeeper/verdict.go
+++ b/crashkeeper/verdict.go
@@ -1,6 +1,7 @@
 package crashkeeper
 
 import (
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,8 @@
 	// answerWait is how long a fingerprint of a request that was answered lately is not blamed: another one is likely to be answered soon. The loss of a rack
 	// ends several workers at once, and everything that is asked for often was running there.
 	answerWait = 1500 * time.Millisecond
+	// maxSuspects bounds the suspects of one verdict.
+	maxSuspects = 16
 	// partPrefix begins the fingerprints of prompt parts; those of contents begin with a hexadecimal digit.
 	partPrefix = "part-"
 )
@@ -83,10 +86,18 @@
 	// Fingerprint is the one with the most crashes that count, Crashes their number. For a refused request it is the one that is blamed.
 	Fingerprint string
 	Crashes     int
+	// Suspects are the fingerprints that may have caused a crash: the request may be sent only while no other one with any of them is at a worker. It is empty if
+	// the request is refused.
+	Suspects []string
 	// Tied is set if fingerprints that the request lacks explain so many of these crashes that the others are not enough.
 	Tied bool
 }
 
+// Equal reports whether two verdicts are the same.
+func (v Verdict) Equal(other Verdict) bool {
+	return v.Refused == other.Refused && v.Fingerprint == other.Fingerprint && v.Crashes == other.Crashes && v.Tied == other.Tied && slices.Equal(v.Suspects, other.Suspects)
+}
+
 // Check returns the verdict on a request with these fingerprints. A request is refused if enough crashes came while requests with one of its
 // fingerprints ran, none of which was answered since. Crashes do not count if another fingerprint, which the request lacks, was running too and has enough
 // crashes to be blamed; from tiedContentCrashes or tiedPartCrashes on they do. Crashes that a request is refused for are renewed.
@@ -115,12 +126,24 @@
 			return verdict
 		}
 		if verdict.Crashes > most.Crashes {
-			most = verdict
+			verdict.Suspects, most = most.Suspects, verdict
+		}
+		if k.needsTrial(now, fingerprint, crashes) && len(most.Suspects) < maxSuspects {
+			most.Suspects = append(most.Suspects, fingerprint)
 		}
 	}
 	return most
 }
 
+// needsTrial reports whether requests with a fingerprint that may have caused crashes must be sent one at a time. Parts are shared by many sound requests, one of
+// which is likely to be answered soon; so they need it only from answerWait after a crash on. The caller holds mu.
+func (k *Keeper) needsTrial(now time.Time, fingerprint string, crashes []event) bool {
+	if !strings.HasPrefix(fingerprint, partPrefix) {
+		return len(crashes) > 0
+	}
+	return lo.SomeBy(crashes, func(crashed event) bool { return now.Sub(k.suspects[fingerprint][crashed].learnedAt) >= answerWait })
+}
+
 // mayBeAnswered reports whether a request with the fingerprint was answered lately, and the crashes that would be enough to refuse it are so young that
 // another one may be answered soon. The caller holds mu.
 func (k *Keeper) mayBeAnswered(now time.Time, fingerprint string, crashes []event) bool {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -32,6 +32,7 @@
 	"github.com/acaciaproxy/acaciaproxy/recorder"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/streamkeeper"
+	"github.com/acaciaproxy/acaciaproxy/trier"
 )
 
 // Dependencies are what a forwarder needs from the rest of the node.
@@ -60,6 +61,8 @@
 	// started have been read.
 	Crashes      *crashkeeper.Keeper
 	CrashesKnown func() bool
+	// Trier lets requests that may crash workers through one at a time.
+	Trier *trier.Trier
 	// Crashed reports, by probing a worker's address, whether its process seems to have ended.
 	Crashed func(worker *registrar.Worker) bool
 	// Streams holds the software versions at which streams began. FindStream asks the leaders; complete is set if none of them knows and all have answered.
@@ -192,6 +195,9 @@
 	fingerprints []string
 	// crashVerdict is the result of the last check of the fingerprints.
 	crashVerdict crashkeeper.Verdict
+	// trial is the trial under which the call is sent; nil if it needs none. Suspected is set once the call had to wait for one.
+	trial     *trier.Trial
+	suspected bool
 	// sentAt is when the last send began, events the number of events that it brought, firstEventAt when the first of them arrived.
 	sentAt       time.Time
 	events       int
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -30,6 +30,7 @@
 	"github.com/acaciaproxy/acaciaproxy/recorder"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/streamkeeper"
+	"github.com/acaciaproxy/acaciaproxy/trier"
 )
 
 func TestForwarder(t *testing.T) {
@@ -139,6 +140,9 @@
 		Decode: decode, Send: f.send, SetAttemptID: func(http.Header, string) {}, Crashed: func(*registrar.Worker) bool { return f.crashed },
 		Streams: f.streams, FindStream: f.findStream, ListFresh: func(time.Time) bool { return !f.listOld },
 		Crashes: f.crashes, CrashesKnown: func() bool { return true },
+		Trier: trier.New("n", func() int { return 1 }, trier.Arbitration{
+			Begin: func(time.Time, trier.Trial) (bool, error) { return true, nil }, End: func(time.Time, trier.Trial, time.Time) error { return nil },
+		}, f.recorder.Count),
 		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: func(time.Time, string) bool { return !noBudget }},
 	}, "/ready")
 	f.server = httptest.NewServer(f.forwarder)
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -63,6 +63,7 @@
 		return err
 	}
 	relay := &relay{forwarder: f, writer: w, call: c}
+	defer func() { f.endTrial(c, time.Now().Add(crashNewsTime)) }()
 	for {
 		worker, err := f.acquireWorker(ctx, c)
 		if err != nil {
@@ -70,6 +71,7 @@
 		}
 		err = f.sendModel(ctx, c, worker, relay)
 		if err == nil {
+			f.endTrial(c, time.Now())
 			return nil
 		}
 		if err := f.retry(ctx, c, worker, err); err != nil {
@@ -141,9 +143,16 @@
 			return nil, f.refuseVersion(c)
 		}
 		if worker := f.chooseModelWorker(now, c, holders); worker != nil {
+			if !f.beginTrial(c) {
+				if err := f.awaitTrial(ctx, c, f.latestStart(c)); err != nil {
+					return nil, err
+				}
+				continue
+			}
 			if f.dependencies.Limiter.Acquire(worker.Zone, worker.ID, worker.Incarnation) {
 				return worker, nil
 			}
+			f.endTrial(c, now)
 			continue // The worker is not chosen again before the time at which a permit may be had.
 		}
 		if endWait == nil {
@@ -161,12 +170,18 @@
 	}
 }
 
-// checkWait returns nil if a call may go on waiting for its model, else the error with which it ends.
-func (f *Forwarder) checkWait(now, began time.Time, c *call, holders []fleettracker.Holder) error {
+// latestStart returns until when a call may wait for the start of its response.
+func (f *Forwarder) latestStart(c *call) time.Time {
 	latest := c.startDeadline().Add(-responseReserve)
 	if end := f.drainEnd.Load(); end != nil && end.Add(-streamReserve).Before(latest) {
-		latest = end.Add(-streamReserve)
+		return end.Add(-streamReserve)
 	}
+	return latest
+}
+
+// checkWait returns nil if a call may go on waiting for its model, else the error with which it ends.
+func (f *Forwarder) checkWait(now, began time.Time, c *call, holders []fleettracker.Holder) error {
+	latest := f.latestStart(c)
 	if !now.Before(latest) {
 		f.dependencies.DemandCounter.CountRefusal(c.modelKey())
 		return f.refuse(c, newRefusal("not_loaded", "the model was not loaded in time", notLoadedRetry))
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -38,6 +38,8 @@
 	if err := f.findOrigin(ctx, c); err != nil {
 		return err
 	}
+	defer func() { f.endTrial(c, time.Now().Add(crashNewsTime)) }()
+	latestTrial := c.arrived.Add(maxPlainTrialWait)
 	for {
 		if err := f.checkCrashes(c); err != nil {
 			return err
@@ -46,7 +48,14 @@
 		if err != nil {
 			return err
 		}
+		if !f.beginTrial(c) {
+			if err := f.awaitTrial(ctx, c, latestTrial); err != nil {
+				return err
+			}
+			continue
+		}
 		if !f.dependencies.Limiter.Acquire(worker.Zone, worker.ID, worker.Incarnation) {
+			f.endTrial(c, time.Now())
 			continue // The worker is not chosen again before the time at which a permit may be had.
 		}
 		held := &heldBytes{space: &f.space}
@@ -58,6 +67,7 @@
 		}
 		held.release()
 		if err == nil {
+			f.endTrial(c, time.Now())
 			return nil
 		}
 		if err := f.retry(ctx, c, worker, err); err != nil {
@@ -243,11 +253,18 @@
 	c.runs++
 	c.avoidUntil[worker.ID] = now.Add(avoidBroken)
 	if ctx.Err() != nil {
+		f.endTrial(c, now.Add(crashNewsTime))
 		f.logNoCrash(c, worker, ctx.Err().Error())
 		f.watchBrokenSend(c, worker)
 		return newFailure(http.StatusGatewayTimeout, "late", "the worker did not answer in time: "+err.Error())
 	}
-	if crashed := f.recordCrash(c, worker); c.origin != nil && !crashed {
+	crashed := f.recordCrash(c, worker)
+	if crashed {
+		f.endTrial(c, now.Add(crashNewsTime))
+	} else {
+		f.endTrial(c, now.Add(crashShownWithin))
+	}
+	if c.origin != nil && !crashed {
 		c.avoidUntil[worker.ID] = now.Add(avoidOrigin)
 	}
 	if !c.route.Retryable() || c.runs >= c.route.MaxAttempts || c.deadline.Sub(now) < minResendTime {
@@ -273,6 +290,11 @@
 	if notRun.perSecond != nil && notRun.reason != ReasonReplaced {
 		f.observeLimit(c, worker, notRun.perSecond) // A rejection without a limit does not end one.
 	}
+	if notRun.reason == ReasonFull {
+		f.endTrial(c, now.Add(crashNewsTime))
+	} else {
+		f.endTrial(c, now)
+	}
 	switch notRun.reason {
 	case ReasonNotLoaded:
 		f.dependencies.Tracker.MarkRefused(now, worker.ID, c.Model, c.Adapter)
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -36,11 +36,11 @@
 // cause. It must be called before each send, since other nodes find crashes while a request waits.
 func (f *Forwarder) checkCrashes(c *call) error {
 	verdict := f.dependencies.Crashes.Check(time.Now(), c.fingerprints)
-	if verdict != c.crashVerdict {
-		c.crashVerdict = verdict
+	if !verdict.Equal(c.crashVerdict) {
 		logger.Info("request checked for crashes").Str("request", c.ID).Str("fingerprint", verdict.Fingerprint).Int("crashes", verdict.Crashes).Bool("tied", verdict.Tied).
-			Int("sends", c.sends).Int64("after_ms", time.Since(c.arrived).Milliseconds()).Bool("refused", verdict.Refused).Msg("request checked for crashes")
+			Int("sends", c.sends).Int64("after_ms", time.Since(c.arrived).Milliseconds()).Bool("refused", verdict.Refused).Strs("suspects", verdict.Suspects).Msg("request checked for crashes")
 	}
+	c.crashVerdict = verdict
 	if !verdict.Refused {
 		return nil
 	}
--- /dev/null
+++ b/forwarder/trials.go
@@ -0,0 +1,54 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/acaciaproxy/acaciaproxy/logger"
+)
+
+const (
+	// trialPollInterval is the time after which a request that waits for its trial checks again whether it may be sent.
+	trialPollInterval = 50 * time.Millisecond
+	// maxPlainTrialWait is how long a request for a plain service waits for its trial.
+	maxPlainTrialWait = 500 * time.Millisecond
+	// crashNewsTime is how long the news of a crash takes to reach all nodes, and a worker that rejected a suspected request is left in peace.
+	crashNewsTime = 1 * time.Second
+	// suspectedRetry applies when other requests that may crash workers come first.
+	suspectedRetry = 1 * time.Second
+)
+
+// beginTrial reports whether a call may be sent now: it needs no trial, or it is its turn. EndTrial must follow.
+func (f *Forwarder) beginTrial(c *call) bool {
+	trial, begun := f.dependencies.Trier.Begin(c.ID, c.crashVerdict.Suspects, c.deadline)
+	c.trial = trial
+	return begun
+}
+
+// endTrial ends the call's trial, if it has one; others like it may be sent from freeAt on.
+func (f *Forwarder) endTrial(c *call, freeAt time.Time) {
+	f.dependencies.Trier.End(c.trial, freeAt)
+	c.trial = nil
+}
+
+// awaitTrial waits for a moment before a call asks for its trial again. It returns the error with which the call ends if it has waited until latest.
+func (f *Forwarder) awaitTrial(ctx context.Context, c *call, latest time.Time) error {
+	if !time.Now().Before(latest) {
+		return f.refuse(c, newRefusal("suspected", "requests like this one may crash workers and are sent one at a time", suspectedRetry))
+	}
+	if !c.suspected {
+		c.suspected = true
+		f.dependencies.Recorder.Count("held for trial " + c.route.Name)
+		logger.Info("request waits for its trial").Str("request", c.ID).Strs("suspects", c.crashVerdict.Suspects).Int64("left_ms", time.Until(latest).Milliseconds()).Msg("request waits for its trial")
+	}
+	select {
+	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return newFailure(http.StatusServiceUnavailable, "caller_left", "the caller left while its request waited for its trial")
+		}
+	case <-time.After(trialPollInterval):
+	}
+	return nil
+}
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -33,6 +33,7 @@
 	"github.com/acaciaproxy/acaciaproxy/streamkeeper"
 	"github.com/acaciaproxy/acaciaproxy/subscriber"
 	"github.com/acaciaproxy/acaciaproxy/timekeeper"
+	"github.com/acaciaproxy/acaciaproxy/trier"
 	"github.com/acaciaproxy/acaciaproxy/watcher"
 )
 
@@ -53,6 +54,8 @@
 	limiter      *limiter.Limiter
 	// granter grants permits for limited workers of the zone while this node leads it.
 	granter *limiter.Granter
+	// arbiter decides on trials of requests that may crash workers while this node leads its zone.
+	arbiter *trier.Arbiter
 	peers   *peerclient.Pool
 	workers *platform.Workers
 	metrics *adminserver.Server
@@ -124,7 +127,7 @@
 	settings := do.MustInvoke[*settingsreader.Settings](i)
 	f := &FleetNode{
 		settings: settings, workerList: do.MustInvoke[*registrar.Registrar](i), recorder: do.MustInvoke[*recorder.Recorder](i), watcher: do.MustInvoke[*watcher.Watcher](i), crashKeeper: do.MustInvoke[*crashkeeper.Keeper](i), fleetTracker: do.MustInvoke[*fleettracker.Tracker](i),
-		granter: limiter.NewGranter(), peers: do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: adminserver.NewMetrics(), streamKeeper: streamkeeper.New(),
+		granter: limiter.NewGranter(), arbiter: trier.NewArbiter(), peers: do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: adminserver.NewMetrics(), streamKeeper: streamkeeper.New(),
 	}
 	f.limiter = limiter.New(f.askPermits, func() int { return f.subscriber.Nodes() }, do.MustInvoke[*recorder.Recorder](i).Count)
 	f.leaseholder = leaseholder.New(leaseholder.Dependencies{
@@ -158,6 +161,7 @@
 		Ready: f.watcher.Ready, Isolated: f.isolated, Decode: platform.DecodeRequest, Send: f.workers.Send, SetAttemptID: platform.SetAttemptID, Crashed: f.workers.Crashed,
 		Limiter: f.limiter, Streams: f.streamKeeper, FindStream: f.findStream, ListFresh: f.isListFresh,
 		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
+		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
 		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry},
 	}, platform.PathReady)
 	return f, nil
--- a/server/fleetservice.go
+++ b/server/fleetservice.go
@@ -72,6 +72,11 @@
 	return &nodewire.PermitReply{Leading: leading, Granted: int32(granted), RetryMs: time.Until(retryAt).Milliseconds()}, nil
 }
 
+// Try implements nodewire.FleetServer. It grants nothing unless this node leads its zone.
+func (s *fleetService) Try(_ context.Context, request *nodewire.TryRequest) (*nodewire.TryReply, error) {
+	return s.node.try(request), nil
+}
+
 // FindStream implements nodewire.FleetServer.
 func (s *fleetService) FindStream(_ context.Context, request *nodewire.FindStreamRequest) (*nodewire.FindStreamReply, error) {
 	origin, known := s.node.streamKeeper.Find(time.Now(), request.GetAttempt())
