Probe a worker's address again shortly after a send to it broke

Cause: connections of a process that ends break a moment before its address refuses new ones. A probe in between finds it reachable, and from then on only the list of workers can show the crash, which stands still without the store.

Change: a send that broke has the worker's address probed once more, at the first look at the list, 0.2 s later; one probe for all sends to a worker. Sends that end by their deadline or their caller are not probed again.

Before: the new test counts no crash.

--- a/forwarder/broken_sends.go
+++ b/forwarder/broken_sends.go
@@ -31,6 +31,8 @@
 	// events is the number of events of the response that arrived, firstEventAt when the first did.
 	events       int
 	firstEventAt time.Time
+	// probesAgain is set until the worker's address is probed once more: connections of a process that ends break before its address refuses new ones.
+	probesAgain bool
 	// watchedUntil is when the list must show the crash, if there was one; zero if the send is not watched.
 	watchedUntil time.Time
 }
@@ -50,8 +52,8 @@
 }
 
 // watchBrokenSend has the crash counted if the list of workers shows that the worker crashed about when the send broke. The worker may be
-// back before its address is probed, or may have fallen silent.
-func (f *Forwarder) watchBrokenSend(c *call, worker *registrar.Worker) {
+// back before its address is probed, or may have fallen silent. With probesAgain set, its address is probed at the first look at the list too.
+func (f *Forwarder) watchBrokenSend(c *call, worker *registrar.Worker, probesAgain bool) {
 	f.broken.mu.Lock()
 	defer f.broken.mu.Unlock()
 	if len(f.broken.sends) >= maxBrokenSends {
@@ -59,7 +61,7 @@
 		return
 	}
 	send := newBrokenSend(c, worker)
-	send.watchedUntil = time.Now().Add(crashShownWithin)
+	send.watchedUntil, send.probesAgain = time.Now().Add(crashShownWithin), probesAgain
 	f.broken.sends = append(f.broken.sends, send)
 	if !f.broken.polling {
 		f.broken.polling = true
@@ -77,12 +79,13 @@
 		f.broken.sends = nil
 		f.broken.mu.Unlock()
 		gone := map[string]bool{}
-		watched := lo.Filter(sends, func(send brokenSend, _ int) bool {
-			if !f.hasEnded(send.worker, gone) {
-				return now.Before(send.watchedUntil)
+		watched := lo.FilterMap(sends, func(send brokenSend, _ int) (brokenSend, bool) {
+			if f.hasEnded(send.worker, gone) || send.probesAgain && !send.worker.Leaving && f.probe(send.worker, gone) {
+				f.reportCrash(send)
+				return send, false
 			}
-			f.reportCrash(send)
-			return false
+			send.probesAgain = false
+			return send, now.Before(send.watchedUntil)
 		})
 		f.broken.mu.Lock()
 		f.broken.sends = append(f.broken.sends, watched...)
@@ -102,9 +105,11 @@
 	if found {
 		return listed.Incarnation != worker.Incarnation
 	}
-	if worker.Leaving {
-		return false
-	}
+	return !worker.Leaving && f.probe(worker, gone)
+}
+
+// probe reports whether a worker's address does not answer. It is probed once for all sends that keep their probes in gone.
+func (f *Forwarder) probe(worker *registrar.Worker, gone map[string]bool) bool {
 	if _, probed := gone[worker.ID]; !probed {
 		gone[worker.ID] = f.dependencies.Crashed(worker)
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -137,7 +137,7 @@
 	f.forwarder = forwarder.New(forwarder.Dependencies{
 		Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, Workers: f.list, Tracker: f.tracker, DemandCounter: demandcounter.New(),
 		Assessor: assessor.New(), Limiter: f.limiter, Recorder: f.recorder, Ready: func() bool { return true }, Isolated: func() bool { return f.isolated },
-		Decode: decode, Send: f.send, SetAttemptID: func(http.Header, string) {}, Crashed: func(*registrar.Worker) bool { return f.crashed },
+		Decode: decode, Send: f.send, SetAttemptID: func(http.Header, string) {}, Crashed: f.hasCrashed,
 		Streams: f.streams, FindStream: f.findStream, ListFresh: func(time.Time) bool { return !f.listOld },
 		Crashes: f.crashes, CrashesKnown: func() bool { return true },
 		Trier: trier.New("n", func() int { return 1 }, trier.Arbitration{
@@ -149,6 +149,20 @@
 	return f
 }
 
+// hasCrashed reports whether a probe of a worker fails.
+func (f *fixture) hasCrashed(*registrar.Worker) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.crashed
+}
+
+// setCrashed makes the probes of workers fail.
+func (f *fixture) setCrashed() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.crashed = true
+}
+
 // findStream returns the origins that the leaders know.
 func (f *fixture) findStream(_ time.Time, attempt uint64) (origin streamkeeper.Origin, known, complete bool) {
 	for name, origin := range f.origins {
@@ -398,7 +412,7 @@
 	})
 	ginkgo.It("are refused once they were running on two workers that crashed", func() {
 		f := newFixture([]scriptedSend{{Broken: true}, {Broken: true}, {Status: 200, Body: "id:1\ndata:x\n\n"}}, false)
-		f.crashed = true
+		f.setCrashed()
 		defer f.server.Close()
 		foundBefore := f.recorder.CounterValue("crashes found")
 		logged := casereader.NewCapture()
@@ -530,7 +544,7 @@
 	})
 	// Guards against a request that crashes one worker again and again: the list shows the new incarnation seconds later.
 	ginkgo.It("count each time if a worker crashes again before the list shows that it had restarted", func() {
-		f.crashed = true
+		f.setCrashed()
 		send()
 		send()
 		gomega.Expect(crashes()).To(gomega.Equal(2))
@@ -542,12 +556,19 @@
 		list(2)
 		gomega.Eventually(crashes, time.Second).Should(gomega.Equal(1))
 	})
+	// Guards against crashes that are not counted since the worker's connections break before its address refuses new ones, while the list shows nothing new.
+	ginkgo.It("count if the worker's address fails shortly after the send broke", func() {
+		send()
+		gomega.Expect(crashes()).To(gomega.BeZero())
+		f.setCrashed()
+		gomega.Eventually(crashes, time.Second).Should(gomega.Equal(1))
+	})
 	// Guards against crashes that are not counted since the worker falls silent and the send ends by its deadline.
 	ginkgo.It("count once the entry of a silent worker is removed after a send that ended by its deadline", func() {
 		f.hang = true
 		send()
 		gomega.Expect(crashes()).To(gomega.BeZero())
-		f.crashed = true
+		f.setCrashed()
 		list()
 		gomega.Eventually(crashes, time.Second).Should(gomega.Equal(1))
 	})
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -255,7 +255,7 @@
 	if ctx.Err() != nil {
 		f.endTrial(c, now.Add(crashNewsTime))
 		f.logNoCrash(c, worker, ctx.Err().Error())
-		f.watchBrokenSend(c, worker)
+		f.watchBrokenSend(c, worker, false)
 		return newFailure(http.StatusGatewayTimeout, "late", "the worker did not answer in time: "+err.Error())
 	}
 	crashed := f.recordCrash(c, worker)
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -75,7 +75,7 @@
 func (f *Forwarder) recordCrash(c *call, worker *registrar.Worker) (crashed bool) {
 	if !f.dependencies.Crashed(worker) {
 		f.logNoCrash(c, worker, "worker reachable")
-		f.watchBrokenSend(c, worker)
+		f.watchBrokenSend(c, worker, true)
 		return false
 	}
 	f.reportCrash(newBrokenSend(c, worker))
