Bound reads of the store by silence instead of by size

Cause: each read of a whole table was given up 0.7 s after it began, also while its bytes arrived, and begun again. That time is meant for silent connections.

--- a/watcher/tables.go
+++ b/watcher/tables.go
@@ -34,10 +34,10 @@
 		var next int64
 		var err error
 		if !known || time.Now().After(relistAt) {
-			next, err = table.list(time.Now().Add(responseMargin))
+			next, err = table.list(time.Now().Add(maxReadTime))
 			relistAt = time.Now().Add(relistInterval)
 		} else {
-			next, err = table.feed(time.Now().Add(catalogWaitMS*time.Millisecond+responseMargin), after, catalogWaitMS)
+			next, err = table.feed(time.Now().Add(catalogWaitMS*time.Millisecond+maxReadTime), after, catalogWaitMS)
 			next = max(after, next)
 		}
 		w.recordCall(err, table.name, &failing)
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -17,15 +17,18 @@
 // Timing of the calls to the store.
 const (
 	// catalogWaitMS is how long one call waits for a change of the configuration, in milliseconds. A connection on
-	// which no response arrives delays a change by at most this and responseMargin, less if a peer has the change.
+	// which no response arrives delays a change by at most this and the time after which the source gives it up, less if a peer has the change.
 	catalogWaitMS = 2500
 	// workersPollInterval is the shortest time between the starts of two calls for heartbeats, and the longest delay that
 	// this adds to a heartbeat.
 	workersPollInterval = 600 * time.Millisecond // The platform gives nodes 2 s to learn that a worker leaves; the loss of a leader takes 1.2 s of it.
 	// workersWaitMS is how long one call waits for heartbeats, in milliseconds.
 	workersWaitMS = 600
-	// responseMargin is the time that the store has to respond, in addition to the wait of the call.
+	// responseMargin is the time that the store has to send the changes of the list of workers, in addition to the wait of the call.
 	responseMargin = 700 * time.Millisecond
+	// maxReadTime bounds a read of a whole table or of a configuration while its bytes arrive: 8 MB take about that long over 10 Mbit/s. A connection that
+	// falls silent is given up by the source.
+	maxReadTime = 8 * time.Second
 	// retryPause is the pause after a failed call; it doubles up to maxRetryPause while calls fail, since refused
 	// calls cost as much as others.
 	retryPause    = 250 * time.Millisecond
@@ -44,7 +47,8 @@
 	After int64
 }
 
-// Source holds the calls for reading the store. Every call returns by its deadline. The feeds return
+// Source holds the calls for reading the store. Every call returns by its deadline, and sooner if nothing arrives any more: a call that does not wait, after less
+// than a second. The feeds return
 // a CompactedError when the store no longer has the changes.
 type Source struct {
 	// ListCatalog reads the whole configuration.
@@ -179,7 +183,7 @@
 	}
 	go func() {
 		defer w.fetchingNewer.Store(false)
-		configuration, err := w.source.ListCatalog(time.Now().Add(responseMargin))
+		configuration, err := w.source.ListCatalog(time.Now().Add(maxReadTime))
 		w.recordCall(err, "configuration that a peer has", &w.fetchNewerFailing)
 		if err != nil {
 			w.sleep(retryPause)
@@ -298,7 +302,7 @@
 // listWorkers reads the whole list of workers.
 func (w *Watcher) listWorkers(failing *bool) error {
 	sentAt := time.Now()
-	changes, version, err := w.source.ListWorkers(sentAt.Add(responseMargin))
+	changes, version, err := w.source.ListWorkers(sentAt.Add(maxReadTime))
 	w.recordCall(err, "workers", failing)
 	if err != nil {
 		return err
