Failing test: nodes that are cut off from all workers refuse all their callers

Two scripts over real processes: a zone's nodes read a store in which the workers' entries name addresses that refuse connections, or do not answer. They serve 0 of 58 and 0 of 130 attempts, the other zone's nodes 45 of 46 and 127 of 132 (RECOVER).

--- a/soaker/script_test.go
+++ b/soaker/script_test.go
@@ -77,7 +77,7 @@
 		}
 	}
 	player.load.Wait()
-	return append(append(e.breaches(), player.breaches...), check(e)...)
+	return append(append(append(e.breaches(), player.breaches...), player.checkCut()...), check(e)...)
 }
 
 // player plays the steps of one script.
@@ -88,6 +88,11 @@
 	// mu guards breaches, which are those that the callers of the load saw.
 	mu       sync.Mutex
 	breaches []string
+	// attempts are those of the load.
+	attempts []nodeAttempt
+	// cut are the nodes that are cut off from all workers since cutAt.
+	cut   []*node
+	cutAt time.Time
 	// copied is the copy of the store that "restore" brings back.
 	copied *fleetstandin.Copy
 }
@@ -133,6 +138,8 @@
 			return err
 		}
 		e.sendTogether(count, fleetstandin.CrashCause(words[1]))
+	case "partition":
+		return p.cutNodes(nodes, words[0])
 	case "cut":
 		return e.forWorkers(words, func(target *endpoint, every float64) { target.cutStreams(int(every)) })
 	case "crash":
@@ -234,10 +241,12 @@
 	e := p.environment
 	kind := []fleetstandin.Kind{fleetstandin.KindIdempotent, fleetstandin.KindStream}[random.IntN(2)]
 	sentAt := time.Now()
-	result := fleetstandin.Send(client, e.nodes[random.IntN(len(e.nodes))].callerAddress, kind, "/"+string(kind)+"/x", id, e.models[random.IntN(modelCapacity*modelWorkers)], requestTimeout)
+	target := e.nodes[random.IntN(len(e.nodes))]
+	result := fleetstandin.Send(client, target.callerAddress, kind, "/"+string(kind)+"/x", id, e.models[random.IntN(modelCapacity*modelWorkers)], requestTimeout)
 	after := time.Since(sentAt)
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	p.attempts = append(p.attempts, nodeAttempt{node: target, sentAt: sentAt, served: result.Status == http.StatusOK && fleetstandin.IsComplete(kind, id, result.Body)})
 	switch {
 	case result.Status == http.StatusOK && !fleetstandin.IsComplete(kind, id, result.Body):
 		p.breaches = append(p.breaches, fmt.Sprintf("MIXED: answer %q to %s", result.Body, id))
