Pass requests that reach no worker to a node that does

Cause: a node refused what it could not do itself, although another node could.

Change: a request that met two unreachable workers, or comes to a node that no worker answers, is passed once to another node, if nothing of it can have run. Leaders name four nodes that reach workers to each node. Refusals of the other node are true; when the call breaks, nothing is promised. New lines say when a node is cut off and that a request was passed on.

--- a/fleetleader/aggregator.go
+++ b/fleetleader/aggregator.go
@@ -60,6 +60,8 @@
 	// leads is set if the node leads its zone; cores is the number of cores that the node may use.
 	leads bool
 	cores float64
+	// cut is set if the node reaches no worker.
+	cut bool
 	// requestCounts and refusalCounts are the totals that the node reported last, counted since its process started.
 	requestCounts, refusalCounts map[demandKey]int64
 	// waiting holds the node's waiting requests by key.
@@ -110,7 +112,7 @@
 	}
 	node.zone, node.address, node.incarnation, node.lastMessageAt = message.GetZone(), message.GetAddress(), message.GetIncarnation(), now
 	node.startedAt = now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond)
-	node.leads, node.cores = message.GetLeads(), message.GetStrength()
+	node.leads, node.cores, node.cut = message.GetLeads(), message.GetStrength(), message.GetCut()
 	newWaits := false
 	for _, model := range message.GetModels() {
 		key := demandKey{model.GetService(), model.GetModel(), model.GetAdapter()}
--- a/fleetleader/fleetleader.go
+++ b/fleetleader/fleetleader.go
@@ -127,7 +127,10 @@
 	workers map[string]*workerState
 	demand  *demandAggregator
 	// followers are the open streams of nodes that receive this leader's views.
-	followers map[*follower]bool
+	// carriers are the names of the nodes that reach workers, in order, found again from carriersUntil on.
+	carriers      []string
+	carriersUntil time.Time
+	followers     map[*follower]bool
 	// changedModels are the models that changed since the last notifyFollowers; hasChanges is set if anything did.
 	changedModels map[string]bool
 	hasChanges    bool
--- a/fleetleader/follow.go
+++ b/fleetleader/follow.go
@@ -1,9 +1,11 @@
 package fleetleader
 
 import (
+	"slices"
 	"sort"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/elector"
@@ -31,6 +33,8 @@
 	listVersion int64
 	// nextCrash, nextLimit and nextDeparture are the numbers of the first crash, change of a limit and departure that were not sent to the node.
 	nextCrash, nextLimit, nextDeparture int64
+	// carriers are those that were last sent to the node; nil before.
+	carriers []string
 	// leaseVersions holds the version of each zone's lease that was last sent to the node.
 	leaseVersions map[string]int64
 }
@@ -167,7 +171,7 @@
 	}
 	message := &nodewire.View{
 		Zone: l.dependencies.Zone, Epoch: l.epoch, Config: l.configVersion(), Whole: f.sendAll, Nodes: int32(len(l.demand.nodes)),
-		Leases: l.unsentLeases(f), Relay: l.buildForwardedReads(now, f), Waits: l.waitViews(f),
+		Carriers: l.unsentCarriers(f), Leases: l.unsentLeases(f), Relay: l.buildForwardedReads(now, f), Waits: l.waitViews(f),
 	}
 	if f.sendAll {
 		for id := range l.workers {
@@ -217,6 +221,35 @@
 	return unsent
 }
 
+// maxCarriers is the number of nodes that a leader names to each node as those that may serve its requests.
+const maxCarriers = 4
+
+// carriersLifetime is the time between two searches for nodes that reach workers.
+const carriersLifetime = 200 * time.Millisecond
+
+// unsentCarriers returns nodes that reach workers if they changed since they were sent to a follower, and marks them as sent; each follower gets others, so
+// that the requests of many cut nodes are spread. The caller holds mu.
+func (l *Leader) unsentCarriers(f *follower) *nodewire.Carriers {
+	if now := time.Now(); !now.Before(l.carriersUntil) {
+		l.carriers = lo.Filter(lo.Keys(l.demand.nodes), func(name string, _ int) bool { return !l.demand.nodes[name].cut })
+		slices.Sort(l.carriers)
+		l.carriersUntil = now.Add(carriersLifetime)
+	}
+	var addresses []string
+	first := xxhash.Sum64String(f.node)
+	for i := range l.carriers {
+		name := l.carriers[(first+uint64(i))%uint64(len(l.carriers))]
+		if node := l.demand.nodes[name]; node != nil && name != f.node && len(addresses) < maxCarriers {
+			addresses = append(addresses, node.address)
+		}
+	}
+	if f.node == "" || f.carriers != nil && slices.Equal(f.carriers, addresses) {
+		return nil
+	}
+	f.carriers = append([]string{}, addresses...)
+	return &nodewire.Carriers{Addresses: addresses}
+}
+
 func (l *Leader) configVersion() int64 {
 	if catalog := l.dependencies.Catalog(); catalog != nil {
 		return catalog.Version()
--- /dev/null
+++ b/forwarder/carry.go
@@ -0,0 +1,174 @@
+package forwarder
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/phuslu/log"
+
+	"github.com/acaciaproxy/acaciaproxy/logger"
+)
+
+const (
+	// cutWorkers is the number of different workers that must fail as unreachable, with no response of any in between, for the node to count as cut off.
+	cutWorkers = 3
+	// reachPause is the time between two requests that a node which is cut off still sends to workers itself, to notice the end of the cut.
+	reachPause = 500 * time.Millisecond
+	// unreachableSends is the number of sends of one request that fail as unreachable after which it is carried.
+	unreachableSends = 2
+	// maxCarriedBody bounds the body of a request that is carried.
+	maxCarriedBody = 256 << 10
+	// maxCarried bounds the requests that a node serves for others at the same time.
+	maxCarried = 256
+)
+
+// Carried is the response to a request that another node served.
+type Carried struct {
+	Status int
+	Header http.Header
+	// Body fails unless it is read to the end of the whole response.
+	Body io.ReadCloser
+}
+
+// reach is what a node knows of its path to the workers.
+type reach struct {
+	// mu guards everything below.
+	mu sync.Mutex
+	// failed are the workers that were unreachable since the last response of any.
+	failed map[string]bool
+	// cut is set while the node counts as cut off, since cutAt.
+	cut   bool
+	cutAt time.Time
+	// probeAt is when the next request is sent to workers although the node is cut off.
+	probeAt time.Time
+}
+
+// fail records that a worker was unreachable; workers is the number of workers that the node knows.
+func (r *reach) fail(now time.Time, worker string, workers int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.failed == nil {
+		r.failed = map[string]bool{}
+	}
+	if len(r.failed) < cutWorkers {
+		r.failed[worker] = true
+	}
+	if !r.cut && len(r.failed) >= min(cutWorkers, workers) {
+		r.cut, r.cutAt, r.probeAt = true, now, now.Add(reachPause)
+		log.Warn().Str("dependency", "workers").Int("unreachable", len(r.failed)).Int("workers", workers).Msg("cut off from all workers")
+	}
+}
+
+// succeed records a response of a worker.
+func (r *reach) succeed(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut {
+		log.Info().Str("dependency", "workers").Int64("after_ms", now.Sub(r.cutAt).Milliseconds()).Msg("workers reached again")
+	}
+	r.cut = false
+	clear(r.failed)
+}
+
+// isCut reports whether the node is cut off.
+func (r *reach) isCut() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut
+}
+
+// CutOff reports whether this node reaches no worker.
+func (f *Forwarder) CutOff() bool { return f.reach.isCut() }
+
+// carries reports whether a request should be carried at once, which is so while the node is cut off but for one request in reachPause.
+func (r *reach) carries(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.cut {
+		return false
+	}
+	if now.Before(r.probeAt) {
+		return true
+	}
+	r.probeAt = now.Add(reachPause)
+	return false
+}
+
+// carriedKey is the key of the *carriedMark in the context of a request that another node passed on.
+type carriedKey struct{}
+
+// carriedMark says how a carried request ended.
+type carriedMark struct {
+	// refused is set if it was refused and has not run.
+	refused bool
+}
+
+// ServeCarried serves a request that another node passed on, and reports whether it was refused: it has not run then. It is not passed on again.
+func (f *Forwarder) ServeCarried(w http.ResponseWriter, r *http.Request) (refused func() bool, serve func()) {
+	mark := &carriedMark{}
+	r = r.WithContext(context.WithValue(r.Context(), carriedKey{}, mark))
+	return func() bool { return mark.refused }, func() {
+		defer f.carried.Add(-1)
+		if f.carried.Add(1) > maxCarried {
+			mark.refused = true
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		f.ServeHTTP(w, r)
+	}
+}
+
+func carriedMarkOf(r *http.Request) *carriedMark {
+	mark, _ := r.Context().Value(carriedKey{}).(*carriedMark)
+	return mark
+}
+
+// mayCarry reports whether a call may be passed to another node: nothing of it can have run, and it has not been passed on before.
+func (c *call) mayCarry() bool {
+	return !c.isCarried && !c.carryTried && c.runs == 0 && c.lastEventID == "" && len(c.Body) <= maxCarriedBody
+}
+
+// carry passes a call to another node and relays its response. It returns false if no node has taken it, which has not run then.
+func (f *Forwarder) carry(ctx context.Context, w http.ResponseWriter, c *call) (done bool, err error) {
+	c.carryTried = true
+	f.endTrial(c, time.Now())
+	response, err := f.dependencies.Carry(ctx, c.Request, c.deadline)
+	var notRun *NotRunError
+	logger.Info("request passed to another node").Str("request", c.ID).Int("unreachable", c.unreachable).Int64("left_ms", time.Until(c.deadline).Milliseconds()).Err(err).Msg("request passed to another node")
+	if errors.As(err, &notRun) {
+		f.dependencies.Recorder.Count("requests no node took")
+		return false, nil
+	}
+	c.runs++
+	f.dependencies.Recorder.Count("requests carried")
+	if err != nil {
+		if ctx.Err() != nil {
+			return true, newFailure(http.StatusGatewayTimeout, "late", "the node that serves the request did not answer in time: "+err.Error())
+		}
+		return true, newFailure(http.StatusBadGateway, "broken", "the node that serves the request broke off: "+err.Error())
+	}
+	defer func() { _ = response.Body.Close() }() // Unread bytes are discarded.
+	copyHeader(w.Header(), response.Header)
+	w.WriteHeader(response.Status)
+	controller := http.NewResponseController(w)
+	buffer := make([]byte, relayBufferBytes)
+	for {
+		n, err := response.Body.Read(buffer)
+		if _, writeErr := w.Write(buffer[:n]); writeErr != nil {
+			return true, &abortError{cause: writeErr}
+		}
+		if flushErr := controller.Flush(); flushErr != nil {
+			return true, &abortError{cause: flushErr}
+		}
+		if errors.Is(err, io.EOF) {
+			return true, nil
+		}
+		if err != nil {
+			return true, &abortError{cause: err}
+		}
+	}
+}
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -43,6 +43,8 @@
 	isolatedRetry = 30 * time.Millisecond
 	// busyRetry applies when workers are full; it is about the time that a short response takes.
 	busyRetry = 400 * time.Millisecond
+	// cutRetry applies while the node reaches no worker and no other node takes its requests.
+	cutRetry = 200 * time.Millisecond
 	// notLoadedRetry applies when a model is not loaded in time; it is about the time that a worker takes to swap models.
 	notLoadedRetry = 1500 * time.Millisecond
 )
@@ -77,6 +79,10 @@
 	if errors.As(err, &aborted) || callerLeft {
 		panic(http.ErrAbortHandler) // Closes the connection, so that the caller does not take the response as complete.
 	}
+	if mark := carriedMarkOf(r); mark != nil {
+		// Without a route, this node's configuration may be older than that of the node that passed the request on.
+		mark.refused = failure.status == http.StatusServiceUnavailable || failure.status == http.StatusNotFound
+	}
 	if c.Request != nil {
 		f.dependencies.SetAttemptID(w.Header(), c.ID)
 	}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -65,6 +65,8 @@
 	Trier *trier.Trier
 	// Crashed reports, by probing a worker's address, whether its process seems to have ended.
 	Crashed func(worker *registrar.Worker) bool
+	// Carry passes a request to another node, which serves it until the deadline. The error is a *NotRunError if no node has taken it, else it may have run.
+	Carry func(ctx context.Context, request *Request, deadline time.Time) (*Carried, error)
 	// Streams holds the software versions at which streams began. FindStream asks the leaders; complete is set if none of them knows and all have answered.
 	// ListFresh reports whether the list of workers is not old.
 	Streams    *streamkeeper.Keeper
@@ -96,6 +98,9 @@
 	drainOnce sync.Once
 	// broken holds the sends that broke for an unknown reason.
 	broken brokenSends
+	// reach is the node's path to the workers; carried counts the requests that it serves for other nodes.
+	reach   reach
+	carried atomic.Int64
 	// space is shared by the responses that are held in memory.
 	space sharedSpace
 }
@@ -216,6 +221,9 @@
 	origin *origin
 	// lastEventID is the id of the last event that was relayed.
 	lastEventID string
+	// isCarried is set if another node passed the call on, carryTried once this node has tried to. Unreachable counts the sends that reached no worker.
+	isCarried, carryTried bool
+	unreachable           int
 	// heldMS is the time waited for the model, firstByteMS the time from the last send to the head of its response, in milliseconds.
 	heldMS, firstByteMS int64
 }
@@ -266,14 +274,14 @@
 // logResponse logs a request that got a worker's response, with the worker and the load by which it was chosen.
 func (f *Forwarder) logResponse(c *call) {
 	logger.Info("request answered").Str("request", c.ID).Str("route", c.route.Name).Str("model", c.Model).Str("adapter", c.Adapter).Str("worker", c.worker).Str("software", c.software).Str("resumes", c.Resumes).Str("resumes_after", c.LastEventID).Strs("parts", c.sharedParts).
-		Int("sends", c.sends).Int("runs", c.runs).Float64("limit", c.limitPerSecond).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstByteMS).Int("load", c.workerLoad).Int64("age_ms", c.stateAgeMS).
+		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Int("sends", c.sends).Int("runs", c.runs).Float64("limit", c.limitPerSecond).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstByteMS).Int("load", c.workerLoad).Int64("age_ms", c.stateAgeMS).
 		Int64("after_ms", time.Since(c.arrived).Milliseconds()).Msg("request answered")
 }
 
 // admit decodes a request, reads its body and finds its route. When it fails, the
 // call that it returns has only the fields set that were reached before the error.
 func (f *Forwarder) admit(w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, error) {
-	c := &call{catalog: f.dependencies.Catalog(), arrived: arrived, avoidUntil: map[string]time.Time{}}
+	c := &call{catalog: f.dependencies.Catalog(), arrived: arrived, avoidUntil: map[string]time.Time{}, isCarried: carriedMarkOf(r) != nil}
 	var err error
 	if c.Request, err = f.dependencies.Decode(r, arrived); err != nil {
 		return c, err
@@ -386,7 +394,7 @@
 	if c.Request != nil && c.Model != "" {
 		entry = entry.Str("model", c.Model).Str("adapter", c.Adapter)
 	}
-	entry.Int("sends", c.sends).Int("runs", c.runs).Str("why", failure.message).Msg("request not answered")
+	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Int("sends", c.sends).Int("runs", c.runs).Str("why", failure.message).Msg("request not answered")
 }
 
 func requestID(c *call) string {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -95,6 +95,9 @@
 	permits  int
 	crashed  bool
 	isolated bool
+	// carrier says how another node takes a request: "answer", "break" or "break off"; else none takes it. carriedCount counts the requests passed on.
+	carrier      string
+	carriedCount int
 	// mu guards sends and sent.
 	mu    sync.Mutex
 	sends []scriptedSend
@@ -139,6 +142,7 @@
 		Assessor: assessor.New(), Limiter: f.limiter, Recorder: f.recorder, Ready: func() bool { return true }, Isolated: func() bool { return f.isolated },
 		Decode: decode, Send: f.send, SetAttemptID: func(http.Header, string) {}, Crashed: f.hasCrashed,
 		Streams: f.streams, FindStream: f.findStream, ListFresh: func(time.Time) bool { return !f.listOld },
+		Carry:   f.carry,
 		Crashes: f.crashes, CrashesKnown: func() bool { return true },
 		Trier: trier.New("n", func() int { return 1 }, trier.Arbitration{
 			Begin: func(time.Time, trier.Trial) (bool, error) { return true, nil }, End: func(time.Time, trier.Trial, time.Time) error { return nil },
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -53,8 +53,10 @@
 func (f *Forwarder) serveModel(w http.ResponseWriter, r *http.Request, c *call) error {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	f.dependencies.Budget.CountRequest(c.arrived, c.service.Name)
-	f.dependencies.DemandCounter.CountArrival(c.modelKey())
+	if !c.isCarried { // Counted by the node that the caller reached.
+		f.dependencies.Budget.CountRequest(c.arrived, c.service.Name)
+		f.dependencies.DemandCounter.CountArrival(c.modelKey())
+	}
 	if _, known := c.service.Models[c.Model]; !known {
 		// Not a 404, since a newer configuration may have the model.
 		return newRefusal("no_model", "the service has no such model", configurationRetry)
@@ -65,7 +67,15 @@
 	relay := &relay{forwarder: f, writer: w, call: c}
 	defer func() { f.endTrial(c, time.Now().Add(crashNewsTime)) }()
 	for {
+		if c.mayCarry() && (c.unreachable >= unreachableSends || f.reach.carries(time.Now())) {
+			if done, err := f.carry(ctx, w, c); done {
+				return err
+			}
+		}
 		worker, err := f.acquireWorker(ctx, c)
+		if errors.Is(err, errCutOff) {
+			continue
+		}
 		if err != nil {
 			return relay.endError(err)
 		}
@@ -80,6 +90,14 @@
 	}
 }
 
+// errCutOff ends the wait of a call that is to be passed to another node.
+var errCutOff = errors.New("this node is cut off from all workers")
+
+// refuseCutOff returns the refusal of a call that this node cannot send to any worker.
+func (f *Forwarder) refuseCutOff(c *call) error {
+	return f.refuse(c, newRefusal("cut_off", "this node reaches no worker; another may", cutRetry))
+}
+
 // sendModel sends a request to a worker and relays the response.
 func (f *Forwarder) sendModel(ctx context.Context, c *call, worker *registrar.Worker, relay *relay) error {
 	endSend := f.beginSend(c, worker)
@@ -96,6 +114,7 @@
 		f.reportLoad(worker, response.Load)
 		f.observeLimit(c, worker, response.PerSecond)
 		f.observePause(c, worker, response.PauseS)
+		f.reach.succeed(time.Now())
 		c.firstByteMS = time.Since(sentAt).Milliseconds()
 		f.dependencies.Recorder.Observe(recorder.MeasureFirstToken, c.service.Name, c.route.Name, time.Since(sentAt))
 		err = relay.relayResponse(response, worker)
@@ -155,6 +174,15 @@
 			f.endTrial(c, now)
 			continue // The worker is not chosen again before the time at which a permit may be had.
 		}
+		if f.reach.isCut() {
+			if c.mayCarry() {
+				c.unreachable = unreachableSends
+				return nil, errCutOff
+			}
+			if c.isCarried {
+				return nil, f.refuseCutOff(c)
+			}
+		}
 		if endWait == nil {
 			endWait = f.dependencies.DemandCounter.StartWaiting(c.modelKey(), c.arrived.Add(c.route.TargetLatency()))
 			logger.Info("request held").Str("request", c.ID).Str("model", c.Model).Str("adapter", c.Adapter).Int("holders", len(holders)).
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -34,7 +34,9 @@
 func (f *Forwarder) servePlain(w http.ResponseWriter, r *http.Request, c *call) error {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
-	f.dependencies.Budget.CountRequest(c.arrived, c.service.Name)
+	if !c.isCarried { // Counted by the node that the caller reached.
+		f.dependencies.Budget.CountRequest(c.arrived, c.service.Name)
+	}
 	if err := f.findOrigin(ctx, c); err != nil {
 		return err
 	}
@@ -44,7 +46,19 @@
 		if err := f.checkCrashes(c); err != nil {
 			return err
 		}
+		if c.mayCarry() && (c.unreachable >= unreachableSends || f.reach.carries(time.Now())) {
+			if done, err := f.carry(ctx, w, c); done {
+				return err
+			}
+		}
 		worker, err := f.choosePlainWorker(c)
+		if err != nil && f.reach.isCut() {
+			if c.mayCarry() {
+				c.unreachable = unreachableSends
+				continue
+			}
+			return f.refuseCutOff(c)
+		}
 		if err != nil {
 			return err
 		}
@@ -84,6 +98,7 @@
 		endSend(err)
 		return nil, nil, err
 	}
+	f.reach.succeed(time.Now())
 	body, err := readAll(response.Body, held)
 	_ = response.Body.Close() // Read to its end or failed.
 	if err != nil {
@@ -301,11 +316,18 @@
 	case ReasonFull:
 		c.avoidUntil[worker.ID] = now.Add(avoidFull)
 	case ReasonUnreachable:
+		c.unreachable++
+		f.reach.fail(now, worker.ID, len(f.dependencies.Workers.Fleet().All()))
 		f.dependencies.Assessor.MarkUnreachable(now, worker.ID)
 		c.avoidUntil[worker.ID] = now.Add(avoidUnreachable)
 	default:
 		c.avoidUntil[worker.ID] = now.Add(avoidBroken)
 	}
+	if notRun.reason != ReasonUnreachable {
+		f.reach.succeed(now)
+	} else if c.isCarried && c.unreachable >= unreachableSends {
+		return f.refuseCutOff(c)
+	}
 	refusal := newRefusal("full", notRun.Error(), busyRetry)
 	if ctx.Err() != nil || c.deadline.Sub(now) < minResendTime || c.sends >= maxSends {
 		return f.refuse(c, refusal)
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -52,6 +52,8 @@
 	workerList   *registrar.Registrar
 	recorder     *recorder.Recorder
 	limiter      *limiter.Limiter
+	// carriers are the nodes that may serve requests for this one.
+	carriers carrierList
 	// granter grants permits for limited workers of the zone while this node leads it.
 	granter *limiter.Granter
 	// arbiter decides on trials of requests that may crash workers while this node leads its zone.
@@ -159,7 +161,7 @@
 		Zone: settings.Zone(), Catalog: f.watcher.Catalog, Workers: do.MustInvoke[*registrar.Registrar](i), Tracker: f.fleetTracker,
 		DemandCounter: do.MustInvoke[*demandcounter.Counter](i), Assessor: do.MustInvoke[*assessor.Assessor](i), Recorder: do.MustInvoke[*recorder.Recorder](i),
 		Ready: f.watcher.Ready, Isolated: f.isolated, Decode: platform.DecodeRequest, Send: f.workers.Send, SetAttemptID: platform.SetAttemptID, Crashed: f.workers.Crashed,
-		Limiter: f.limiter, Streams: f.streamKeeper, FindStream: f.findStream, ListFresh: f.isListFresh,
+		Carry: f.carry, Limiter: f.limiter, Streams: f.streamKeeper, FindStream: f.findStream, ListFresh: f.isListFresh,
 		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
 		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
 		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry},
@@ -215,6 +217,8 @@
 		DemandCounter: demandCounter, Tracker: f.fleetTracker, Config: f.configVersion, OnConfigVersion: f.watcher.NotifyVersion, OnLease: f.leaseholder.ApplyForwarded,
 		OnForwardedReads: f.applyForwardedReads, OnForwardedReadsEnd: f.watcher.EndForwardedReads, ListVersion: f.watcher.ListVersion, Cores: f.settings.Cores(),
 		Leads:         f.isLeading,
+		CutOff:        func() bool { return f.forwarder.CutOff() },
+		OnCarriers:    f.carriers.set,
 		OwnStreams:    f.streamsSince,
 		OwnCrashes:    func(first int64) ([]*nodewire.Suspicion, int64) { return f.crashesSince(first, true) },
 		OwnLimits:     func(first int64) ([]*nodewire.WorkerLimit, int64) { return f.limitsSince(first, true) },
--- a/server/fleetservice.go
+++ b/server/fleetservice.go
@@ -77,6 +77,11 @@
 	return s.node.try(request), nil
 }
 
+// Carry implements nodewire.FleetServer.
+func (s *fleetService) Carry(request *nodewire.CarryRequest, stream nodewire.Fleet_CarryServer) error {
+	return s.node.serveCarried(request, stream)
+}
+
 // FindStream implements nodewire.FleetServer.
 func (s *fleetService) FindStream(_ context.Context, request *nodewire.FindStreamRequest) (*nodewire.FindStreamReply, error) {
 	origin, known := s.node.streamKeeper.Find(time.Now(), request.GetAttempt())
--- a/soaker/cut_nodes_test.go
+++ b/soaker/cut_nodes_test.go
@@ -2,13 +2,13 @@
 
 import (
 	"fmt"
-	"net/http"
+	"net"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/samber/lo"
+	"golang.org/x/sys/unix"
 
-	"github.com/acaciaproxy/acaciaproxy/faultinjector"
 	"github.com/acaciaproxy/acaciaproxy/platform/fleetstandin"
 )
 
@@ -36,15 +36,14 @@
 
 // cutNodes cuts nodes off from all workers: connections are refused or, with how "hang", not answered.
 func (p *player) cutNodes(nodes []*node, how string) error {
-	silent, err := faultinjector.New("127.0.0.1:1")
-	if err != nil {
-		return err
-	}
-	silent.SetMode(faultinjector.ModeDropAll)
-	if how != "hang" {
-		silent.Refuse()
+	address := "127.0.0.1:1"
+	if how == "hang" {
+		var err error
+		if address, err = listenSilently(); err != nil {
+			return err
+		}
 	}
-	view, err := p.environment.listen(http.Handler(fleetstandin.CutView(p.environment.store, silent.Address())))
+	view, err := p.environment.listen(fleetstandin.CutView(p.environment.store, address))
 	if err != nil {
 		return err
 	}
@@ -56,6 +55,31 @@
 	return nil
 }
 
+// listenSilently returns an address at which new connections are neither accepted nor refused: its queue is full.
+func listenSilently() (address string, err error) {
+	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return "", err
+	}
+	if err := unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
+		return "", err
+	}
+	if err := unix.Listen(socket, 0); err != nil {
+		return "", err
+	}
+	bound, err := unix.Getsockname(socket)
+	if err != nil {
+		return "", err
+	}
+	address = fmt.Sprint("127.0.0.1:", bound.(*unix.SockaddrInet4).Port)
+	for range 8 { // The connections stay open until this process ends.
+		if _, err := net.DialTimeout("tcp", address, 200*time.Millisecond); err != nil {
+			return address, nil
+		}
+	}
+	return "", fmt.Errorf("address %s accepts all connections", address)
+}
+
 // checkCut returns the breach of the guarantee that callers of cut nodes are served about as often as those of others.
 func (p *player) checkCut() []string {
 	if len(p.cut) == 0 {
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -75,6 +75,9 @@
 	// OwnLimits and OnLimit are the same for changes of workers' limits.
 	OwnLimits func(first int64) (limits []*nodewire.WorkerLimit, next int64)
 	OnLimit   func(limit *nodewire.WorkerLimit, zone string)
+	// CutOff reports whether this node reaches no worker, OnCarriers is called with the addresses of nodes that do, as the leader of a zone knows them.
+	CutOff     func() bool
+	OnCarriers func(zone string, addresses []string)
 	// OwnDepartures and OnDeparture are the same for workers that leave by their own word.
 	OwnDepartures func(first int64) (departures []*nodewire.Departure, next int64)
 	OnDeparture   func(departure *nodewire.Departure, zone string)
@@ -234,6 +237,9 @@
 		s.applyLocalZoneView(now, view)
 	}
 	s.nodes.Store(int64(view.GetNodes()))
+	if carriers := view.GetCarriers(); carriers != nil {
+		s.dependencies.OnCarriers(view.GetZone(), carriers.GetAddresses())
+	}
 	for _, crash := range view.GetSuspicions() {
 		s.dependencies.OnCrash(crash, view.GetZone())
 	}
@@ -337,7 +343,7 @@
 func (s *Subscriber) emptyMessage() *nodewire.Demand {
 	return &nodewire.Demand{
 		Node: s.dependencies.Self.Node, Zone: s.dependencies.Zone, Address: s.dependencies.Self.Address, Incarnation: s.dependencies.Self.Incarnation, Config: s.dependencies.Config(), AgeMs: time.Since(s.started).Milliseconds(),
-		Leads: s.dependencies.Leads(), Strength: s.dependencies.Cores, ListVersion: s.dependencies.ListVersion(),
+		Leads: s.dependencies.Leads(), Strength: s.dependencies.Cores, Cut: s.dependencies.CutOff(), ListVersion: s.dependencies.ListVersion(),
 	}
 }
 
