Pass a request on only when no worker is left for it

What callers would see: a request that met two crashed workers of a service was passed to other nodes although a third worker was free; each of them may spend its own time-outs on the crashed ones. Found by reading.

Cause: the number of unreachable sends alone decided.

Change: a request is passed on while the node counts as cut off, or when no worker can be chosen for it and two were unreachable. The outcome of a passed request is a value of its own instead of two functions; an error type ends the choice of a worker.

--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -18,7 +18,7 @@
 	cutWorkers = 3
 	// reachPause is the time between two requests that a node which is cut off still sends to workers itself, to notice the end of the cut.
 	reachPause = 500 * time.Millisecond
-	// unreachableSends is the number of sends of one request that fail as unreachable after which it is carried.
+	// unreachableSends is the number of different workers that must have been unreachable for a request to be passed on while the node does not count as cut off.
 	unreachableSends = 2
 	// maxCarriedBody bounds the body of a request that is carried.
 	maxCarriedBody = 256 << 10
@@ -84,6 +84,13 @@
 // CutOff reports whether this node reaches no worker.
 func (f *Forwarder) CutOff() bool { return f.reach.isCut() }
 
+// failures returns the number of workers that were unreachable since the last response of any, cutWorkers at most.
+func (r *reach) failures() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.failed)
+}
+
 // carries reports whether a request should be carried at once, which is so while the node is cut off but for one request in reachPause.
 func (r *reach) carries(now time.Time) bool {
 	r.mu.Lock()
@@ -98,33 +105,49 @@
 	return false
 }
 
-// carriedKey is the key of the *carriedMark in the context of a request that another node passed on.
-type carriedKey struct{}
+// cutOffError ends the choice of a worker for a call that is to be passed to another node.
+type cutOffError struct{}
 
-// carriedMark says how a carried request ended.
-type carriedMark struct {
-	// refused is set if it was refused and has not run.
-	refused bool
+// Error says why.
+func (e *cutOffError) Error() string {
+	return "this node reaches no worker that could serve the request"
 }
 
-// ServeCarried serves a request that another node passed on, and reports whether it was refused: it has not run then. It is not passed on again.
-func (f *Forwarder) ServeCarried(w http.ResponseWriter, r *http.Request) (refused func() bool, serve func()) {
-	mark := &carriedMark{}
-	r = r.WithContext(context.WithValue(r.Context(), carriedKey{}, mark))
-	return func() bool { return mark.refused }, func() {
-		defer f.carried.Add(-1)
-		if f.carried.Add(1) > maxCarried {
-			mark.refused = true
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		f.ServeHTTP(w, r)
+// lacksPath reports whether a call that no worker can be chosen for may be served by way of another node: this one is cut off, or did not reach a worker for it.
+// A single worker that is unreachable is more likely to have ended.
+func (f *Forwarder) lacksPath(c *call) bool {
+	return f.reach.isCut() || c.unreachable >= unreachableSends || c.unreachable > 0 && f.reach.failures() >= unreachableSends
+}
+
+// refuseCutOff returns the refusal of a call that this node cannot send to any worker.
+func (f *Forwarder) refuseCutOff(c *call) error {
+	return f.refuse(c, newRefusal("cut_off", "this node reaches no worker; another may", cutRetry))
+}
+
+// CarriedOutcome says how a request that another node passed on has ended.
+type CarriedOutcome struct{ refused bool }
+
+// Refused reports whether the request was refused: it has not run.
+func (o *CarriedOutcome) Refused() bool { return o.refused }
+
+// carriedKey is the key of the *CarriedOutcome in the context of a request that another node passed on.
+type carriedKey struct{}
+
+// ServeCarried serves a request that another node passed on; it is not passed on again. The outcome is set before the head of the response is written.
+func (f *Forwarder) ServeCarried(w http.ResponseWriter, r *http.Request, outcome *CarriedOutcome) {
+	defer f.carried.Add(-1)
+	if f.carried.Add(1) > maxCarried {
+		outcome.refused = true
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
 	}
+	f.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), carriedKey{}, outcome)))
 }
 
-func carriedMarkOf(r *http.Request) *carriedMark {
-	mark, _ := r.Context().Value(carriedKey{}).(*carriedMark)
-	return mark
+// carriedOutcome returns the outcome of a request that another node passed on, or nil for others.
+func carriedOutcome(r *http.Request) *CarriedOutcome {
+	outcome, _ := r.Context().Value(carriedKey{}).(*CarriedOutcome)
+	return outcome
 }
 
 // mayCarry reports whether a call may be passed to another node: nothing of it can have run, and it has not been passed on before.
--- a/forwarder/carry_test.go
+++ b/forwarder/carry_test.go
@@ -62,9 +62,9 @@
 				recorded := httptest.NewRecorder()
 				request := f.request(script.Route, script.Model)
 				request.RequestURI = script.Route
-				refusedFunc, serve := f.forwarder.ServeCarried(&carriedRecorder{recorded}, request)
-				serve()
-				status, refused = recorded.Code, refusedFunc()
+				outcome := &forwarder.CarriedOutcome{}
+				f.forwarder.ServeCarried(&carriedRecorder{recorded}, request, outcome)
+				status, refused = recorded.Code, outcome.Refused()
 			} else if response, err := http.DefaultTransport.RoundTrip(f.request(script.Route, script.Model)); err == nil {
 				if _, err := io.ReadAll(response.Body); err == nil {
 					status = response.StatusCode
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -79,9 +79,9 @@
 	if errors.As(err, &aborted) || callerLeft {
 		panic(http.ErrAbortHandler) // Closes the connection, so that the caller does not take the response as complete.
 	}
-	if mark := carriedMarkOf(r); mark != nil {
+	if outcome := carriedOutcome(r); outcome != nil {
 		// Without a route, this node's configuration may be older than that of the node that passed the request on.
-		mark.refused = failure.status == http.StatusServiceUnavailable || failure.status == http.StatusNotFound
+		outcome.refused = failure.status == http.StatusServiceUnavailable || failure.status == http.StatusNotFound
 	}
 	if c.Request != nil {
 		f.dependencies.SetAttemptID(w.Header(), c.ID)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -281,7 +281,7 @@
 // admit decodes a request, reads its body and finds its route. When it fails, the
 // call that it returns has only the fields set that were reached before the error.
 func (f *Forwarder) admit(w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, error) {
-	c := &call{catalog: f.dependencies.Catalog(), arrived: arrived, avoidUntil: map[string]time.Time{}, isCarried: carriedMarkOf(r) != nil}
+	c := &call{catalog: f.dependencies.Catalog(), arrived: arrived, avoidUntil: map[string]time.Time{}, isCarried: carriedOutcome(r) != nil}
 	var err error
 	if c.Request, err = f.dependencies.Decode(r, arrived); err != nil {
 		return c, err
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -67,13 +67,12 @@
 	relay := &relay{forwarder: f, writer: w, call: c}
 	defer func() { f.endTrial(c, time.Now().Add(crashNewsTime)) }()
 	for {
-		if c.mayCarry() && (c.unreachable >= unreachableSends || f.reach.carries(time.Now())) {
+		var cutOff *cutOffError
+		worker, err := f.acquireWorker(ctx, c)
+		if errors.As(err, &cutOff) {
 			if done, err := f.carry(ctx, w, c); done {
 				return err
 			}
-		}
-		worker, err := f.acquireWorker(ctx, c)
-		if errors.Is(err, errCutOff) {
 			continue
 		}
 		if err != nil {
@@ -90,14 +89,6 @@
 	}
 }
 
-// errCutOff ends the wait of a call that is to be passed to another node.
-var errCutOff = errors.New("this node is cut off from all workers")
-
-// refuseCutOff returns the refusal of a call that this node cannot send to any worker.
-func (f *Forwarder) refuseCutOff(c *call) error {
-	return f.refuse(c, newRefusal("cut_off", "this node reaches no worker; another may", cutRetry))
-}
-
 // sendModel sends a request to a worker and relays the response.
 func (f *Forwarder) sendModel(ctx context.Context, c *call, worker *registrar.Worker, relay *relay) error {
 	endSend := f.beginSend(c, worker)
@@ -157,6 +148,9 @@
 		}
 		viewChanged := f.dependencies.Tracker.Changed()
 		now := time.Now()
+		if c.mayCarry() && f.reach.carries(now) {
+			return nil, &cutOffError{}
+		}
 		holders := f.matching(c, f.dependencies.Tracker.Holders(now, c.service.Name, c.Model, c.Adapter))
 		if c.origin != nil && len(holders) == 0 {
 			return nil, f.refuseVersion(c)
@@ -174,10 +168,9 @@
 			f.endTrial(c, now)
 			continue // The worker is not chosen again before the time at which a permit may be had.
 		}
-		if f.reach.isCut() {
+		if f.lacksPath(c) {
 			if c.mayCarry() {
-				c.unreachable = unreachableSends
-				return nil, errCutOff
+				return nil, &cutOffError{}
 			}
 			if c.isCarried {
 				return nil, f.refuseCutOff(c)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -46,17 +46,14 @@
 		if err := f.checkCrashes(c); err != nil {
 			return err
 		}
-		if c.mayCarry() && (c.unreachable >= unreachableSends || f.reach.carries(time.Now())) {
+		worker, err := f.choosePlainWorker(c)
+		if c.mayCarry() && (err != nil && f.lacksPath(c) || f.reach.carries(time.Now())) {
 			if done, err := f.carry(ctx, w, c); done {
 				return err
 			}
+			continue
 		}
-		worker, err := f.choosePlainWorker(c)
-		if err != nil && f.reach.isCut() {
-			if c.mayCarry() {
-				c.unreachable = unreachableSends
-				continue
-			}
+		if err != nil && f.lacksPath(c) {
 			return f.refuseCutOff(c)
 		}
 		if err != nil {
@@ -325,8 +322,6 @@
 	}
 	if notRun.reason != ReasonUnreachable {
 		f.reach.succeed(now)
-	} else if c.isCarried && c.unreachable >= unreachableSends {
-		return f.refuseCutOff(c)
 	}
 	refusal := newRefusal("full", notRun.Error(), busyRetry)
 	if ctx.Err() != nil || c.deadline.Sub(now) < minResendTime || c.sends >= maxSends {
--- a/server/carry.go
+++ b/server/carry.go
@@ -134,8 +134,8 @@
 type carrierWriter struct {
 	stream nodewire.Fleet_CarryServer
 	header http.Header
-	// refused reports whether the request has been refused.
-	refused func() bool
+	// outcome says whether the request has been refused.
+	outcome *forwarder.CarriedOutcome
 	// headSent is set once the first part was sent.
 	headSent bool
 }
@@ -152,7 +152,7 @@
 	}
 	w.headSent = true
 	w.header.Del("Connection") // It concerns the connection to this node.
-	return w.stream.Send(&nodewire.CarryPart{Status: int32(code), Headers: newHeaders(w.header), Refused: w.refused()})
+	return w.stream.Send(&nodewire.CarryPart{Status: int32(code), Headers: newHeaders(w.header), Refused: w.outcome.Refused()})
 }
 
 // Write implements http.ResponseWriter.
@@ -185,9 +185,7 @@
 	for _, entry := range message.GetHeaders() {
 		r.Header[entry.GetName()] = entry.GetValues()
 	}
-	w := &carrierWriter{stream: stream, header: http.Header{}}
-	var serve func()
-	w.refused, serve = f.forwarder.ServeCarried(w, r)
+	w := &carrierWriter{stream: stream, header: http.Header{}, outcome: &forwarder.CarriedOutcome{}}
 	defer func() {
 		if cause := recover(); cause != nil {
 			if abort, isError := cause.(error); !isError || !errors.Is(abort, http.ErrAbortHandler) {
@@ -196,6 +194,6 @@
 			err = status.Error(codes.Aborted, io.ErrUnexpectedEOF.Error())
 		}
 	}()
-	serve()
+	f.forwarder.ServeCarried(w, r, w.outcome)
 	return w.sendHead(http.StatusOK)
 }
