--- a/casereader/capture.go
+++ b/casereader/capture.go
@@ -54,7 +54,7 @@
 func (c *Capture) Close() { activeCapture.CompareAndSwap(c, nil) }
 
 // Missing returns the elements of wanted that no captured line matches. Each element is a
-// list of texts separated by "|", and a line matches if it contains all of them.
+// list of texts separated by "|", and a line matches if it contains all of them, but none that begin with "!".
 func (c *Capture) Missing(wanted []string) []string {
 	c.mu.Lock()
 	lines := strings.Split(c.text.String(), "\n")
@@ -68,12 +68,13 @@
 	return missing
 }
 
-// hasLine reports whether one of the lines contains all parts.
+// hasLine reports whether one of the lines contains all parts, but none that begin with "!".
 func hasLine(lines, parts []string) bool {
 	for _, line := range lines {
 		found := 0
 		for _, part := range parts {
-			if strings.Contains(line, part) {
+			absent, isAbsent := strings.CutPrefix(part, "!")
+			if strings.Contains(line, absent) != isAbsent {
 				found++
 			}
 		}
