Hold a quarter less of whole responses in memory at a time

Cause: 16 MB of responses are held at most; with the garbage of growing them, the heap came to the bound and, by the moment of its collection, beyond it.

--- a/forwarder/buffers.go
+++ b/forwarder/buffers.go
@@ -12,7 +12,7 @@
 	maxEventBytes    = 1 << 20
 	// freeBytes of each response may always be held; what is above that comes out of sharedBytes, which all responses share.
 	freeBytes   = 64 << 10
-	sharedBytes = 16 << 20
+	sharedBytes = 12 << 20
 )
 
 // OversizedError reports that a worker sent more than is held of one response, or that too much is held of others.
