Do not count workers as crashed while this node reaches no other worker either

What callers would see: after a cut of their node from the workers, sound requests count as having crashed sound workers, at all nodes. Each is sent one at a time from then on, and refused for ten minutes once it met two.

Cause: a probe that fails says that the worker or the path to it has ended, and the worker was blamed.

Change: a failed probe counts only if one of three other workers answers one; else the list of workers decides. A crash of all four at once is counted later, by the list, within 4.5 s.

Before: the new test counts one crash. After: none; all others of the package pass, with the race detector.

--- a/forwarder/broken_sends.go
+++ b/forwarder/broken_sends.go
@@ -108,14 +108,41 @@
 	return !worker.Leaving && f.probe(worker, gone)
 }
 
-// probe reports whether a worker's address does not answer. It is probed once for all sends that keep their probes in gone.
+// probe reports whether a worker seems to have crashed. It is probed once for all sends that keep their probes in gone.
 func (f *Forwarder) probe(worker *registrar.Worker, gone map[string]bool) bool {
 	if _, probed := gone[worker.ID]; !probed {
-		gone[worker.ID] = f.dependencies.Crashed(worker)
+		gone[worker.ID], _ = f.seemsCrashed(worker)
 	}
 	return gone[worker.ID]
 }
 
+// maxWitnesses is the number of other workers of which one must answer a probe for a worker that does not to count as crashed.
+const maxWitnesses = 3
+
+// seemsCrashed reports whether a worker's address does not answer a probe while that of another worker does: else this node may have lost the path to all of
+// them. If they did crash, the list of workers shows it. Why says why the worker does not count as crashed.
+func (f *Forwarder) seemsCrashed(worker *registrar.Worker) (crashed bool, why string) {
+	if !f.dependencies.Crashed(worker) {
+		return false, "worker reachable"
+	}
+	others := lo.Samples(lo.Filter(f.dependencies.Workers.Fleet().All(), func(other *registrar.Worker, _ int) bool {
+		return other.ID != worker.ID && !other.Leaving
+	}), maxWitnesses)
+	if len(others) == 0 {
+		return true, ""
+	}
+	answers := make(chan bool, len(others))
+	for _, other := range others {
+		go func() { answers <- !f.dependencies.Crashed(other) }()
+	}
+	for range others {
+		if <-answers {
+			return true, ""
+		}
+	}
+	return false, "no other worker answers either"
+}
+
 // reportCrash records that a worker crashed while it ran a request.
 func (f *Forwarder) reportCrash(send brokenSend) {
 	now := time.Now()
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -92,8 +92,11 @@
 	// named is the limit that responses name, or nil.
 	named *float64
 	// permits is the number of permits that the leader grants; it denies more for a second.
-	permits  int
+	permits int
+	// crashed makes the probes of the workers in sentTo fail, to which requests were sent; pathGone makes those of all fail.
 	crashed  bool
+	sentTo   map[string]bool
+	pathGone bool
 	isolated bool
 	// carrier says how another node takes a request: "answer", "break" or "break off"; else none takes it. carriedCount counts the requests passed on.
 	carrier      string
@@ -112,7 +115,7 @@
 }
 
 func newFixture(sends []scriptedSend, noBudget bool) *fixture {
-	f := &fixture{sends: sends, list: registrar.New(), recorder: recorder.New(), contextEnded: make(chan struct{}, 8)}
+	f := &fixture{sends: sends, sentTo: map[string]bool{}, list: registrar.New(), recorder: recorder.New(), contextEnded: make(chan struct{}, 8)}
 	f.streams = streamkeeper.New()
 	f.tracker = fleettracker.New(f.list)
 	f.limiter = limiter.New(f.ask, func() int { return 1 }, f.recorder.Count)
@@ -123,7 +126,7 @@
 	}
 	f.list.Replace(now, []registrar.Worker{
 		worker("p1", "plain", nil), worker("p2", "plain", nil),
-		worker("m1", "models", map[string][]string{"m": nil}), worker("m2", "models", map[string][]string{"m": nil}),
+		worker("m1", "models", map[string][]string{"m": nil}), worker("m2", "models", map[string][]string{"m": nil}), worker("o1", "other", nil),
 	}, 1)
 	route := func(name string, kind cataloger.Kind, service string, resumable bool) cataloger.Route {
 		return cataloger.Route{
@@ -154,10 +157,10 @@
 }
 
 // hasCrashed reports whether a probe of a worker fails.
-func (f *fixture) hasCrashed(*registrar.Worker) bool {
+func (f *fixture) hasCrashed(worker *registrar.Worker) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.crashed
+	return f.pathGone || f.crashed && f.sentTo[worker.ID]
 }
 
 // setCrashed makes the probes of workers fail.
@@ -212,6 +215,9 @@
 }
 
 func (f *fixture) send(ctx context.Context, request *forwarder.Request, attempt forwarder.Send) (*forwarder.Response, error) {
+	f.mu.Lock()
+	f.sentTo[attempt.Worker.ID] = true
+	f.mu.Unlock()
 	if f.hang {
 		<-ctx.Done()
 		f.contextEnded <- struct{}{}
@@ -560,6 +566,20 @@
 		list(2)
 		gomega.Eventually(crashes, time.Second).Should(gomega.Equal(1))
 	})
+	// Guards against sound requests that count as crashing workers since their node has lost the path to all workers.
+	ginkgo.It("do not count while no other worker answers a probe either", func() {
+		version++
+		sound := func(id, service string) registrar.Worker {
+			return registrar.Worker{ID: id, Service: service, Zone: "z", Address: "127.0.0.1:1", Slots: 8, Loaded: map[string][]string{"m": nil}, SeenAt: time.Now(), Incarnation: 1, RowVersion: version}
+		}
+		f.list.Replace(time.Now(), []registrar.Worker{sound("m1", "models"), sound("o1", "other")}, version)
+		f.tracker.MarkWorkersChanged()
+		f.mu.Lock()
+		f.pathGone = true
+		f.mu.Unlock()
+		send()
+		gomega.Consistently(crashes, 600*time.Millisecond).Should(gomega.BeZero())
+	})
 	// Guards against crashes that are not counted since the worker's connections break before its address refuses new ones, while the list shows nothing new.
 	ginkgo.It("count if the worker's address fails shortly after the send broke", func() {
 		send()
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -73,8 +73,8 @@
 // recordCrash records the crash if a worker crashed while it ran a request, and reports whether it did. It watches the send if the worker's address still
 // answers.
 func (f *Forwarder) recordCrash(c *call, worker *registrar.Worker) (crashed bool) {
-	if !f.dependencies.Crashed(worker) {
-		f.logNoCrash(c, worker, "worker reachable")
+	if crashed, why := f.seemsCrashed(worker); !crashed {
+		f.logNoCrash(c, worker, why)
 		f.watchBrokenSend(c, worker, true)
 		return false
 	}
