Send a request on only over a connection that stands

What callers would see: a node that reaches no worker passes a request to one that has ended meanwhile, and ends it with 502, though nothing was sent. Found by reading: leaders' lists of nodes outlive the nodes, and a failed call cannot be told from one that ran.

Also by reading: a send that ended because its caller left, or at its deadline, while it was connecting counted as a worker that was not reached, and the same worker twice counted as two.

Change: a node is asked only if there is a connection to it within 0.2 s; others are passed over without counting as asked. Unreachable workers are counted once, and only while the call goes on.

--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/logger"
 )
@@ -18,8 +19,8 @@
 	cutWorkers = 3
 	// reachPause is the time between two requests that a node which is cut off still sends to workers itself, to notice the end of the cut.
 	reachPause = 500 * time.Millisecond
-	// unreachableSends is the number of different workers that must have been unreachable for a request to be passed on while the node does not count as cut off.
-	unreachableSends = 2
+	// unreachableWorkers is the number of different workers that must have been unreachable for a request to be passed on while the node does not count as cut off.
+	unreachableWorkers = 2
 	// maxCarriedBody bounds the body of a request that is carried.
 	maxCarriedBody = 256 << 10
 	// maxCarried bounds the requests that a node serves for others at the same time.
@@ -116,7 +117,8 @@
 // lacksPath reports whether a call that no worker can be chosen for may be served by way of another node: this one is cut off, or did not reach a worker for it.
 // A single worker that is unreachable is more likely to have ended.
 func (f *Forwarder) lacksPath(c *call) bool {
-	return f.reach.isCut() || c.unreachable >= unreachableSends || c.unreachable > 0 && f.reach.failures() >= unreachableSends
+	unreachable := len(lo.Uniq(c.unreachable))
+	return f.reach.isCut() || unreachable >= unreachableWorkers || unreachable > 0 && f.reach.failures() >= unreachableWorkers
 }
 
 // refuseCutOff returns the refusal of a call that this node cannot send to any worker.
@@ -161,7 +163,7 @@
 	f.endTrial(c, time.Now())
 	response, err := f.dependencies.Carry(ctx, c.Request, c.deadline)
 	var notRun *NotRunError
-	logger.Info("request passed to another node").Str("request", c.ID).Int("unreachable", c.unreachable).Int64("left_ms", time.Until(c.deadline).Milliseconds()).Err(err).Msg("request passed to another node")
+	logger.Info("request passed to another node").Str("request", c.ID).Strs("unreachable", c.unreachable).Int64("left_ms", time.Until(c.deadline).Milliseconds()).Err(err).Msg("request passed to another node")
 	if errors.As(err, &notRun) {
 		f.dependencies.Recorder.Count("requests no node took")
 		return false, nil
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -221,9 +221,9 @@
 	origin *origin
 	// lastEventID is the id of the last event that was relayed.
 	lastEventID string
-	// isCarried is set if another node passed the call on, carryTried once this node has tried to. Unreachable counts the sends that reached no worker.
+	// isCarried is set if another node passed the call on, carryTried once this node has tried to. Unreachable are the workers that sends did not reach.
 	isCarried, carryTried bool
-	unreachable           int
+	unreachable           []string
 	// heldMS is the time waited for the model, firstByteMS the time from the last send to the head of its response, in milliseconds.
 	heldMS, firstByteMS int64
 }
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -313,8 +313,10 @@
 	case ReasonFull:
 		c.avoidUntil[worker.ID] = now.Add(avoidFull)
 	case ReasonUnreachable:
-		c.unreachable++
-		f.reach.fail(now, worker.ID, len(f.dependencies.Workers.Fleet().All()))
+		if ctx.Err() == nil { // Else the call has ended while it was connecting.
+			c.unreachable = append(c.unreachable, worker.ID)
+			f.reach.fail(now, worker.ID, f.dependencies.Workers.Fleet().Size())
+		}
 		f.dependencies.Assessor.MarkUnreachable(now, worker.ID)
 		c.avoidUntil[worker.ID] = now.Add(avoidUnreachable)
 	default:
--- a/peerclient/peer.go
+++ b/peerclient/peer.go
@@ -9,6 +9,7 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/keepalive"
 
@@ -62,6 +63,24 @@
 	return nodewire.NewFleetClient(connection), nil
 }
 
+// AwaitReady reports whether there is a connection to a node by the deadline, and opens it if need be. A call that is made then fails without having been sent
+// only if the connection breaks in between.
+func (p *Pool) AwaitReady(deadline time.Time, address string) bool {
+	connection, err := p.connection(address)
+	if err != nil {
+		return false // The address is not valid; the caller tries another node.
+	}
+	ctx, cancel := WithDeadline(deadline)
+	defer cancel()
+	connection.Connect()
+	for state := connection.GetState(); state != connectivity.Ready; state = connection.GetState() {
+		if state == connectivity.TransientFailure || state == connectivity.Shutdown || !connection.WaitForStateChange(ctx, state) {
+			return false
+		}
+	}
+	return true
+}
+
 // Drop closes the connection to a node, for instance because the node no longer
 // replies; the next use of its address opens a new one.
 func (p *Pool) Drop(address string) {
--- a/server/carry.go
+++ b/server/carry.go
@@ -22,6 +22,9 @@
 // maxCarriers is the number of nodes that are asked to serve a request for this one.
 const maxCarriers = 3
 
+// carrierConnectTime bounds the time until there is a connection to such a node.
+const carrierConnectTime = 200 * time.Millisecond
+
 // maxPartBytes bounds the bytes of one part of a response.
 const maxPartBytes = 64 << 10
 
@@ -32,8 +35,17 @@
 	}
 	carriers := f.carriers.all(f.settings.Nodes())
 	first := int(xxhash.Sum64String(request.ID) % uint64(max(len(carriers), 1)))
-	for i := range min(len(carriers), maxCarriers) {
-		response, taken, err := f.askCarrier(ctx, carriers[(first+i)%len(carriers)], message)
+	asked := 0
+	for i := range carriers {
+		address := carriers[(first+i)%len(carriers)]
+		if asked == maxCarriers || ctx.Err() != nil {
+			break
+		}
+		if !f.peers.AwaitReady(time.Now().Add(carrierConnectTime), address) {
+			continue // It may have ended; nothing was sent.
+		}
+		asked++
+		response, taken, err := f.askCarrier(ctx, address, message)
 		if taken || err != nil {
 			return response, err
 		}
