Repeat an order when it may have ended instead of every 25 ms

Cause: awaitDone and sendWithRetry repeat the order every 25 ms, and a load from the weight store takes 13 to 40 s.

Evidence: loads take exactly the time of their tier (520, 1001, 1201 ms) and, from the store, a multiple of it that is fixed when the load starts (13,204, 26,417, 39,602, 39,614 ms of 13,200: one, two and three at once of a store that serves one). So the possible ends are known. Ruled out: reading reports instead (a report is 100 ms old, so a load would be seen later), reading the list more often (a call to the store costs twelve orders).

Change: an inquiry names the next time to ask: the known ends of the tier, of farther tiers and of a shared store, and growing pauses where nothing is known. The worker's own list entry and the end of the last request that runs for a victim wake it sooner. The order after an unload is first sent when an idle model's unload takes that long. A load from the store may take eight times its time, not three: one of 39,614 ms was 14 ms over the bound, which let it count as failed.

--- a/fleetleader/adapt.go
+++ b/fleetleader/adapt.go
@@ -140,15 +140,16 @@
 	w := l.workerOf(state)
 	var err error
 	if victim.Adapter != "" {
-		err = l.sendWithRetry(epoch, state, w, victim)
+		err = l.sendWithRetry(epoch, state, w, victim, Order{})
 	}
 	order := Order{Model: key.model, Adapter: key.adapter}
 	if err == nil {
-		err = l.sendWithRetry(epoch, state, w, order)
+		err = l.sendWithRetry(epoch, state, w, order, victim)
 	}
 	if err == nil {
+		ordered := time.Now()
 		time.Sleep(adapterFirstWait)
-		err = l.awaitDone(epoch, state, w, order, time.Now().Add(adapterTimeout))
+		err = l.awaitDone(epoch, state, w, order, newInquiry(ordered, ordered.Add(adapterFirstWait+adapterTimeout), nil))
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/fleetleader/conflict_test.go
+++ b/fleetleader/conflict_test.go
@@ -21,8 +21,8 @@
 		w.reports = []Report{{Incarnation: 1, OrderCount: 0, Busy: true}}
 		w.mu.Unlock()
 		past := time.Now().Add(-time.Second)
-		retry := &retryState{deadline: past, reportAt: past}
-		err := z.leader.waitAfterConflict(state, state.worker, Order{Model: "m0"}, retry)
+		asking := &inquiry{deadline: past, reportAt: past}
+		err := z.leader.waitAfterConflict(state, state.worker, Order{Model: "m0"}, asking)
 		var failed *OrderError
 		gomega.Expect(errors.As(err, &failed)).To(gomega.BeTrue())
 		gomega.Expect(failed.stillBusy).To(gomega.BeTrue())
--- a/fleetleader/fleetleader.go
+++ b/fleetleader/fleetleader.go
@@ -304,7 +304,7 @@
 			listed[w.ID] = true
 			state, found := l.workers[w.ID]
 			if !found {
-				state = &workerState{}
+				state = &workerState{news: make(chan struct{}, 1)}
 				l.workers[w.ID] = state
 			}
 			if state.applyHeartbeat(now, w) {
--- a/fleetleader/fleetleader_test.go
+++ b/fleetleader/fleetleader_test.go
@@ -51,6 +51,11 @@
 	random  *rand.Rand
 	// evicted is set if the worker has lost the copies that its heartbeats still list.
 	evicted bool
+	// loadTime and unloadTime are how long loads and unloads take; orderCalls counts the orders that arrived, executedAt is
+	// when the last one was executed.
+	loadTime, unloadTime time.Duration
+	orderCalls           int
+	executedAt           time.Time
 	// lostShare is the share of orders whose response is lost, lateShare the share of those that are executed late.
 	lostShare, lateShare float64
 }
@@ -61,6 +66,7 @@
 	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.orderCalls++
 	if w.random.Float64() < w.lostShare {
 		if w.random.Float64() < w.lateShare {
 			time.AfterFunc(time.Duration(w.random.IntN(maxLateMS))*time.Millisecond, func() {
@@ -87,9 +93,9 @@
 	}
 	w.orderCount++
 	w.busy = true
-	duration := fakeUnload
+	duration := w.unloadTime
 	if !order.Unload {
-		duration = fakeLoad
+		duration = w.loadTime
 		if w.evicted {
 			duration = fakeStoreLoad
 		}
@@ -99,6 +105,7 @@
 		w.mu.Lock()
 		defer w.mu.Unlock()
 		w.busy = false
+		w.executedAt = time.Now()
 		if order.Unload {
 			delete(w.loaded, order.Model)
 		} else {
@@ -165,7 +172,7 @@
 	list := registrar.New()
 	for i := range count {
 		id := fmt.Sprintf("w%d", i)
-		z.workers[id] = &fakeWorker{loaded: map[string]bool{}, onDisk: onDisk, random: rand.New(rand.NewPCG(uint64(i), 7)), lostShare: lostShare, lateShare: lateShare}
+		z.workers[id] = &fakeWorker{loaded: map[string]bool{}, onDisk: onDisk, loadTime: fakeLoad, unloadTime: fakeUnload, random: rand.New(rand.NewPCG(uint64(i), 7)), lostShare: lostShare, lateShare: lateShare}
 		list.Apply(time.Now(), []registrar.Change{{Worker: registrar.Worker{ID: id, Service: "s", Zone: "z", Slots: 8, Incarnation: 1, OnDisk: onDisk, RowVersion: 1}}})
 	}
 	z.leader = New(Dependencies{
--- a/fleetleader/plan.go
+++ b/fleetleader/plan.go
@@ -64,6 +64,9 @@
 			}
 		}
 	}
+	if awaited := state.awaited; awaited.Unload && state.running[awaited.Model] > 0 && running[awaited.Model] == 0 {
+		state.signalNews()
+	}
 	state.running = maps.Clone(running)
 	l.markRunningChanged(id)
 }
--- a/fleetleader/swap.go
+++ b/fleetleader/swap.go
@@ -19,16 +19,15 @@
 	orderTimeout = 800 * time.Millisecond
 	// reportTimeout is how long a report is awaited.
 	reportTimeout = 800 * time.Millisecond
-	// orderRetryPause is the pause before an order is retried after a conflict.
-	orderRetryPause = 25 * time.Millisecond
 	// unloadTimeout is how long an unload may take, as the model's running requests end by themselves. It bounds the
 	// retries of each order while another is in progress.
 	unloadTimeout = 6 * time.Second
 	// copyLoadSlack is how much longer than expected a load from a copy may take before it counts as a load from the
 	// weight store; it leaves time to read a report.
 	copyLoadSlack = 600 * time.Millisecond
-	// storeLoadFactor is how many times its expected duration a load from the weight store may take.
-	storeLoadFactor = 3
+	// storeLoadFactor is how many times its expected duration a load from the weight store may take: that many loads may
+	// share a store that serves one at full speed.
+	storeLoadFactor = maxLoadLimit
 	// minRetryPause and maxRetryPause bound the pause after a failure.
 	minRetryPause = 100 * time.Millisecond
 	maxRetryPause = 2 * time.Second
@@ -65,13 +64,16 @@
 func (l *Leader) executeMove(epoch int64, state *workerState, model cataloger.Model, move placer.Move) {
 	began := time.Now()
 	w := l.workerOf(state)
+	var before Order
 	for _, victim := range move.Victims {
-		if err := l.sendWithRetry(epoch, state, w, Order{Unload: true, Model: victim}); err != nil {
+		unload := Order{Unload: true, Model: victim}
+		if err := l.sendWithRetry(epoch, state, w, unload, before); err != nil {
 			l.failMove(epoch, state, err)
 			return
 		}
+		before = unload
 	}
-	if err := l.orderLoad(epoch, state, w, model, move); err != nil {
+	if err := l.orderLoad(epoch, state, w, model, move, before); err != nil {
 		l.failMove(epoch, state, err)
 		return
 	}
@@ -169,10 +171,16 @@
 	return outcome, nil
 }
 
-// sendWithRetry sends an order, retrying for up to unloadTimeout while the worker is busy with another.
-func (l *Leader) sendWithRetry(epoch int64, state *workerState, w *registrar.Worker, order Order) error {
-	retry := newRetryState(time.Now().Add(unloadTimeout))
+// sendWithRetry sends an order, retrying for up to unloadTimeout while the worker is busy with the order before, which
+// unloads a model or an adapter; busyWith is that order, or the zero value.
+func (l *Leader) sendWithRetry(epoch int64, state *workerState, w *registrar.Worker, order, busyWith Order) error {
+	began := time.Now()
+	asking := newInquiry(began, began.Add(unloadTimeout), nil)
+	if busyWith.Unload && busyWith.Adapter == "" {
+		time.Sleep(idleUnloadTime)
+	}
 	for {
+		l.expectNews(state, busyWith)
 		outcome, err := l.sendOrder(epoch, state, w, order, false)
 		if err != nil {
 			return err
@@ -180,15 +188,15 @@
 		if outcome != OutcomeConflict {
 			return nil
 		}
-		if err := l.waitAfterConflict(state, w, order, retry); err != nil {
+		if err := l.waitAfterConflict(state, w, order, asking); err != nil {
 			return err
 		}
 	}
 }
 
-// orderLoad orders a move's load, after its victims were unloaded, and updates when it should end.
-func (l *Leader) orderLoad(epoch int64, state *workerState, w *registrar.Worker, model cataloger.Model, move placer.Move) error {
-	if err := l.sendWithRetry(epoch, state, w, Order{Model: model.Name}); err != nil {
+// orderLoad orders a move's load after the order before, which unloads the last of its victims, and updates when it should end.
+func (l *Leader) orderLoad(epoch int64, state *workerState, w *registrar.Worker, model cataloger.Model, move placer.Move, before Order) error {
+	if err := l.sendWithRetry(epoch, state, w, Order{Model: model.Name}, before); err != nil {
 		return err
 	}
 	l.mu.Lock()
@@ -199,34 +207,18 @@
 	return nil
 }
 
-// conflictReportPause is how long an order is retried after conflicts before a
-// report is read, which distinguishes a busy worker from one whose order count differs.
-const conflictReportPause = 400 * time.Millisecond
-
 // maxReportAge is how old the state in a report may be.
 const maxReportAge = 250 * time.Millisecond // The platform specifies a few hundred milliseconds.
 
-// retryState is the state of an order that is retried after conflicts.
-type retryState struct {
-	// deadline is when retries end, reportAt when the next report is read.
-	deadline, reportAt time.Time
-	// busy is set once a report has shown the worker busy with the expected order count.
-	busy bool
-}
-
-func newRetryState(deadline time.Time) *retryState {
-	return &retryState{deadline: deadline, reportAt: time.Now().Add(conflictReportPause)}
-}
-
-// waitAfterConflict waits before an order is retried; it returns an error if the order must not be retried.
-func (l *Leader) waitAfterConflict(state *workerState, w *registrar.Worker, order Order, retry *retryState) error {
+// waitAfterConflict waits before an order is repeated; it returns an error if the order must not be repeated.
+func (l *Leader) waitAfterConflict(state *workerState, w *registrar.Worker, order Order, asking *inquiry) error {
 	l.mu.Lock()
 	order.ExpectedOrderCount = state.orderCount
 	incarnation := state.incarnation
 	l.mu.Unlock()
 	now := time.Now()
-	if now.After(retry.reportAt) {
-		retry.reportAt = now.Add(conflictReportPause)
+	if now.After(asking.reportAt) {
+		asking.reportAt = now.Add(conflictReportPause)
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 		defer cancel()
 		report, err := l.dependencies.ReadReport(ctx, w)
@@ -236,13 +228,13 @@
 		if report.OrderCount != order.ExpectedOrderCount || report.Incarnation != incarnation || !report.Busy {
 			return &OrderError{order: order, outcome: OutcomeConflict}
 		}
-		retry.busy = true
+		asking.busy = true
 	}
 	// Checked after the report, so that a node that was slow reads a report before it gives up.
-	if now.After(retry.deadline) {
-		return &OrderError{order: order, outcome: OutcomeConflict, stillBusy: retry.busy}
+	if now.After(asking.deadline) {
+		return &OrderError{order: order, outcome: OutcomeConflict, stillBusy: asking.busy}
 	}
-	time.Sleep(orderRetryPause)
+	l.awaitNews(state, asking.nextAt(now))
 	return nil
 }
 
@@ -252,18 +244,20 @@
 func (l *Leader) awaitLoad(epoch int64, state *workerState, w *registrar.Worker, model cataloger.Model, tier placer.Tier) error {
 	ordered := time.Now()
 	l.mu.Lock()
-	expected := state.readyAt.Sub(ordered)
+	expectedAt := state.readyAt
 	l.mu.Unlock()
-	time.Sleep(expected)
+	ends := loadEnds(ordered, model, tier)
+	expected := expectedAt.Sub(ordered)
+	time.Sleep(expected + endMargin)
 	order := Order{Model: model.Name}
-	fromStore := time.Duration(model.StoreMS) * time.Millisecond
 	if tier == placer.TierStore {
-		return l.awaitDone(epoch, state, w, order, ordered.Add(storeLoadFactor*expected))
+		return l.awaitDone(epoch, state, w, order, newInquiry(ordered, ordered.Add(storeLoadFactor*expected), ends))
 	}
-	err := l.awaitDone(epoch, state, w, order, ordered.Add(expected+copyLoadSlack))
+	err := l.awaitDone(epoch, state, w, order, newInquiry(ordered, ordered.Add(expected+copyLoadSlack), ends))
 	if !isStillBusy(err) {
 		return err
 	}
+	fromStore := time.Duration(model.StoreMS) * time.Millisecond
 	l.mu.Lock()
 	state.readyAt = ordered.Add(fromStore)
 	l.markChanged(w.ID, model.Name)
@@ -271,7 +265,7 @@
 	l.mu.Unlock()
 	log.Warn().Str("worker", w.ID).Str("model", model.Name).Int64("expected_ms", expected.Milliseconds()).Int64("store_ms", fromStore.Milliseconds()).
 		Int64("epoch", epoch).Msg("load takes longer than its copy would")
-	return l.awaitDone(epoch, state, w, order, ordered.Add(storeLoadFactor*fromStore))
+	return l.awaitDone(epoch, state, w, order, newInquiry(ordered, ordered.Add(storeLoadFactor*fromStore), ends))
 }
 
 // isStillBusy reports whether an order failed only because the worker was still busy with it at the deadline.
@@ -282,9 +276,9 @@
 
 // awaitDone repeats an order until the worker responds that it is already in the ordered state. A report would not
 // suffice, as it may be outdated.
-func (l *Leader) awaitDone(epoch int64, state *workerState, w *registrar.Worker, order Order, deadline time.Time) error {
-	retry := newRetryState(deadline)
+func (l *Leader) awaitDone(epoch int64, state *workerState, w *registrar.Worker, order Order, asking *inquiry) error {
 	for {
+		l.expectNews(state, order)
 		outcome, err := l.sendOrder(epoch, state, w, order, true)
 		if err != nil {
 			return err
@@ -292,7 +286,7 @@
 		if outcome == OutcomeAlreadyDone {
 			return nil
 		}
-		if err := l.waitAfterConflict(state, w, order, retry); err != nil {
+		if err := l.waitAfterConflict(state, w, order, asking); err != nil {
 			return err
 		}
 	}
--- a/fleetleader/worker.go
+++ b/fleetleader/worker.go
@@ -54,6 +54,11 @@
 	inMemory, onDisk map[string]bool
 	// running counts the requests of all nodes that run on the worker, by model.
 	running map[string]int
+	// news is signalled when awaited may have been executed: a heartbeat begins or ceases to list its model, or the last
+	// request for a model that it unloads ends. It is never closed and holds one signal.
+	news chan struct{}
+	// awaited is the order that the goroutine of a move or of an adapter load waits for; the zero value if there is none.
+	awaited Order
 	// failures counts the failed moves, adapter loads and reports since the last successful move; retryAt is the
 	// earliest time of the next one.
 	failures int
@@ -75,6 +80,12 @@
 	}
 	before := s.worker
 	s.worker = w
+	if before != nil && s.awaited.Model != "" {
+		_, listedBefore := before.Loaded[s.awaited.Model]
+		if _, listed := w.Loaded[s.awaited.Model]; listed != listedBefore || before.Incarnation != w.Incarnation {
+			s.signalNews()
+		}
+	}
 	if before == nil || w.Incarnation > s.incarnation {
 		s.replaceState(now, w.Incarnation, 0, w.Loaded, w.InMemory, w.OnDisk)
 		s.needsReport = true
