Unload the adapter that is requested least, instead of the oldest

Cause: to make room, the adapter loaded longest ago was unloaded, whether requests used it or not.

Change: the adapter with the lowest rate of requests goes, the oldest of several.

--- a/fleetleader/adapt.go
+++ b/fleetleader/adapt.go
@@ -101,12 +101,12 @@
 	return !pending && !ready && len(loaded.pendingAdapters) < maxPendingAdapters
 }
 
-// startAdapter starts loading an adapter. If all adapter slots are taken, the adapter loaded longest ago is unloaded
-// first; if none is loaded, nothing is started. The caller holds mu.
+// startAdapter starts loading an adapter. If all adapter slots are taken, the adapter that is requested least often is
+// unloaded first; if none is loaded, nothing is started. The caller holds mu.
 func (l *Leader) startAdapter(now time.Time, service *cataloger.Service, state *workerState, loaded *loadedModel, key demandKey) {
 	var victim Order
 	if state.adapterCount() >= service.AdapterSlots {
-		victim = state.unloadOfOldestAdapter()
+		victim = l.unloadOfIdlestAdapter(service.Name, state)
 		if victim.Adapter == "" {
 			return
 		}
@@ -120,19 +120,25 @@
 	go l.loadAdapter(l.epoch, state, key, victim)
 }
 
-// unloadOfOldestAdapter returns the order that unloads the adapter loaded longest ago; the order is empty if no adapter
-// is loaded.
-func (s *workerState) unloadOfOldestAdapter() Order {
-	var oldest Order
-	var oldestAt time.Time
-	for _, model := range s.modelNames() {
-		for adapter, loadedAt := range s.loadedModels[model].adapters {
-			if oldest.Adapter == "" || loadedAt.Before(oldestAt) {
-				oldest, oldestAt = Order{Unload: true, Model: model, Adapter: adapter}, loadedAt
+// unloadOfIdlestAdapter returns the order that unloads the adapter with the lowest rate of requests, since an adapter in
+// use stays until its requests end and the worker takes no other order meanwhile; of several, the one loaded longest ago.
+// The order is empty if no adapter is loaded. The caller holds mu.
+func (l *Leader) unloadOfIdlestAdapter(service string, state *workerState) Order {
+	var idlest Order
+	var idlestAt time.Time
+	idlestRate := 0.0
+	for _, model := range state.modelNames() {
+		for adapter, loadedAt := range state.loadedModels[model].adapters {
+			adapterRate := 0.0
+			if r, found := l.demand.rates[demandKey{service: service, model: model, adapter: adapter}]; found {
+				adapterRate = r.fast
+			}
+			if idlest.Adapter == "" || adapterRate < idlestRate || adapterRate == idlestRate && loadedAt.Before(idlestAt) {
+				idlest, idlestAt, idlestRate = Order{Unload: true, Model: model, Adapter: adapter}, loadedAt, adapterRate
 			}
 		}
 	}
-	return oldest
+	return idlest
 }
 
 // loadAdapter loads an adapter, after unloading the victim if there is one.
