Count copies on busy workers as out of reach while they are

What callers saw: after a power loss of all nodes (rejoined on Klasifikators) 107 requests were held for 2 to 11 s and then refused, and hundreds were refused although workers stood free.

Cause, from the logs: a worker executes one order at a time. While it fetches a model from the weight store (9 to 19.5 s there) its 18 copies on disk cannot be loaded. The plan treated them as the nearest copy, so it neither loaded the model elsewhere nor told the waiting requests how long it takes: model seba683ebb was expected within 1.2 s for 10 s. After the kill three new leaders decided 13 loads from the store within 0.15 s, each up to its own limit; the time of a load is fixed at its start by the number of loads then (3.25 times 6 s for the last one).

Ruled out: lost leases (all three were taken 0.1 s after the start); requests lost by nodes (each held request ended or was on a node when the power went). The 118 requests that were held when the power went wait for their deadline by themselves: a dead host closes no connection.

Change: a worker of a plan names the time for which it is busy; the nearest copy is the one that is loaded soonest, and the store counts as nearer than a copy behind a longer order. Waits include that time. The cost of a move includes the requests for copies that it blocks, so loads from the store go to workers whose copies are wanted least. Moves of all zones together keep to the limit of concurrent loads from the store, and orders of an earlier leader that a report shows count against it.

--- a/fleetleader/plan.go
+++ b/fleetleader/plan.go
@@ -203,6 +203,9 @@
 		AcceptsOrder: state.idle() && !state.needsReport && !state.reservedForAdapter && !now.Before(state.retryAt), Loading: state.loadingModel,
 		InMemory: state.inMemory, OnDisk: state.onDisk, Running: state.totalRunning(), Limited: l.dependencies.Limited(state.worker.ID, state.worker.Incarnation),
 	}
+	if state.loadingModel != "" {
+		worker.BusyMS = float64(max(state.readyAt.Sub(now).Milliseconds(), 0))
+	}
 	for _, model := range state.modelNames() {
 		loaded := state.loadedModels[model]
 		worker.Units = append(worker.Units, placer.Unit{
@@ -223,6 +226,7 @@
 	if announcement := l.dependencies.Tracker.Announcement(w.ID); announcement != nil {
 		worker.Running = announcement.Running
 		worker.AcceptsOrder = worker.AcceptsOrder && !now.Before(announcement.BusyUntil)
+		worker.BusyMS = float64(max(announcement.BusyUntil.Sub(now).Milliseconds(), 0))
 	}
 	for _, unit := range l.dependencies.Tracker.Units(now, w) {
 		if !unit.ReadyAt.IsZero() {
@@ -301,13 +305,13 @@
 	return lo.SomeBy(l.dependencies.Tracker.Holders(now, service, model, ""), func(holder fleettracker.Holder) bool { return holder.ReadyAt.IsZero() })
 }
 
-// storeLoadsInProgress counts a service's loads from the weight store that are in progress in all zones; the caller
-// holds mu.
+// storeLoadsInProgress counts a service's loads from the weight store that are in progress in all zones, orders of an earlier
+// leader that may be such loads included; the caller holds mu.
 func (l *Leader) storeLoadsInProgress(now time.Time, service *cataloger.Service) int {
 	running := 0
 	for _, w := range l.dependencies.Workers.Fleet().OfService(service.Name) {
 		if state, found := l.workers[w.ID]; found {
-			if state.loadingModel != "" && !state.inMemory[state.loadingModel] && !state.onDisk[state.loadingModel] {
+			if state.loadingModel != "" && !state.inMemory[state.loadingModel] && !state.onDisk[state.loadingModel] || state.foundBusy {
 				running++
 			}
 			continue
--- a/fleetleader/worker.go
+++ b/fleetleader/worker.go
@@ -46,6 +46,8 @@
 	// needsReport is set if an order failed or has an unknown outcome, or if a heartbeat contradicts the state; a report
 	// must be read before the next order.
 	needsReport bool
+	// foundBusy is set while the last report shows an order of an earlier leader in progress, or one whose outcome is unknown.
+	foundBusy bool
 	// readingReport is set while a goroutine reads a report.
 	readingReport bool
 	// changedAt is when an order last changed the state.
@@ -140,14 +142,14 @@
 	s.incarnation, s.orderCount, s.loadedModels = incarnation, orderCount, loadedModels
 	s.loadingModel = ""
 	s.inMemory, s.onDisk = inMemory, onDisk
-	s.needsReport = false
+	s.needsReport, s.foundBusy = false, false
 	s.changedAt = now
 }
 
 // applyReport replaces the state by a report. If the worker is still busy, another report is needed.
 func (s *workerState) applyReport(now time.Time, report Report) {
 	s.replaceState(now, report.Incarnation, report.OrderCount, report.Loaded, report.InMemory, report.OnDisk)
-	s.needsReport = report.Busy
+	s.needsReport, s.foundBusy = report.Busy, report.Busy
 	for _, name := range report.LoadingAdapters {
 		unversioned, _, _ := strings.Cut(name, "@")
 		model, adapter, _ := strings.Cut(unversioned, "/")
--- a/placer/bench_test.go
+++ b/placer/bench_test.go
@@ -23,7 +23,7 @@
 
 func benchInput(workerCount int) placer.Input {
 	const modelCount = 120
-	input := placer.Input{Models: map[string]placer.Model{}, Limits: placer.Limits{AllowedStoreLoads: 1, TargetRunsPerHolder: 10}}
+	input := placer.Input{Models: map[string]placer.Model{}, Limits: placer.Limits{AllowedStoreLoads: 1, MaxConcurrentStoreLoads: 1, TargetRunsPerHolder: 10}}
 	modelName := func(i int) string { return fmt.Sprintf("m%d", i%modelCount) }
 	for i := range modelCount {
 		addModel(input.Models, modelName(i))
--- a/placer/cost.go
+++ b/placer/cost.go
@@ -29,8 +29,6 @@
 	maxReplicaVictimLoss = 1.0
 	// maxRemainingUtilization is the utilization of a victim's remaining holders above which they count as overloaded.
 	maxRemainingUtilization = 1.3
-	// storeContentionMS is added to the time of a load from the weight store, since concurrent loads slow each other down.
-	storeContentionMS = 1500
 )
 
 // moveCost returns the move that fulfils a desired load on a worker, its cost, and whether it is possible.
@@ -44,8 +42,9 @@
 		move.Reason = "replica"
 	}
 	if tier == TierStore {
-		move.DurationMS += storeContentionMS
+		move.DurationMS = b.storeLoadMS(load.model)
 	}
+	move.LoadMS = move.DurationMS
 	victims, loss, drains, possible := b.victims(worker, load.model.MemoryMB)
 	if !possible {
 		return move, 0, false
@@ -65,7 +64,7 @@
 		move.DurationMS += drainMS
 	}
 	waiting := float64(max(load.demand.Waiting, 1))
-	cost := loss + waitLossPerS*waiting*move.DurationMS/1000 + float64(worker.Running)*sharedBatchLoss + b.adapterLossPerS(worker)*move.DurationMS/1000
+	cost := loss + waitLossPerS*waiting*move.DurationMS/1000 + float64(worker.Running)*sharedBatchLoss + (b.adapterLossPerS(worker)+b.copyLossPerS(worker, load.model.Name))*move.DurationMS/1000
 	return move, cost, true
 }
 
@@ -85,6 +84,32 @@
 	return loss
 }
 
+// blockedCopyLoss is the loss for each request that arrives for a model which is loaded nowhere while a worker with a copy of it
+// executes another order; it is divided by the number of such workers.
+const blockedCopyLoss = 1
+
+// copyLossPerS returns the loss for each second of a load on a worker, from requests for models that the worker could load
+// from its copies instead. The loaded model itself does not count.
+func (b *builder) copyLossPerS(worker *Worker, loaded string) float64 {
+	loss := 0.0
+	count := func(model string) {
+		demand := b.demands[model]
+		if demand == nil || model == loaded || b.holders[model]+b.loading[model] > 0 {
+			return
+		}
+		loss += (demand.Rate + float64(demand.Waiting)/valueHorizonS) * blockedCopyLoss / float64(max(b.copies(model), 1))
+	}
+	for model := range worker.OnDisk {
+		count(model)
+	}
+	for model := range worker.InMemory {
+		if !worker.OnDisk[model] {
+			count(model)
+		}
+	}
+	return loss
+}
+
 // sharedBatchLoss is the loss for each request that runs on a worker, since the new model shares its batch.
 const sharedBatchLoss = 0.004
 
--- a/placer/describe.go
+++ b/placer/describe.go
@@ -58,6 +58,8 @@
 	Units []Unit
 	// Loading is the model being loaded, or empty.
 	Loading string
+	// BusyMS is the expected time until the worker can be given an order, in milliseconds; 0 if it can now, or if the time is unknown.
+	BusyMS float64
 	// InMemory and OnDisk name the models with a copy in the worker's host memory and on its disk.
 	InMemory, OnDisk map[string]bool
 	// Running is how many requests of all nodes run on the worker.
@@ -135,6 +137,8 @@
 	// Tier is where the weights are loaded from, DurationMS the expected time of the unloads and the load in milliseconds.
 	Tier       Tier
 	DurationMS float64
+	// LoadMS is the part of DurationMS that the load itself takes.
+	LoadMS float64
 	// StoreLoadsInProgress is how many loads from the weight store were in progress or planned before this one; 0 for other
 	// tiers.
 	StoreLoadsInProgress int
--- a/placer/desired_load.go
+++ b/placer/desired_load.go
@@ -10,8 +10,10 @@
 	model  Model
 	// isReplica is set when the model has holders already.
 	isReplica bool
-	// nearestTier is the nearest tier from which a reachable worker could load it.
+	// nearestTier is the tier from which a reachable worker could load it soonest; copyBusyMS is how long that worker still
+	// executes another order, in milliseconds.
 	nearestTier Tier
+	copyBusyMS  float64
 	// utilization is the expected utilization of each holder, workers that are loading the model included; 0 unless
 	// isReplica is set.
 	utilization float64
@@ -29,22 +31,30 @@
 		holders := b.holders[demand.Model] + b.loading[demand.Model]
 		if holders == 0 {
 			if demand.isRequested() {
-				loads = append(loads, desiredLoad{demand: demand, model: model, nearestTier: b.nearestTier(model.Name, false)})
+				loads = append(loads, b.newDesiredLoad(demand, model))
 			}
 			continue
 		}
 		if demand.Waiting > 0 && demand.WaitedMS > unreachableWaitMS && b.reachable[demand.Model]+b.loading[demand.Model] == 0 {
-			loads = append(loads, desiredLoad{demand: demand, model: model, nearestTier: b.nearestTier(model.Name, false)})
+			loads = append(loads, b.newDesiredLoad(demand, model))
 			continue
 		}
 		if utilization := b.utilization(demand, holders); utilization > 1 {
-			loads = append(loads, desiredLoad{demand: demand, model: model, isReplica: true, utilization: utilization, nearestTier: b.nearestTier(model.Name, false)})
+			replica := b.newDesiredLoad(demand, model)
+			replica.isReplica, replica.utilization = true, utilization
+			loads = append(loads, replica)
 		}
 	}
 	sort.SliceStable(loads, func(i, j int) bool { return loads[i].isBefore(&loads[j]) })
 	return loads
 }
 
+// newDesiredLoad returns the load of a model that no worker has loaded, from where it can be loaded soonest.
+func (b *builder) newDesiredLoad(demand *Demand, model Model) desiredLoad {
+	source := b.nearestCopy(model, false)
+	return desiredLoad{demand: demand, model: model, nearestTier: source.tier, copyBusyMS: source.busyMS}
+}
+
 // unreachableWaitMS is how long requests must have waited, in milliseconds, before
 // a model whose holders are all in zones that seem cut off is loaded once more.
 const unreachableWaitMS = 300
@@ -105,7 +115,7 @@
 
 // isInTime reports whether the first waiting request can still be answered in time.
 func (l *desiredLoad) isInTime() bool {
-	return l.demand.Waiting > 0 && l.demand.DueMS >= l.model.TierMS[l.nearestTier]
+	return l.demand.Waiting > 0 && l.demand.DueMS >= l.copyBusyMS+l.model.TierMS[l.nearestTier]
 }
 
 func (l *desiredLoad) rank() int {
--- a/placer/fill.go
+++ b/placer/fill.go
@@ -50,18 +50,22 @@
 // from the weight store while the store is idle: a hot one with at most one holder,
 // or one without a holder of which no reachable worker has a copy.
 func (b *builder) mayFillFromStore(worker *Worker, demand *Demand, holders int) bool {
-	if worker.Own && b.storeLoadsLeft < minStoreLoadsForFill {
+	if b.storeSlotsLeft <= 0 || worker.Own && b.storeLoadsLeft < minStoreLoadsForFill {
 		return false
 	}
-	return holders <= 1 && demand.Rate*valueHorizonS >= hotValue || holders == 0 && b.nearestTier(demand.Model, false) == TierStore
+	return holders <= 1 && demand.Rate*valueHorizonS >= hotValue || holders == 0 && b.nearestCopy(b.input.Models[demand.Model], false).tier == TierStore
 }
 
 // addFill adds the move that loads a model into the free memory of a worker.
 func (b *builder) addFill(worker *Worker, demand *Demand) {
 	model := b.input.Models[demand.Model]
 	tier := worker.tier(demand.Model)
+	loadMS := model.TierMS[tier]
+	if tier == TierStore {
+		loadMS = b.storeLoadMS(model)
+	}
 	b.addMove(Move{
-		Worker: worker.ID, Model: demand.Model, Tier: tier, DurationMS: model.TierMS[tier], Own: worker.Own, Reason: "fill",
+		Worker: worker.ID, Model: demand.Model, Tier: tier, DurationMS: loadMS, LoadMS: loadMS, Own: worker.Own, Reason: "fill",
 		DueMS: demand.DueMS, Waiting: demand.Waiting,
 	})
 }
--- a/placer/pattern_test.go
+++ b/placer/pattern_test.go
@@ -35,7 +35,12 @@
 	// CrashS is the second at which a quarter of the workers restart with empty memory, ReplaceS the one at which half of
 	// the workers are replaced by new ones without copies; 0 for never.
 	CrashS, ReplaceS int
-	Seconds          int
+	// StoreMS is the time of a load from the weight store, 6000 if it is 0; StoreAtOnce is how many of them the store serves at
+	// full speed, 3 if it is 0. StoreBelief is the number that plans assume instead, if it is not 0.
+	StoreMS, StoreAtOnce, StoreBelief int
+	// Gone is the number of rare models without a copy on any worker.
+	Gone    int
+	Seconds int
 	// VainShare bounds the time that requests were held and then refused, as a share of the longest time that all
 	// requests for rare models could have been held. VainShare and Unserved are checked only if VainShare is above 0.
 	VainShare float64
@@ -67,8 +72,11 @@
 	}
 })
 
-// maxStoreLoads is how many loads from the weight store may be in progress concurrently.
-const maxStoreLoads = 3
+// Defaults of the weight store.
+const (
+	defaultStoreMS     = 6000
+	defaultStoreAtOnce = 3
+)
 
 // stepMS is the time between two plans, maxHoldMS the longest time that a request waits, busyTargetMS the time within
 // which a response of a busy model is in time.
@@ -128,6 +136,15 @@
 }
 
 func newSimulation(pattern requestPattern, usesPlans bool) *simulation {
+	if pattern.StoreMS == 0 {
+		pattern.StoreMS = defaultStoreMS
+	}
+	if pattern.StoreAtOnce == 0 {
+		pattern.StoreAtOnce = defaultStoreAtOnce
+	}
+	if pattern.StoreBelief == 0 {
+		pattern.StoreBelief = pattern.StoreAtOnce
+	}
 	s := &simulation{
 		pattern: pattern, usesPlans: usesPlans, random: rand.New(rand.NewPCG(1, 2)), models: map[string]placer.Model{}, rates: map[string]*[2]float64{},
 		submitted: map[string]int{}, inTime: map[string]int{}, expectedReadyMS: map[string]float64{}, refused: map[string]float64{},
@@ -141,13 +158,15 @@
 		names = append(names, fmt.Sprintf("busy%d", i))
 	}
 	for _, name := range names {
-		s.models[name] = placer.Model{Name: name, MemoryMB: 100, TierMS: [3]float64{800, 1050, 6000}}
+		s.models[name] = placer.Model{Name: name, MemoryMB: 100, TierMS: [3]float64{800, 1050, float64(pattern.StoreMS)}}
 		s.rates[name] = &[2]float64{}
 	}
 	for i := range pattern.Workers {
 		w := &worker{units: map[string]int64{}, onDisk: map[string]bool{}, inMemory: map[string]bool{}, runEnds: map[string][]int64{}}
 		for j := range pattern.OnDisk {
-			w.onDisk[names[(i*pattern.OnDisk+j)%len(names)]] = true
+			if index := (i*pattern.OnDisk + j) % len(names); index >= pattern.Gone {
+				w.onDisk[names[index]] = true
+			}
 		}
 		w.units[fmt.Sprintf("busy%d", i%len(pattern.Busy))] = 0
 		for j := 0; len(w.units) < pattern.Places; j++ {
@@ -371,6 +390,11 @@
 		}
 		w := s.workers[index]
 		durationMS := move.DurationMS
+		if move.Tier == placer.TierStore {
+			// The store fixes the time of a load at its start.
+			atOnce := max(float64(s.storeLoads()+1)/float64(s.pattern.StoreAtOnce), 1)
+			durationMS = float64(s.pattern.StoreMS) * atOnce
+		}
 		for _, victim := range move.Victims {
 			for _, end := range w.runEnds[victim] {
 				durationMS = max(durationMS, float64(end-s.nowMS)+s.models[move.Model].TierMS[move.Tier])
@@ -384,22 +408,28 @@
 	}
 }
 
-func (s *simulation) planInput() placer.Input {
-	storeLoads := 0
+// storeLoads returns how many loads from the weight store are in progress.
+func (s *simulation) storeLoads() int {
+	count := 0
 	for _, w := range s.workers {
 		if w.loading != "" && !w.onDisk[w.loading] && !w.inMemory[w.loading] {
-			storeLoads++
+			count++
 		}
 	}
+	return count
+}
+
+func (s *simulation) planInput() placer.Input {
+	storeLoads := s.storeLoads()
 	input := placer.Input{Models: s.models, Limits: placer.Limits{
-		AllowedStoreLoads: maxStoreLoads - storeLoads, MaxConcurrentStoreLoads: maxStoreLoads, StoreLoadsInProgress: storeLoads, TargetRunsPerHolder: 12.8,
+		AllowedStoreLoads: s.pattern.StoreBelief - storeLoads, MaxConcurrentStoreLoads: s.pattern.StoreBelief, StoreLoadsInProgress: storeLoads, TargetRunsPerHolder: 12.8,
 	}}
 	isHeld := map[string]bool{}
 	running := map[string]int{}
 	for i, w := range s.workers {
 		worker := placer.Worker{
 			ID: fmt.Sprintf("w%d", i), Own: true, AcceptsOrder: s.nowMS >= w.busyUntil && w.loading == "", Usable: true, MemoryMB: float64(100 * s.pattern.Places),
-			Loading: w.loading, OnDisk: w.onDisk, InMemory: w.inMemory, Running: w.runCount(),
+			Loading: w.loading, OnDisk: w.onDisk, InMemory: w.inMemory, Running: w.runCount(), BusyMS: float64(max(w.busyUntil-s.nowMS, 0)),
 		}
 		for model, usedAt := range w.units {
 			isHeld[model] = true
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -26,8 +26,10 @@
 	available []*Worker
 	// assigned marks the workers that already have a move in this plan, by ID.
 	assigned map[string]bool
-	// storeLoadsLeft is how many more loads from the weight store this leader may start.
-	storeLoadsLeft int
+	// storeLoadsLeft is how many more loads from the weight store this leader may start, storeSlotsLeft how many all leaders may.
+	storeLoadsLeft, storeSlotsLeft int
+	// copyCounts holds how many usable workers have a copy of each model that was asked for.
+	copyCounts map[string]int
 	// smallestModelMB is the size of the smallest model; infinite without models.
 	smallestModelMB float64
 	moves           []Move
@@ -39,8 +41,8 @@
 // Plan returns the moves to start now, and when the models that must wait are likely to be loaded.
 func Plan(input Input) Decision {
 	b := &builder{
-		input: input, demands: map[string]*Demand{}, holders: map[string]int{}, loading: map[string]int{}, reachable: map[string]int{}, assigned: map[string]bool{},
-		storeLoadsLeft: input.Limits.AllowedStoreLoads,
+		input: input, demands: map[string]*Demand{}, holders: map[string]int{}, loading: map[string]int{}, reachable: map[string]int{}, assigned: map[string]bool{}, copyCounts: map[string]int{},
+		storeLoadsLeft: input.Limits.AllowedStoreLoads, storeSlotsLeft: input.Limits.MaxConcurrentStoreLoads - input.Limits.StoreLoadsInProgress,
 	}
 	for i := range input.Demands {
 		b.demands[input.Demands[i].Model] = &input.Demands[i]
@@ -93,7 +95,7 @@
 		if b.assigned[worker.ID] || hasLoaded(worker, load.model.Name) {
 			continue
 		}
-		if worker.tier(load.model.Name) == TierStore && (!mayUseStore || worker.Own && b.storeLoadsLeft <= 0) {
+		if worker.tier(load.model.Name) == TierStore && (!mayUseStore || b.storeSlotsLeft <= 0 || worker.Own && b.storeLoadsLeft <= 0) {
 			continue
 		}
 		move, cost, possible := b.moveCost(worker, load)
@@ -110,16 +112,16 @@
 
 // addWait adds the estimate of when a desired load without a move ends; it is queued behind the earlier ones.
 func (b *builder) addWait(load desiredLoad) {
-	readyMS := load.model.TierMS[load.nearestTier]
+	readyMS := load.model.TierMS[TierStore]
 	if load.nearestTier == TierStore {
 		// Loads in progress are assumed to be half done.
 		readyMS *= 1 + (float64(b.input.Limits.StoreLoadsInProgress)/2+float64(b.storeQueue))/float64(max(b.input.Limits.MaxConcurrentStoreLoads, 1))
-		if cutOffTier := b.nearestTier(load.model.Name, true); cutOffTier != TierStore {
-			readyMS = min(readyMS, cutOffRecoveryMS+load.model.TierMS[cutOffTier])
+		if cutOffCopy := b.nearestCopy(load.model, true); cutOffCopy.tier != TierStore {
+			readyMS = min(readyMS, cutOffRecoveryMS+load.model.TierMS[cutOffCopy.tier])
 		}
 		b.storeQueue++
 	} else {
-		readyMS = (readyMS + unloadMS) * (1 + float64(b.copyQueue)/float64(max(b.usableWorkers, 1)))
+		readyMS = load.copyBusyMS + (load.model.TierMS[load.nearestTier]+unloadMS)*(1+float64(b.copyQueue)/float64(max(b.usableWorkers, 1)))
 		b.copyQueue++
 	}
 	b.waits = append(b.waits, Wait{Model: load.model.Name, ReadyMS: readyMS})
@@ -130,6 +132,7 @@
 	if move.Tier == TierStore {
 		move.StoreLoadsInProgress = b.input.Limits.StoreLoadsInProgress
 		b.input.Limits.StoreLoadsInProgress++
+		b.storeSlotsLeft--
 		if move.Own {
 			b.storeLoadsLeft--
 		}
@@ -164,16 +167,50 @@
 // again, in milliseconds: the duration of the lease and the quiet period of its next leader.
 const cutOffRecoveryMS = 5000
 
-// nearestTier returns the nearest tier from which a usable worker that does not have
-// a model loaded could load it. It considers only the workers of zones that seem cut
-// off if cutOff is set, and only all others if not.
-func (b *builder) nearestTier(model string, cutOff bool) Tier {
-	nearest := TierStore
+// copySource is where a model can be loaded from soonest.
+type copySource struct {
+	// tier is TierStore if no worker has a copy, or if those that do are busy for longer than a load from the weight store takes.
+	tier Tier
+	// busyMS is the time until the worker with the copy can be given an order, in milliseconds.
+	busyMS float64
+}
+
+// nearestCopy returns from where a usable worker that does not have a model loaded could load it soonest. It considers only
+// the workers of zones that seem cut off if cutOff is set, and only all others if not.
+func (b *builder) nearestCopy(model Model, cutOff bool) copySource {
+	nearest := copySource{tier: TierStore}
+	soonestMS := b.storeLoadMS(model)
 	for i := range b.input.Workers {
 		worker := &b.input.Workers[i]
-		if worker.Usable && worker.CutOff == cutOff && !hasLoaded(worker, model) {
-			nearest = min(nearest, worker.tier(model))
+		if !worker.Usable || worker.CutOff != cutOff || hasLoaded(worker, model.Name) {
+			continue
+		}
+		tier := worker.tier(model.Name)
+		if readyMS := worker.BusyMS + model.TierMS[tier]; tier != TierStore && readyMS < soonestMS {
+			nearest, soonestMS = copySource{tier: tier, busyMS: worker.BusyMS}, readyMS
 		}
 	}
 	return nearest
 }
+
+// copies returns how many usable workers have a copy of a model.
+func (b *builder) copies(model string) int {
+	count, known := b.copyCounts[model]
+	if known {
+		return count
+	}
+	for i := range b.input.Workers {
+		if worker := &b.input.Workers[i]; worker.Usable && worker.tier(model) != TierStore {
+			count++
+		}
+	}
+	b.copyCounts[model] = count
+	return count
+}
+
+// storeLoadMS returns how long a load from the weight store takes that starts now. The time is fixed when a load starts: n
+// loads at once take n times as long as one if the store serves one at full speed.
+func (b *builder) storeLoadMS(model Model) float64 {
+	loads := float64(b.input.Limits.StoreLoadsInProgress + 1)
+	return model.TierMS[TierStore] * max(loads/float64(max(b.input.Limits.MaxConcurrentStoreLoads, 1)), 1)
+}
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -26,6 +26,7 @@
 	Loading          string
 	InMemory, OnDisk []string
 	Running          int
+	BusyMS           float64
 }
 
 // planCase is an input of Plan and the moves expected for it, in their order. Places are the workers, StoreLoads is
@@ -77,7 +78,7 @@
 	}
 	for _, w := range c.Places {
 		worker := placer.Worker{
-			ID: w.ID, Own: !w.Other, AcceptsOrder: !w.Busy, Usable: !w.Leaving, CutOff: w.CutOff, Limited: w.Limited, MemoryMB: 300, Units: w.Units, Loading: w.Loading, Running: w.Running,
+			ID: w.ID, Own: !w.Other, AcceptsOrder: !w.Busy, Usable: !w.Leaving, CutOff: w.CutOff, Limited: w.Limited, MemoryMB: 300, Units: w.Units, Loading: w.Loading, Running: w.Running, BusyMS: w.BusyMS,
 			InMemory: newSet(w.InMemory), OnDisk: newSet(w.OnDisk),
 		}
 		input.Workers = append(input.Workers, worker)
