Announce a later end when a load from the weight store is late

Cause: the end of a load from the store was announced once, as if it were alone, and never corrected.

Change: the end includes the loads that were in progress at its start, and once an announced end has passed, the next likely one is announced, at least a quarter of the time so far later; nodes then refuse at once what cannot wait so long. The new script fails before (nothing announced after the end).

--- a/fleetleader/fleetleader_test.go
+++ b/fleetleader/fleetleader_test.go
@@ -317,6 +317,35 @@
 		defer z.leader.mu.Unlock()
 		gomega.Expect(z.leader.workers["w0"].failures).To(gomega.BeZero())
 	})
+	// Guards against requests that are held until their deadline for a load whose announced end has passed.
+	ginkgo.It("publishes a later end of a load from the weight store that takes twice as long as one alone", func() {
+		z := newFakeZone(1, 0, 0)
+		w := z.workers["w0"]
+		w.mu.Lock()
+		w.onDisk, w.loadTime = nil, 2*fakeStoreMS*time.Millisecond
+		z.writeHeartbeat("w0", 2)
+		w.mu.Unlock()
+		z.leader.Run()
+		defer z.leader.Stop()
+		subscription := z.subscribe()
+		defer subscription.Close()
+		z.sendDemand("m0")
+		started := time.Time{}
+		announced := int64(0)
+		for deadline := time.Now().Add(4 * time.Second); !z.isLoaded("m0") && time.Now().Before(deadline); {
+			for _, worker := range subscription.Next(nil).GetWorkers() {
+				for _, unit := range worker.GetUnits() {
+					if started.IsZero() && unit.GetReadyMs() > 0 {
+						started = time.Now()
+					}
+					if !started.IsZero() && time.Since(started) > fakeStoreMS*time.Millisecond {
+						announced = max(announced, unit.GetReadyMs())
+					}
+				}
+			}
+		}
+		gomega.Expect(announced).To(gomega.BeNumerically(">", fakeStoreMS/5), "milliseconds from the first announced end to the next")
+	})
 	ginkgo.It("publishes a model immediately when its load starts and when it is loaded", func() {
 		z := newFakeZone(1, 0, 0)
 		z.leader.Run()
--- a/fleetleader/inquiry.go
+++ b/fleetleader/inquiry.go
@@ -21,6 +21,8 @@
 	endMargin = 2 * time.Millisecond
 	// idleUnloadTime is about how long a worker takes to unload a model for which no request runs; no order can be accepted before.
 	idleUnloadTime = 50 * time.Millisecond
+	// lateAfter is the time after the first known end from which on the order counts as late.
+	lateAfter = 150 * time.Millisecond
 	// conflictReportPause is how long an order is repeated after conflicts before a report is read, which distinguishes
 	// a busy worker from one whose order count differs; the pause between two reports is not shorter.
 	conflictReportPause = 400 * time.Millisecond
@@ -64,6 +66,21 @@
 	return next
 }
 
+// laterEnd returns when the order is likely to end that was not at its last known end, and whether anything can be said. Just
+// after the first end, nothing can: the order may only be a little late.
+func (q *inquiry) laterEnd(now time.Time) (end time.Time, known bool) {
+	if len(q.ends) == 0 || now.Sub(q.ends[0]) < lateAfter {
+		return time.Time{}, false
+	}
+	earliest := now.Add(time.Duration(float64(now.Sub(q.acceptedAt)) * inquiryGrowth))
+	for _, end := range q.ends {
+		if !end.Before(earliest) {
+			return end, true
+		}
+	}
+	return earliest, true
+}
+
 // growingPause returns a pause that is a share of the time passed.
 func growingPause(passed time.Duration, share float64) time.Duration {
 	return max(time.Duration(float64(passed)*share), minInquiryPause)
--- a/fleetleader/swap.go
+++ b/fleetleader/swap.go
@@ -201,7 +201,11 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	state.readyAt = time.Now().Add(time.Duration(loadTimesMS(model)[move.Tier]) * time.Millisecond)
+	takes := loadTimesMS(model)[move.Tier]
+	if move.Tier == placer.TierStore {
+		takes = max(takes, move.LoadMS)
+	}
+	state.readyAt = time.Now().Add(time.Duration(takes) * time.Millisecond)
 	l.markChanged(w.ID, model.Name)
 	l.notifyFollowers()
 	return nil
@@ -243,13 +247,10 @@
 // fetches the weights from the weight store; the deadline is extended to match.
 func (l *Leader) awaitLoad(epoch int64, state *workerState, w *registrar.Worker, model cataloger.Model, tier placer.Tier) error {
 	ordered := time.Now()
-	l.mu.Lock()
-	expectedAt := state.readyAt
-	l.mu.Unlock()
 	ends := loadEnds(ordered, model, tier)
-	expected := expectedAt.Sub(ordered)
-	time.Sleep(expected + endMargin)
+	time.Sleep(time.Until(ends[0]))
 	order := Order{Model: model.Name}
+	expected := time.Duration(loadTimesMS(model)[tier]) * time.Millisecond
 	if tier == placer.TierStore {
 		return l.awaitDone(epoch, state, w, order, newInquiry(ordered, ordered.Add(storeLoadFactor*expected), ends))
 	}
@@ -286,12 +287,29 @@
 		if outcome == OutcomeAlreadyDone {
 			return nil
 		}
+		l.announceLaterEnd(state, order, asking)
 		if err := l.waitAfterConflict(state, w, order, asking); err != nil {
 			return err
 		}
 	}
 }
 
+// announceLaterEnd announces the next likely end of a model's load that was announced to have ended by now, so that requests which
+// cannot wait so long are refused.
+func (l *Leader) announceLaterEnd(state *workerState, order Order, asking *inquiry) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if order.Adapter != "" || order.Model != state.loadingModel || now.Before(state.readyAt) {
+		return
+	}
+	if end, known := asking.laterEnd(now); known {
+		state.readyAt = end
+		l.markChanged(state.worker.ID, order.Model)
+		l.notifyFollowers()
+	}
+}
+
 // readReport reads a worker's report and replaces the worker's state by it.
 func (l *Leader) readReport(epoch int64, state *workerState) {
 	ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
