Send brittle workers only what they have room for

What callers saw: workers that say that they are brittle (Server-Brittle: N) fall over when they must turn more than N requests away in a second, and take down what they run.

Cause: a node sends a request to a worker that it believes full, if there is no other, and tries again after 80 ms; each of the other nodes does the same.

Change: a node that hears of it treats all workers of the service as brittle until three seconds after the last response that says so. Such a worker gets a request only if a slot seems free beyond one in eight, one request at a time once half of the slots are taken, and after a rejection nothing for a time that keeps the rejections of all nodes together at half of what it bears. Without room a plain request is refused at once, one for a model waits. What a node knows is gone with a kill; its first response tells it again.

--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 process: build
 	@echo "passed over as known red: $(KNOWN_RED)"
 	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 8m ./launcher $(SKIP_SPECS)
-	ACACIA_PROCESS_TESTS=$(CURDIR)/bin ACACIA_KNOWN_RED="$(KNOWN_RED)" $(GO) test -v -count=1 -timeout 5m ./soaker $(SKIP_SPECS)
+	ACACIA_PROCESS_TESTS=$(CURDIR)/bin ACACIA_KNOWN_RED="$(KNOWN_RED)" $(GO) test -v -count=1 -timeout 7m ./soaker $(SKIP_SPECS)
 
 # Runs one seed of the soak test, which injects faults (docs/SOAK.md).
 SEED ?= 1
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -73,6 +73,8 @@
 	// PauseS is for how many seconds the worker, which turned the request away, wants no more from this node, or nil; NaN for a text that is no
 	// number.
 	PauseS *float64
+	// Brittle is how many requests the worker may turn away in a second without falling over, or nil if it does not say that it is brittle.
+	Brittle *float64
 }
 
 // Succeeded reports whether the status is 2xx.
@@ -108,6 +110,8 @@
 	perSecond *float64
 	// pauseS is the pause that the worker asks for, as in Response.
 	pauseS *float64
+	// brittle is as in Response.
+	brittle *float64
 }
 
 // NewNotRunError returns the error of a send that did not run; worker is the worker's ID, load may be nil.
@@ -133,6 +137,12 @@
 	return e
 }
 
+// WithBrittle sets how many requests the worker may turn away in a second, as in Response, and returns the error.
+func (e *NotRunError) WithBrittle(perSecond *float64) *NotRunError {
+	e.brittle = perSecond
+	return e
+}
+
 // Error names the worker and the reason.
 func (e *NotRunError) Error() string {
 	return fmt.Sprintf("worker %q did not run the request: %s (status %d)", e.worker, e.reason, e.status)
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -105,6 +105,7 @@
 		f.reportLoad(worker, response.Load)
 		f.observeLimit(c, worker, response.PerSecond)
 		f.observePause(c, worker, response.PauseS)
+		f.dependencies.Limiter.ObserveBrittle(time.Now(), worker.Service, worker.ID, response.Brittle)
 		f.reach.succeed(time.Now())
 		c.firstByteMS = time.Since(sentAt).Milliseconds()
 		f.dependencies.Recorder.Observe(recorder.MeasureFirstToken, c.service.Name, c.route.Name, time.Since(sentAt))
@@ -239,7 +240,7 @@
 		if !holder.ReadyAt.IsZero() || !holder.HasAdapter {
 			continue
 		}
-		verdict := f.judge(now, holder.Worker)
+		verdict := f.judge(now, holder.Worker, holder.Running)
 		if verdict.retryAt.IsZero() {
 			return verdict, false
 		}
@@ -334,7 +335,7 @@
 
 // modelCost returns the cost of a worker from its load, zone and penalty; a worker that is not usable gets no requests.
 func (f *Forwarder) modelCost(now time.Time, holder *fleettracker.Holder) (cost float64, usable bool) {
-	verdict := f.judge(now, holder.Worker)
+	verdict := f.judge(now, holder.Worker, holder.Running)
 	if !verdict.usable {
 		return 0, false
 	}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -106,6 +106,7 @@
 	f.reportLoad(worker, response.Load)
 	f.observeLimit(c, worker, response.PerSecond)
 	f.observePause(c, worker, response.PauseS)
+	f.dependencies.Limiter.ObserveBrittle(time.Now(), worker.Service, worker.ID, response.Brittle)
 	if response.Succeeded() {
 		f.recordAnswer(c)
 		if hasEventStream(response.Header) {
@@ -189,7 +190,7 @@
 		if worker.Leaving || !f.matches(c, worker) {
 			continue
 		}
-		verdict := f.judge(now, worker)
+		verdict := f.judge(now, worker, -1)
 		if !verdict.usable {
 			blocked = blocked.orEarlier(verdict)
 			continue
@@ -299,6 +300,9 @@
 	now := time.Now()
 	f.reportLoad(worker, notRun.load)
 	f.observePause(c, worker, notRun.pauseS)
+	if notRun.reason != ReasonReplaced {
+		f.dependencies.Limiter.ObserveBrittle(now, worker.Service, worker.ID, notRun.brittle)
+	}
 	if notRun.perSecond != nil && notRun.reason != ReasonReplaced {
 		f.observeLimit(c, worker, notRun.perSecond) // A rejection without a limit does not end one.
 	}
@@ -311,6 +315,7 @@
 	case ReasonNotLoaded:
 		f.dependencies.Tracker.MarkRefused(now, worker.ID, c.Model, c.Adapter)
 	case ReasonFull:
+		f.dependencies.Limiter.Rejected(now, worker.Service, worker.ID)
 		c.avoidUntil[worker.ID] = now.Add(avoidFull)
 	case ReasonUnreachable:
 		if ctx.Err() == nil { // Else the call has ended while it was connecting.
--- a/forwarder/usable.go
+++ b/forwarder/usable.go
@@ -28,8 +28,14 @@
 }
 
 // judge decides whether a worker may be sent a request now. It is the only place that does; that the worker leaves is decided by the list.
-func (f *Forwarder) judge(now time.Time, worker *registrar.Worker) verdict {
+// Announced is the load of the worker in requests as a leader announced it, or -1 if none did.
+func (f *Forwarder) judge(now time.Time, worker *registrar.Worker, announced int) verdict {
 	v := verdict{Assessment: f.dependencies.Assessor.Assess(now, worker.ID)}
+	load := max(announced, v.ReportedLoad, v.Running-v.RecentSends)
+	if load >= 0 || v.RecentSends > 0 {
+		load = max(load, 0) + v.RecentSends
+	}
+	room, roomAt := f.dependencies.Limiter.HasRoom(now, worker.Service, worker.ID, load, v.RecentSends, worker.Slots)
 	permitted, limited, permitAt := f.dependencies.Limiter.Usable(now, worker.ID, worker.Incarnation)
 	v.limited = limited
 	pausedUntil := f.dependencies.Assessor.PausedUntil(now, worker.ID, worker.Incarnation)
@@ -38,6 +44,8 @@
 		v.retryAt, v.code = pausedUntil, "paused"
 	case !permitted:
 		v.retryAt, v.code = permitAt, "limited"
+	case !room:
+		v.retryAt, v.code = roomAt, "brittle"
 	default:
 		v.usable = !v.Excluded
 	}
@@ -48,6 +56,7 @@
 var refusalMessages = map[string]string{
 	"limited": "the workers take no more requests now",
 	"paused":  "the workers have asked for a pause",
+	"brittle": "the workers have no room now, and fall over if they must turn many requests away",
 }
 
 // maxPause bounds the time for which a worker's word keeps requests from it; after that, its next response decides.
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -94,11 +94,13 @@
 	limits map[string]*workerLimit
 	// nextNumber is the number of the next change.
 	nextNumber int64
+	// brittle holds the services whose workers are or were brittle, by name.
+	brittle map[string]*brittleService
 }
 
 // New returns a limiter that knows no limits. The fields of Limiter of the same names describe its parameters.
 func New(ask Ask, nodes func() int, count func(name string)) *Limiter {
-	return &Limiter{ask: ask, nodes: nodes, count: count, limits: map[string]*workerLimit{}}
+	return &Limiter{ask: ask, nodes: nodes, count: count, limits: map[string]*workerLimit{}, brittle: map[string]*brittleService{}}
 }
 
 // Observe applies what a worker's response to a request sent at sentAt says: the limit in requests a second, or nil if it names none. A
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -9,6 +9,14 @@
 	e.worker.SetLimit(perSecond)
 }
 
+// setBrittle makes the current worker and those after it name a number as brittle ones; 0 for none.
+func (e *endpoint) setBrittle(perSecond int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.brittle = perSecond
+	e.worker.SetBrittle(perSecond)
+}
+
 // cutStreams makes the current worker cut one in so many streams; 0 for none.
 func (e *endpoint) cutStreams(every int) {
 	e.mu.Lock()
--- a/soaker/environment.go
+++ b/soaker/environment.go
@@ -48,6 +48,8 @@
 	mu     sync.Mutex
 	worker *fleetstandin.Worker
 	server *http.Server
+	// brittle is the number that its workers name as brittle ones, or 0.
+	brittle int
 	// silent is set from the stop of a worker to the start of the next one; no heartbeats are written meanwhile.
 	silent bool
 }
@@ -205,6 +207,7 @@
 	go func() { _ = server.Serve(listener) }() // Ends when stopWorker closes the server.
 	target.proxy.SetTarget(listener.Addr().String())
 	target.mu.Lock()
+	worker.SetBrittle(target.brittle)
 	target.worker, target.server, target.silent = worker, server, false
 	target.mu.Unlock()
 }
--- a/soaker/script_test.go
+++ b/soaker/script_test.go
@@ -77,7 +77,8 @@
 		}
 	}
 	player.load.Wait()
-	return append(append(append(e.breaches(), player.breaches...), player.checkCut()...), check(e)...)
+	found := append(append(e.breaches(), player.breaches...), player.checkCut()...)
+	return append(append(found, player.checkServed()...), check(e)...)
 }
 
 // player plays the steps of one script.
@@ -90,6 +91,8 @@
 	breaches []string
 	// attempts are those of the load.
 	attempts []nodeAttempt
+	// overloaded is set once an "overload" step was played.
+	overloaded bool
 	// cut are the nodes that are cut off from all workers since cutAt.
 	cut   []*node
 	cutAt time.Time
@@ -148,13 +151,15 @@
 		return p.startStreams(rest)
 	case "limit":
 		return e.forWorkers(words, (*endpoint).setLimit)
+	case "brittle":
+		return e.forWorkers(words, func(target *endpoint, perSecond float64) { target.setBrittle(int(perSecond)) })
 	case "depart":
 		return e.forWorkers(words, func(target *endpoint, _ float64) { target.depart() })
 	case "pause":
 		return e.forWorkers(words, func(target *endpoint, seconds float64) {
 			target.pause(time.Now().Add(time.Duration(seconds*float64(time.Second))), len(e.nodes))
 		})
-	case "load", "wait":
+	case "load", "overload", "wait":
 		seconds, err := strconv.Atoi(rest)
 		if err != nil {
 			return err
@@ -164,7 +169,12 @@
 			time.Sleep(span)
 			return nil
 		}
-		p.startLoad(time.Now().Add(span))
+		if verb == "overload" {
+			p.overloaded = true
+			p.startLoad(time.Now().Add(span), overloadCallers, overloadPause)
+			return nil
+		}
+		p.startLoad(time.Now().Add(span), loadCallers, loadPause)
 	default:
 		return fmt.Errorf("no such step")
 	}
@@ -219,19 +229,22 @@
 	loadCallers = 16
 	// loadPause is the mean pause between two requests of a caller.
 	loadPause = 300 * time.Millisecond
+	// overloadCallers and overloadPause are the same for an overload, which the workers cannot serve in full.
+	overloadCallers = 96
+	overloadPause   = 20 * time.Millisecond
 	// maxRefusalTime bounds the time until a request for a plain service, which never has to wait, is refused.
 	maxRefusalTime = 1 * time.Second
 )
 
-// startLoad starts callers that send requests to random nodes until the end.
-func (p *player) startLoad(end time.Time) {
-	for i := range loadCallers {
+// startLoad starts callers that send requests to random nodes until the end, with a mean pause between two of them.
+func (p *player) startLoad(end time.Time, callers int, pause time.Duration) {
+	for i := range callers {
 		random := rand.New(rand.NewPCG(uint64(i), 7))
 		p.load.Go(func() {
 			client := &http.Client{Timeout: requestTimeout + timeoutTolerance}
 			for number := 0; time.Now().Before(end); number++ {
 				p.sendOne(client, random, fmt.Sprintf("l%d-%d", i, number))
-				time.Sleep(time.Duration(random.ExpFloat64() * float64(loadPause)))
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(pause)))
 			}
 		})
 	}
