Leave the weight store to models in high demand

Cause: the store serves one load of 14 s at full speed. In the first 1.3 s it was given three loads for one waiting request each, which take 14, 28 and 42 s, and nothing else was loaded from it meanwhile. Two more causes were seen in the simulation: at the start of traffic and of each rise the runs of a model seemed up to four times as long as they are, since the slow rate lags, so models that were not overloaded were loaded from the store too; and a copy on a worker that is busy for ten seconds kept a model in high demand from the store.

Change: a load that is not in high demand starts from the store only after its requests waited an eighth of its time, and leaves the last of several concurrent loads to others. Replicas from the store need an overload that does not rest on the lag. A model in high demand takes the store if its copies are out of reach for longer than that eighth.

--- a/placer/desired_load.go
+++ b/placer/desired_load.go
@@ -17,6 +17,8 @@
 	// utilization is the expected utilization of each holder, workers that are loading the model included; 0 unless
 	// isReplica is set.
 	utilization float64
+	// isHot is set for a replica whose holders are certain to be overloaded; only such a replica is loaded from the weight store.
+	isHot bool
 }
 
 // desiredLoads returns the models to load, in the order of their ranks, most urgent first.
@@ -42,6 +44,7 @@
 		if utilization := b.utilization(demand, holders); utilization > 1 {
 			replica := b.newDesiredLoad(demand, model)
 			replica.isReplica, replica.utilization = true, utilization
+			replica.isHot = b.certainUtilization(demand, holders) > hotUtilization
 			loads = append(loads, replica)
 		}
 	}
@@ -120,7 +123,7 @@
 
 func (l *desiredLoad) rank() int {
 	switch {
-	case l.isReplica && l.utilization > hotUtilization, !l.isReplica && l.value() >= hotValue:
+	case l.isReplica && l.isHot, !l.isReplica && l.value() >= hotValue:
 		return rankHot
 	case l.isReplica:
 		return rankReplica
@@ -143,12 +146,24 @@
 
 // utilization returns the expected number of running requests of each of a number of holders as a share of
 // Limits.TargetRunsPerHolder.
+//
+// While demand rises, Rate lags behind the requests that run, so that runs seem longer than they are and holders are foreseen early.
 func (b *builder) utilization(demand *Demand, holders int) float64 {
+	return b.forecast(demand, holders, demand.Rate)
+}
+
+// certainUtilization is utilization as far as it does not rest on the lag of Rate.
+func (b *builder) certainUtilization(demand *Demand, holders int) float64 {
+	return b.forecast(demand, holders, max(demand.Rate, demand.Recent))
+}
+
+// forecast returns the utilization if the running requests arrived at a rate.
+func (b *builder) forecast(demand *Demand, holders int, rate float64) float64 {
 	rise := max(demand.Recent-demand.Rate, 0) / rateWindowGapS * forecastS
 	expectedRate := demand.Recent + rise
 	runS := defaultRunS
 	if demand.Rate > 1 && demand.Running > 0 {
-		runS = min(max(float64(demand.Running)/demand.Rate, defaultRunS/2), 4*defaultRunS)
+		runS = min(max(float64(demand.Running)/rate, defaultRunS/2), 4*defaultRunS)
 	}
 	expectedRuns := max(float64(demand.Running+demand.Waiting), expectedRate*runS)
 	return expectedRuns / (float64(holders) * b.input.Limits.TargetRunsPerHolder)
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -88,9 +88,7 @@
 func (b *builder) assign(load desiredLoad) bool {
 	var best *Move
 	bestCost := math.Inf(1)
-	// A model is loaded from the weight store only if no reachable worker that could load it has a copy; a replica must be
-	// hot, too.
-	mayUseStore := load.nearestTier == TierStore && (!load.isReplica || load.utilization > hotUtilization)
+	mayUseStore := b.mayUseStore(&load)
 	for _, worker := range b.available {
 		if b.assigned[worker.ID] || hasLoaded(worker, load.model.Name) {
 			continue
@@ -110,6 +108,22 @@
 	return true
 }
 
+// storePatience is how long a model waits for a copy, or for models in higher demand, before the weight store is occupied for it, as
+// a share of the time that the store takes for it.
+const storePatience = 1.0 / 8
+
+// mayUseStore reports whether a desired load may start from the weight store. One in high demand may if no reachable worker
+// can load a copy soon. Any other must have waited for a worker with a copy, and leaves the last of several
+// concurrent loads to models in high demand; a replica that is not in high demand is never loaded from there.
+func (b *builder) mayUseStore(load *desiredLoad) bool {
+	patienceMS := storePatience * load.model.TierMS[TierStore]
+	if load.rank() == rankHot {
+		return load.nearestTier == TierStore || load.copyBusyMS > patienceMS
+	}
+	reserved := min(b.input.Limits.MaxConcurrentStoreLoads-1, 1)
+	return load.nearestTier == TierStore && !load.isReplica && max(load.demand.WaitedMS, load.demand.UnservedMS) >= patienceMS && b.storeSlotsLeft > reserved
+}
+
 // addWait adds the estimate of when a desired load without a move ends; it is queued behind the earlier ones.
 func (b *builder) addWait(load desiredLoad) {
 	readyMS := load.model.TierMS[TierStore]
