Do not read the configuration again for a peer that has none

Cause: a node without a configuration took every version that a leader reports for a newer one, 0 included, which is what a leader without a configuration reports.

Ruled out: renewals of leases and feeds of the leaders, which are 7 calls a second and leader and do not grow with the nodes of a zone.

Change: a version is read only if it is above the known one, 0 without any. The new test fails before.

--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -170,7 +170,7 @@
 // Stop ends the reads without waiting for them; it must be called once.
 func (w *Watcher) Stop() { close(w.stopped) }
 
-// NotifyVersion is called with the version of the configuration that a peer has in force. A
+// NotifyVersion is called with the version of the configuration that a peer has in force, or 0 if it has none. A
 // newer one is read immediately, since this node's own feed may be stalled.
 func (w *Watcher) NotifyVersion(version int64) {
 	known := int64(0)
@@ -178,7 +178,7 @@
 		known = catalog.Version()
 	}
 	w.outdated.hear(time.Now(), version, known)
-	if known > 0 && known >= version || !w.fetchingNewer.CompareAndSwap(false, true) {
+	if known >= version || !w.fetchingNewer.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -212,6 +213,23 @@
 	})
 })
 
+// Guards against a read of the store for each message of a peer before the operator has written the first configuration.
+var _ = ginkgo.Describe("the configuration while there is none", func() {
+	ginkgo.It("is not read again for peers that have none either", func() {
+		s := &fakeStore{workers: []string{"a"}, silent: true}
+		source := s.source()
+		var reads atomic.Int64
+		source.ListCatalog = func(time.Time) (watcher.Configuration, error) {
+			reads.Add(1)
+			return watcher.Configuration{After: 1}, nil
+		}
+		w := watcher.New(source, registrar.New(), func() {})
+		w.Run()
+		defer w.Stop()
+		gomega.Consistently(func() int64 { w.NotifyVersion(0); return reads.Load() }, 500*time.Millisecond, 5*time.Millisecond).Should(gomega.BeNumerically("<=", 1), "reads of the whole configuration")
+	})
+})
+
 // Guards against requests that crash workers being sent by a node that has just started and has not read which ones do.
 var _ = ginkgo.Describe("a starting node whose reads of crashes fail", func() {
 	ginkgo.It("is ready once it has read the crashes, or after a bounded wait", func() {
