--- a/placer/cost.go
+++ b/placer/cost.go
@@ -91,23 +91,31 @@
 // copyLossPerS returns the loss for each second of a load on a worker, from requests for models that the worker could load
 // from its copies instead. The loaded model itself does not count.
 func (b *builder) copyLossPerS(worker *Worker, loaded string) float64 {
-	loss := 0.0
-	count := func(model string) {
-		demand := b.demands[model]
-		if demand == nil || model == loaded || b.holders[model]+b.loading[model] > 0 {
-			return
+	total, known := b.copyLosses[worker.ID]
+	if !known {
+		for model := range worker.OnDisk {
+			total += b.blockedLossPerS(model)
+		}
+		for model := range worker.InMemory {
+			if !worker.OnDisk[model] {
+				total += b.blockedLossPerS(model)
+			}
 		}
-		loss += (demand.Rate + float64(demand.Waiting)/valueHorizonS) * blockedCopyLoss / float64(max(b.copies(model), 1))
+		b.copyLosses[worker.ID] = total
 	}
-	for model := range worker.OnDisk {
-		count(model)
+	if worker.tier(loaded) == TierStore {
+		return total
 	}
-	for model := range worker.InMemory {
-		if !worker.OnDisk[model] {
-			count(model)
-		}
+	return max(total-b.blockedLossPerS(loaded), 0)
+}
+
+// blockedLossPerS returns the loss for each second in which a worker with a copy of a model cannot load it.
+func (b *builder) blockedLossPerS(model string) float64 {
+	demand := b.demands[model]
+	if demand == nil || b.holders[model]+b.loading[model] > 0 {
+		return 0
 	}
-	return loss
+	return (demand.Rate + float64(demand.Waiting)/valueHorizonS) * blockedCopyLoss / float64(max(b.copies(model), 1))
 }
 
 // sharedBatchLoss is the loss for each request that runs on a worker, since the new model shares its batch.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -30,6 +30,8 @@
 	storeLoadsLeft, storeSlotsLeft int
 	// copyCounts holds how many usable workers have a copy of each model that was asked for.
 	copyCounts map[string]int
+	// copyLosses holds what copyLossPerS returns for each worker that was asked for, by ID, as it was when first asked.
+	copyLosses map[string]float64
 	// smallestModelMB is the size of the smallest model; infinite without models.
 	smallestModelMB float64
 	moves           []Move
@@ -41,7 +43,7 @@
 // Plan returns the moves to start now, and when the models that must wait are likely to be loaded.
 func Plan(input Input) Decision {
 	b := &builder{
-		input: input, demands: map[string]*Demand{}, holders: map[string]int{}, loading: map[string]int{}, reachable: map[string]int{}, assigned: map[string]bool{}, copyCounts: map[string]int{},
+		input: input, demands: map[string]*Demand{}, holders: map[string]int{}, loading: map[string]int{}, reachable: map[string]int{}, assigned: map[string]bool{}, copyCounts: map[string]int{}, copyLosses: map[string]float64{},
 		storeLoadsLeft: input.Limits.AllowedStoreLoads, storeSlotsLeft: input.Limits.MaxConcurrentStoreLoads - input.Limits.StoreLoadsInProgress,
 	}
 	for i := range input.Demands {
