Announce later ends of loads from the weight store only

Change: only inquiries for loads from the store announce later ends; a load from a copy counts as one from the store after 0.6 s, as before. The awaited order is cleared when a move or an adapter's load ends, as its comment says.

--- a/fleetleader/adapt.go
+++ b/fleetleader/adapt.go
@@ -164,6 +164,7 @@
 	}
 	now := time.Now()
 	state.adapterOrderActive = false
+	state.awaited = Order{}
 	loaded, held := state.loadedModels[key.model]
 	if held {
 		delete(loaded.pendingAdapters, key.adapter)
--- a/fleetleader/inquiry.go
+++ b/fleetleader/inquiry.go
@@ -36,6 +36,8 @@
 	// have passed.
 	ends   []time.Time
 	passed int
+	// fromStore is set for a load from the weight store, whose later ends are announced.
+	fromStore bool
 	// deadline is when repetitions end, reportAt when the next report is read.
 	deadline, reportAt time.Time
 	// busy is set once a report has shown the worker busy with the expected order count.
@@ -47,6 +49,13 @@
 	return &inquiry{acceptedAt: acceptedAt, ends: ends, deadline: deadline, reportAt: time.Now().Add(conflictReportPause)}
 }
 
+// newStoreInquiry returns an inquiry for a load from the weight store that takes a time if it is alone.
+func newStoreInquiry(acceptedAt time.Time, alone time.Duration, ends []time.Time) *inquiry {
+	asking := newInquiry(acceptedAt, acceptedAt.Add(storeLoadFactor*alone), ends)
+	asking.fromStore = true
+	return asking
+}
+
 // nextAt returns when to repeat the order after a repetition that found it unfinished: at the next known end, and in
 // pauses that grow after the first one or without any.
 func (q *inquiry) nextAt(now time.Time) time.Time {
--- a/fleetleader/swap.go
+++ b/fleetleader/swap.go
@@ -121,6 +121,7 @@
 	l.markChanged(state.worker.ID, state.loadingModel)
 	state.moveActive = false
 	state.loadingModel = ""
+	state.awaited = Order{}
 	state.changedAt = now
 	l.notifyFollowers()
 	l.Wake()
@@ -252,7 +253,7 @@
 	order := Order{Model: model.Name}
 	expected := time.Duration(loadTimesMS(model)[tier]) * time.Millisecond
 	if tier == placer.TierStore {
-		return l.awaitDone(epoch, state, w, order, newInquiry(ordered, ordered.Add(storeLoadFactor*expected), ends))
+		return l.awaitDone(epoch, state, w, order, newStoreInquiry(ordered, expected, ends))
 	}
 	err := l.awaitDone(epoch, state, w, order, newInquiry(ordered, ordered.Add(expected+copyLoadSlack), ends))
 	if !isStillBusy(err) {
@@ -266,7 +267,7 @@
 	l.mu.Unlock()
 	log.Warn().Str("worker", w.ID).Str("model", model.Name).Int64("expected_ms", expected.Milliseconds()).Int64("store_ms", fromStore.Milliseconds()).
 		Int64("epoch", epoch).Msg("load takes longer than its copy would")
-	return l.awaitDone(epoch, state, w, order, newInquiry(ordered, ordered.Add(storeLoadFactor*fromStore), ends))
+	return l.awaitDone(epoch, state, w, order, newStoreInquiry(ordered, fromStore, ends))
 }
 
 // isStillBusy reports whether an order failed only because the worker was still busy with it at the deadline.
@@ -294,13 +295,13 @@
 	}
 }
 
-// announceLaterEnd announces the next likely end of a model's load that was announced to have ended by now, so that requests which
+// announceLaterEnd announces the next likely end of a load from the weight store that was announced to have ended by now, so that requests which
 // cannot wait so long are refused.
 func (l *Leader) announceLaterEnd(state *workerState, order Order, asking *inquiry) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
-	if order.Adapter != "" || order.Model != state.loadingModel || now.Before(state.readyAt) {
+	if !asking.fromStore || order.Model != state.loadingModel || now.Before(state.readyAt) {
 		return
 	}
 	if end, known := asking.laterEnd(now); known {
