Log each decision of the retry budget

The line 'retry decided' has the request, the decision, what the node still has and whether the request was passed on; counters sum up allowed and denied retries by service. No decision changes.

Evidence it was needed for: the arrivals that no budget counted had to be reckoned from three other lines.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -66,8 +66,9 @@
 	b.current(now, service).requests++
 }
 
-// AllowRetry reports whether one more retry is within the budget, and counts it if so.
-func (b *Budgeter) AllowRetry(now time.Time, service string) bool {
+// AllowRetry reports whether one more retry is within the budget, and counts it if so. Left is the number of retries that this node may still
+// send after it, which may be a fraction.
+func (b *Budgeter) AllowRetry(now time.Time, service string) (allowed bool, left float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	current := b.current(now, service)
@@ -76,15 +77,15 @@
 		requests += counts.requests
 		retries += counts.retries
 	}
-	allowed := usedFraction * b.limits.Ratio * float64(requests)
+	left = usedFraction*b.limits.Ratio*float64(requests) - float64(retries)
 	if b.second(now) >= int64(b.limits.WindowS) {
-		allowed += usedFraction * b.limits.Slack / float64(b.sharingNodes(now))
+		left += usedFraction * b.limits.Slack / float64(b.sharingNodes(now))
 	}
-	if float64(retries+1) > allowed {
-		return false
+	if left < 1 {
+		return false, left
 	}
 	current.retries++
-	return true
+	return true, left - 1
 }
 
 // sharingNodes returns the largest number of nodes known within nodesMemory; the caller holds mu.
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -71,7 +71,7 @@
 				budget.CountRequest(now, "service")
 				requests[second]++
 				for range s.Tries {
-					if budget.AllowRetry(now, "service") {
+					if allowed, _ := budget.AllowRetry(now, "service"); allowed {
 						retries[second]++
 					}
 				}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -80,8 +80,8 @@
 type Budget struct {
 	// CountRequest counts a request for a service, which adds to its budget.
 	CountRequest func(now time.Time, service string)
-	// AllowRetry reports whether one more retry is within the budget, and counts it if so.
-	AllowRetry func(now time.Time, service string) bool
+	// AllowRetry reports whether one more retry is within the budget, and counts it if so. Left is the number of retries that this node may still send.
+	AllowRetry func(now time.Time, service string) (allowed bool, left float64)
 }
 
 // Forwarder is the callers' HTTP server. It is safe for concurrent use.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -150,7 +150,7 @@
 		Trier: trier.New("n", func() int { return 1 }, trier.Arbitration{
 			Begin: func(time.Time, trier.Trial) (bool, error) { return true, nil }, End: func(time.Time, trier.Trial, time.Time) error { return nil },
 		}, f.recorder.Count),
-		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: func(time.Time, string) bool { return !noBudget }},
+		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: func(time.Time, string) (bool, float64) { return !noBudget, 0 }},
 	}, "/ready")
 	f.server = httptest.NewServer(f.forwarder)
 	return f
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/assessor"
 	"github.com/acaciaproxy/acaciaproxy/logger"
@@ -286,7 +287,7 @@
 	if err := f.checkCrashes(c); err != nil {
 		return err
 	}
-	if !f.dependencies.Budget.AllowRetry(now, c.service.Name) {
+	if !f.allowRetry(now, c) {
 		return newFailure(http.StatusBadGateway, "no_budget", "the budget for repeated sends is spent: "+err.Error())
 	}
 	f.dependencies.Recorder.Count("sends repeated")
@@ -295,6 +296,15 @@
 	return nil
 }
 
+// allowRetry reports whether the budget allows one more send of a call, and logs the decision.
+func (f *Forwarder) allowRetry(now time.Time, c *call) bool {
+	allowed, left := f.dependencies.Budget.AllowRetry(now, c.service.Name)
+	f.dependencies.Recorder.Count(lo.Ternary(allowed, "retries allowed ", "retries denied ") + c.service.Name)
+	logger.Info("retry decided").Str("request", c.ID).Str("service", c.service.Name).Bool("allowed", allowed).Float64("left", left).Int("sends", c.sends).Int("runs", c.runs).
+		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Msg("retry decided")
+	return allowed
+}
+
 // handleNotRun returns nil when a call that a worker certainly did not run may be sent once more, else the error with which it ends.
 func (f *Forwarder) handleNotRun(ctx context.Context, c *call, worker *registrar.Worker, notRun *NotRunError) error {
 	now := time.Now()
@@ -334,7 +344,7 @@
 	if ctx.Err() != nil || c.deadline.Sub(now) < minResendTime || c.sends >= maxSends {
 		return f.refuse(c, refusal)
 	}
-	if notRun.reason != ReasonUnreachable && !f.dependencies.Budget.AllowRetry(now, c.service.Name) {
+	if notRun.reason != ReasonUnreachable && !f.allowRetry(now, c) {
 		return f.refuse(c, refusal)
 	}
 	time.Sleep(resendPause)
