--- a/soaker/cut_nodes_test.go
+++ b/soaker/cut_nodes_test.go
@@ -19,6 +19,13 @@
 	})
 })
 
+// Guards against retries that no node counts: a request that is passed to another node is new there.
+var _ = ginkgo.Describe("requests that are passed on", func() {
+	ginkgo.It("stay within the retry budget of all nodes while workers turn them away", func() {
+		playScripts("testdata/passed_on.json", func(*environment) []string { return nil })
+	})
+})
+
 // Limits of what callers of cut nodes see, from faultEffectTime after the cut on: their attempts are served at least minCutShare as often as those at other nodes,
 // or at most cutSlack and one in cutFailures of them fail.
 const (
@@ -29,6 +36,8 @@
 
 // nodeAttempt is an attempt of the load of a script.
 type nodeAttempt struct {
+	id     string
+	kind   fleetstandin.Kind
 	node   *node
 	sentAt time.Time
 	served bool
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -17,6 +17,13 @@
 	e.worker.SetBrittle(perSecond)
 }
 
+// shed makes the current worker turn all requests away but one in so many; 0 for none.
+func (e *endpoint) shed(runsEvery int) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.worker.Shed(runsEvery)
+}
+
 // cutStreams makes the current worker cut one in so many streams; 0 for none.
 func (e *endpoint) cutStreams(every int) {
 	e.mu.Lock()
--- a/soaker/script_test.go
+++ b/soaker/script_test.go
@@ -78,6 +78,7 @@
 	}
 	player.load.Wait()
 	found := append(append(e.breaches(), player.breaches...), player.checkCut()...)
+	found = append(found, checkRetries(e.record, player.sentAt())...)
 	return append(append(found, player.checkServed()...), check(e)...)
 }
 
@@ -145,6 +146,8 @@
 		return p.cutNodes(nodes, words[0])
 	case "cut":
 		return e.forWorkers(words, func(target *endpoint, every float64) { target.cutStreams(int(every)) })
+	case "shed":
+		return e.forWorkers(words, func(target *endpoint, runsEvery float64) { target.shed(int(runsEvery)) })
 	case "crash":
 		return e.forWorkers(words, func(target *endpoint, _ float64) { e.crashByRequest(target, fleetstandin.CauseBody, e.models) })
 	case "streams":
@@ -259,7 +262,7 @@
 	after := time.Since(sentAt)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.attempts = append(p.attempts, nodeAttempt{node: target, sentAt: sentAt, served: result.Status == http.StatusOK && fleetstandin.IsComplete(kind, id, result.Body)})
+	p.attempts = append(p.attempts, nodeAttempt{id: id, kind: kind, node: target, sentAt: sentAt, served: result.Status == http.StatusOK && fleetstandin.IsComplete(kind, id, result.Body)})
 	switch {
 	case result.Status == http.StatusOK && !fleetstandin.IsComplete(kind, id, result.Body):
 		p.breaches = append(p.breaches, fmt.Sprintf("MIXED: answer %q to %s", result.Body, id))
@@ -270,6 +273,17 @@
 	}
 }
 
+// sentAt returns when the attempts of the load were sent, by their IDs, for each service.
+func (p *player) sentAt() map[string]map[string]time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	sent := map[string]map[string]time.Time{}
+	for _, a := range p.attempts {
+		addSent(sent, a.kind, a.id, a.sentAt)
+	}
+	return sent
+}
+
 // forWorkers calls act for some workers of a service: the words are the service, the number of workers and a number for act, if it needs one.
 func (e *environment) forWorkers(words []string, act func(target *endpoint, number float64)) error {
 	count, err := strconv.Atoi(words[1])
