Count the sends of requests that are passed on in the retry budget

Cause: a request that is passed to another node was a new one there. Up to three nodes were asked in turn, and each began with a send that counted as no retry; then the node that passed it on sent it again itself, uncounted. Class of fault: a count is kept for each node although the request moves. It came with the way round cut nodes.

Change: the call knows whether a worker may have got it, at this node or another, and each further send needs the budget, of the node that its caller reached. A node that refuses a passed request says whether a worker got it; nodes of earlier versions do not, and count as if one had. The other node's first send needs nothing: it is the first, or was paid for.

New scripts of the forwarder say which node pays when.

--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -127,11 +127,14 @@
 }
 
 // CarriedOutcome says how a request that another node passed on has ended.
-type CarriedOutcome struct{ refused bool }
+type CarriedOutcome struct{ refused, untried bool }
 
 // Refused reports whether the request was refused: it has not run.
 func (o *CarriedOutcome) Refused() bool { return o.refused }
 
+// Untried reports whether the request was refused before any send of it reached a worker.
+func (o *CarriedOutcome) Untried() bool { return o.refused && o.untried }
+
 // carriedKey is the key of the *CarriedOutcome in the context of a request that another node passed on.
 type carriedKey struct{}
 
@@ -139,7 +142,7 @@
 func (f *Forwarder) ServeCarried(w http.ResponseWriter, r *http.Request, outcome *CarriedOutcome) {
 	defer f.carried.Add(-1)
 	if f.carried.Add(1) > maxCarried {
-		outcome.refused = true
+		outcome.refused, outcome.untried = true, true
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -157,15 +160,23 @@
 	return !c.isCarried && !c.carryTried && c.runs == 0 && c.lastEventID == "" && len(c.Body) <= maxCarriedBody
 }
 
-// carry passes a call to another node and relays its response. It returns false if no node has taken it, which has not run then.
+// carry passes a call to another node and relays its response. It returns false if no node has taken it, which has not run then, and this node may send it.
 func (f *Forwarder) carry(ctx context.Context, w http.ResponseWriter, c *call) (done bool, err error) {
 	c.carryTried = true
 	f.endTrial(c, time.Now())
-	response, err := f.dependencies.Carry(ctx, c.Request, c.deadline)
+	response, err := f.dependencies.Carry(ctx, c.Request, c.deadline, func(untried bool) bool {
+		if !untried {
+			c.reached, c.retryAllowed = true, false
+		}
+		return f.allowRetry(time.Now(), c)
+	})
 	var notRun *NotRunError
-	logger.Info("request passed to another node").Str("request", c.ID).Strs("unreachable", c.unreachable).Int64("left_ms", time.Until(c.deadline).Milliseconds()).Err(err).Msg("request passed to another node")
+	logger.Info("request passed to another node").Str("request", c.ID).Strs("unreachable", c.unreachable).Bool("reached", c.reached).Int64("left_ms", time.Until(c.deadline).Milliseconds()).Err(err).Msg("request passed to another node")
 	if errors.As(err, &notRun) {
 		f.dependencies.Recorder.Count("requests no node took")
+		if !f.allowRetry(time.Now(), c) {
+			return true, f.refuse(c, newRefusal("full", "no node found a worker with room, and the retry budget is spent", busyRetry))
+		}
 		return false, nil
 	}
 	c.runs++
--- a/forwarder/carry_test.go
+++ b/forwarder/carry_test.go
@@ -17,10 +17,19 @@
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
 )
 
-// carry takes a request as another node does.
-func (f *fixture) carry(_ context.Context, request *forwarder.Request, _ time.Time) (*forwarder.Carried, error) {
+// carry takes a request as other nodes do, of which there are three if they refuse it.
+func (f *fixture) carry(_ context.Context, request *forwarder.Request, _ time.Time, refused func(untried bool) bool) (*forwarder.Carried, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if strings.HasPrefix(f.carrier, "refuse") {
+		for asked := 0; asked < 3; asked++ {
+			f.carriedCount++
+			if !refused(f.carrier == "refuse untried") {
+				break
+			}
+		}
+		return nil, forwarder.NewNotRunError("", forwarder.ReasonUnreachable, 0, nil)
+	}
 	f.carriedCount++
 	response := &forwarder.Carried{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: io.NopCloser(strings.NewReader("id:1\ndata:x\n\n"))}
 	switch f.carrier {
@@ -42,9 +51,13 @@
 	Sends []scriptedSend
 	// Foreign is set for a request that another node passed on.
 	Foreign bool
+	// Retries is the number of retries that the budget allows, -1 for any number.
+	Retries int
 	// Status is the response's, 0 for a connection that is closed before its end. Passed is the number of times that it is passed on, Sent the number of sends.
-	Status       int
-	Refused      bool
+	Status  int
+	Refused bool
+	// Untried is set if the other node must be told that no worker has got the request.
+	Untried      bool
 	Passed, Sent int
 }
 
@@ -56,15 +69,15 @@
 		ginkgo.It(script.Name, func() {
 			f := newFixture(script.Sends, false)
 			defer f.server.Close()
-			f.carrier = script.Carrier
-			status, refused := 0, false
+			f.carrier, f.retries = script.Carrier, script.Retries
+			status, refused, untried := 0, false, false
 			if script.Foreign {
 				recorded := httptest.NewRecorder()
 				request := f.request(script.Route, script.Model)
 				request.RequestURI = script.Route
 				outcome := &forwarder.CarriedOutcome{}
 				f.forwarder.ServeCarried(&carriedRecorder{recorded}, request, outcome)
-				status, refused = recorded.Code, outcome.Refused()
+				status, refused, untried = recorded.Code, outcome.Refused(), outcome.Untried()
 			} else if response, err := http.DefaultTransport.RoundTrip(f.request(script.Route, script.Model)); err == nil {
 				if _, err := io.ReadAll(response.Body); err == nil {
 					status = response.StatusCode
@@ -72,7 +85,7 @@
 			}
 			f.mu.Lock()
 			defer f.mu.Unlock()
-			gomega.Expect(fmt.Sprint(status, refused, f.carriedCount, f.sent)).To(gomega.Equal(fmt.Sprint(script.Status, script.Refused, script.Passed, script.Sent)), "status, refused, passed on, sent")
+			gomega.Expect(fmt.Sprint(status, refused, untried, f.carriedCount, f.sent)).To(gomega.Equal(fmt.Sprint(script.Status, script.Refused, script.Untried, script.Passed, script.Sent)), "status, refused, untried, passed on, sent")
 		})
 	}
 })
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -82,6 +82,7 @@
 	if outcome := carriedOutcome(r); outcome != nil {
 		// Without a route, this node's configuration may be older than that of the node that passed the request on.
 		outcome.refused = failure.status == http.StatusServiceUnavailable || failure.status == http.StatusNotFound
+		outcome.untried = !c.reached
 	}
 	if c.Request != nil {
 		f.dependencies.SetAttemptID(w.Header(), c.ID)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -65,8 +65,9 @@
 	Trier *trier.Trier
 	// Crashed reports, by probing a worker's address, whether its process seems to have ended.
 	Crashed func(worker *registrar.Worker) bool
-	// Carry passes a request to another node, which serves it until the deadline. The error is a *NotRunError if no node has taken it, else it may have run.
-	Carry func(ctx context.Context, request *Request, deadline time.Time) (*Carried, error)
+	// Carry passes a request to another node, which serves it until the deadline. Each node that refuses it is reported to refused, which says whether the next
+	// one may be asked; untried is set if the request has reached no worker there. The error is a *NotRunError if no node has taken it, else it may have run.
+	Carry func(ctx context.Context, request *Request, deadline time.Time, refused func(untried bool) (askNext bool)) (*Carried, error)
 	// Streams holds the software versions at which streams began. FindStream asks the leaders; complete is set if none of them knows and all have answered.
 	// ListFresh reports whether the list of workers is not old.
 	Streams    *streamkeeper.Keeper
@@ -191,6 +192,9 @@
 	runs int
 	// sends counts all sends, including those that certainly did not run.
 	sends int
+	// reached is set once a send may have reached a worker, also one of another node that the call was passed to. From then on, retryAllowed is
+	// set before each send, by the retry budget, and unset when that send has reached a worker.
+	reached, retryAllowed bool
 	// avoidUntil maps workers that failed to serve this request to when they may be chosen again.
 	avoidUntil map[string]time.Time
 	// fingerprint is a hash of method, host, target and body. SharedParts are the IDs of the prompt's parts but the last. Fingerprints are the first
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -98,8 +98,11 @@
 	sentTo   map[string]bool
 	pathGone bool
 	isolated bool
-	// carrier says how another node takes a request: "answer", "break" or "break off"; else none takes it. carriedCount counts the requests passed on.
-	carrier      string
+	// carrier says how another node takes a request: "answer", "break" or "break off"; "refuse" and "refuse untried" if all refuse it after a send that
+	// reached a worker, or without one; else there is none. carriedCount counts the nodes that were asked.
+	carrier string
+	// retries is the number of retries that the budget still allows, -1 for any number.
+	retries      int
 	carriedCount int
 	// mu guards sends and sent.
 	mu    sync.Mutex
@@ -116,6 +119,9 @@
 
 func newFixture(sends []scriptedSend, noBudget bool) *fixture {
 	f := &fixture{sends: sends, sentTo: map[string]bool{}, list: registrar.New(), recorder: recorder.New(), contextEnded: make(chan struct{}, 8)}
+	if f.retries = -1; noBudget {
+		f.retries = 0
+	}
 	f.streams = streamkeeper.New()
 	f.tracker = fleettracker.New(f.list)
 	f.limiter = limiter.New(f.ask, func() int { return 1 }, f.recorder.Count)
@@ -150,12 +156,21 @@
 		Trier: trier.New("n", func() int { return 1 }, trier.Arbitration{
 			Begin: func(time.Time, trier.Trial) (bool, error) { return true, nil }, End: func(time.Time, trier.Trial, time.Time) error { return nil },
 		}, f.recorder.Count),
-		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: func(time.Time, string) (bool, float64) { return !noBudget, 0 }},
+		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: f.allowRetry},
 	}, "/ready")
 	f.server = httptest.NewServer(f.forwarder)
 	return f
 }
 
+// allowRetry uses one of the retries of the fixture's budget.
+func (f *fixture) allowRetry(time.Time, string) (allowed bool, left float64) {
+	if f.retries == 0 {
+		return false, 0
+	}
+	f.retries--
+	return true, float64(f.retries)
+}
+
 // hasCrashed reports whether a probe of a worker fails.
 func (f *fixture) hasCrashed(worker *registrar.Worker) bool {
 	f.mu.Lock()
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -138,7 +138,13 @@
 	}
 	log.Debug().Str("request", c.ID).Str("worker", worker.ID).Int("send", c.sends).Int64("left_ms", time.Until(c.deadline).Milliseconds()).
 		Int64("age_ms", c.stateAgeMS).Msg("request sent")
-	return func(err error) { f.recordOutcome(c, worker, f.isWorkerFault(c, err)) }
+	return func(err error) {
+		var notRun *NotRunError
+		if !errors.As(err, &notRun) || notRun.reason != ReasonUnreachable {
+			c.reached, c.retryAllowed = true, false
+		}
+		f.recordOutcome(c, worker, f.isWorkerFault(c, err))
+	}
 }
 
 // stateAge returns the age of the newest information about a worker, from its heartbeat or a leader's announcement.
@@ -296,12 +302,17 @@
 	return nil
 }
 
-// allowRetry reports whether the budget allows one more send of a call, and logs the decision.
+// allowRetry reports whether a call may be sent to a worker, by this node or another: none has got it yet, or the retry budget allows one
+// more send. It logs the budget's decision.
 func (f *Forwarder) allowRetry(now time.Time, c *call) bool {
+	if !c.reached || c.retryAllowed {
+		return true
+	}
 	allowed, left := f.dependencies.Budget.AllowRetry(now, c.service.Name)
 	f.dependencies.Recorder.Count(lo.Ternary(allowed, "retries allowed ", "retries denied ") + c.service.Name)
 	logger.Info("retry decided").Str("request", c.ID).Str("service", c.service.Name).Bool("allowed", allowed).Float64("left", left).Int("sends", c.sends).Int("runs", c.runs).
 		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Msg("retry decided")
+	c.retryAllowed = allowed
 	return allowed
 }
 
@@ -344,7 +355,7 @@
 	if ctx.Err() != nil || c.deadline.Sub(now) < minResendTime || c.sends >= maxSends {
 		return f.refuse(c, refusal)
 	}
-	if notRun.reason != ReasonUnreachable && !f.allowRetry(now, c) {
+	if !f.allowRetry(now, c) {
 		return f.refuse(c, refusal)
 	}
 	time.Sleep(resendPause)
--- a/server/carry.go
+++ b/server/carry.go
@@ -29,7 +29,7 @@
 const maxPartBytes = 64 << 10
 
 // carry passes a request to another node, as forwarder.Dependencies describes. Requests are spread over the nodes that the leaders name.
-func (f *FleetNode) carry(ctx context.Context, request *forwarder.Request, deadline time.Time) (*forwarder.Carried, error) {
+func (f *FleetNode) carry(ctx context.Context, request *forwarder.Request, deadline time.Time, refused func(untried bool) (askNext bool)) (*forwarder.Carried, error) {
 	message := &nodewire.CarryRequest{
 		Node: f.settings.Name(), Method: request.Method, Target: request.Target, Host: request.Host, Headers: newHeaders(platform.CarriedHeader(request, deadline)), Body: request.Body,
 	}
@@ -45,10 +45,13 @@
 			continue // It may have ended; nothing was sent.
 		}
 		asked++
-		response, taken, err := f.askCarrier(ctx, address, message)
-		if taken || err != nil {
+		response, untried, err := f.askCarrier(ctx, address, message)
+		if response != nil || err != nil {
 			return response, err
 		}
+		if !refused(untried) {
+			break
+		}
 	}
 	return nil, forwarder.NewNotRunError("", forwarder.ReasonUnreachable, 0, nil)
 }
@@ -80,11 +83,12 @@
 	return addresses
 }
 
-// askCarrier passes a request to a node. Taken is false if the node has refused it; with an error, it may have run.
-func (f *FleetNode) askCarrier(ctx context.Context, address string, message *nodewire.CarryRequest) (response *forwarder.Carried, taken bool, err error) {
+// askCarrier passes a request to a node. The response is nil if the node has refused it, and untried set if it says that no worker got it; with an error, it may
+// have run.
+func (f *FleetNode) askCarrier(ctx context.Context, address string, message *nodewire.CarryRequest) (response *forwarder.Carried, untried bool, err error) {
 	client, err := f.peers.FleetClient(address)
 	if err != nil {
-		return nil, false, nil // Nothing was sent.
+		return nil, true, nil // Nothing was sent.
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	stream, err := client.Carry(ctx, message)
@@ -95,7 +99,7 @@
 	part, err := stream.Recv()
 	if status.Code(err) == codes.Unimplemented || err == nil && part.GetRefused() {
 		cancel()
-		return nil, false, nil
+		return nil, err != nil || part.GetUntried(), nil
 	}
 	if err != nil {
 		cancel()
@@ -105,7 +109,7 @@
 	for _, entry := range part.GetHeaders() {
 		header[entry.GetName()] = entry.GetValues()
 	}
-	return &forwarder.Carried{Status: int(part.GetStatus()), Header: header, Body: &carriedBody{stream: stream, cancel: cancel, unread: part.GetBody()}}, true, nil
+	return &forwarder.Carried{Status: int(part.GetStatus()), Header: header, Body: &carriedBody{stream: stream, cancel: cancel, unread: part.GetBody()}}, false, nil
 }
 
 func newHeaders(header http.Header) []*nodewire.Header {
@@ -164,7 +168,7 @@
 	}
 	w.headSent = true
 	w.header.Del("Connection") // It concerns the connection to this node.
-	return w.stream.Send(&nodewire.CarryPart{Status: int32(code), Headers: newHeaders(w.header), Refused: w.outcome.Refused()})
+	return w.stream.Send(&nodewire.CarryPart{Status: int32(code), Headers: newHeaders(w.header), Refused: w.outcome.Refused(), Untried: w.outcome.Untried()})
 }
 
 // Write implements http.ResponseWriter.
