Bound the retries of every window by a bucket of earned retries

Found while the hypotheses of the incident were weighed, not shown to be what callers saw: the budget bounded each node's past ten seconds, so what a burst had earned was sent after it, in a window with few requests. By the rule's own count of requests (the window, the one before it or half a window before, the largest) that is allowed; by the package's invariant, every window, it is not. Also, a node that starts in a part that is cut off took a share of the slack by the nodes that it could hear of.

Class of fault: a bound that holds by a margin. Change: a request earns its ratio of a retry, a bucket holds the node's share of the slack at most and starts empty, so any window sends at most that share and what its own requests earn. 0.9 of both is used instead of 0.7. While leaders of known zones were not heard, the share is one retry.

The price: a node saves up fewer retries.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -14,33 +14,26 @@
 type Limits struct {
 	// Ratio is the number of retries allowed per request, Slack the number allowed in each window in addition.
 	Ratio, Slack float64
-	// WindowS is the length of the sliding window in seconds.
+	// WindowS is the length of the sliding window in seconds, by which the retries of all nodes are checked.
 	WindowS int
 }
 
 const (
-	// usedFraction is the fraction of the budget that nodes use. The rest is a margin, since their windows
-	// and counts differ from those by which the retries of all nodes are checked.
-	usedFraction = 0.7
-	// assumedNodes is used as the number of nodes while that is not known.
-	assumedNodes = 16
+	// usedFraction is the fraction of the budget that nodes use. The rest covers that a request is counted by its node later
+	// than it was sent, and a retry earlier than it arrives.
+	usedFraction = 0.9
+	// minCapacity is the least number of retries that a node may save up: with less, it could never send one.
+	minCapacity = 1
 	// nodesMemory is how long nodes count after they were heard of. A new leader has heard of few nodes, and a cut-off one of those of its
 	// zone, while the others go on to use their shares.
 	nodesMemory = 10 * time.Minute
 )
 
-// secondCounts are the counts of one second.
-type secondCounts struct {
-	// second is the time since the budgeter was made, in whole seconds.
-	second            int64
-	requests, retries int
-}
-
-// Budgeter counts requests and retries by service. It is safe for concurrent use.
+// Budgeter holds a bucket of retries for each service. Each request adds its share of a retry. A bucket holds at most this node's share of the slack and is
+// empty at the start of a process, so that in any window the node sends at most that share and what the window's requests add, also after a burst and over
+// several starts. It is safe for concurrent use.
 type Budgeter struct {
 	limits Limits
-	// startedAt is when the process started; an earlier process of the same node may have used the slack of the window before.
-	startedAt time.Time
 	// nodes returns the number of nodes that share the budget; 0 when not known.
 	nodes func() int
 	// mu guards everything below.
@@ -48,22 +41,21 @@
 	// mostNodes is the largest number of nodes known since nodesMemory before mostNodesUntil; 0 before the first is known.
 	mostNodes      int
 	mostNodesUntil time.Time
-	// services maps services to the counts within the window, oldest first.
-	services map[string][]secondCounts
+	// retries holds the number of retries that may be sent now, by service; it is not negative and may be a fraction.
+	retries map[string]float64
 }
 
-// New returns a budgeter without any counts for a process that starts now. The function nodes returns the number of nodes that share the
-// budget, or 0 when that is not known.
-func New(now time.Time, limits Limits, nodes func() int) *Budgeter {
-	return &Budgeter{limits: limits, startedAt: now, nodes: nodes, services: map[string][]secondCounts{}}
+// New returns a budgeter whose buckets are empty. The function nodes returns the number of nodes that share the budget, or 0 when that is
+// not known.
+func New(limits Limits, nodes func() int) *Budgeter {
+	return &Budgeter{limits: limits, nodes: nodes, retries: map[string]float64{}}
 }
 
 // CountRequest counts a request for a service, which allows Ratio more retries, and notes how many nodes are known.
 func (b *Budgeter) CountRequest(now time.Time, service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.sharingNodes(now)
-	b.current(now, service).requests++
+	b.retries[service] = min(b.retries[service]+usedFraction*b.limits.Ratio, b.capacity(now))
 }
 
 // AllowRetry reports whether one more retry is within the budget, and counts it if so. Left is the number of retries that this node may still
@@ -71,47 +63,22 @@
 func (b *Budgeter) AllowRetry(now time.Time, service string) (allowed bool, left float64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	current := b.current(now, service)
-	requests, retries := 0, 0
-	for _, counts := range b.services[service] {
-		requests += counts.requests
-		retries += counts.retries
-	}
-	left = usedFraction*b.limits.Ratio*float64(requests) - float64(retries)
-	if b.second(now) >= int64(b.limits.WindowS) {
-		left += usedFraction * b.limits.Slack / float64(b.sharingNodes(now))
-	}
+	left = min(b.retries[service], b.capacity(now))
 	if left < 1 {
 		return false, left
 	}
-	current.retries++
+	b.retries[service] = left - 1
 	return true, left - 1
 }
 
-// sharingNodes returns the largest number of nodes known within nodesMemory; the caller holds mu.
-func (b *Budgeter) sharingNodes(now time.Time) int {
+// capacity returns the number of retries that a bucket holds at most: this node's share of the slack, which is taken as small while the number
+// of nodes is not known. The caller holds mu.
+func (b *Budgeter) capacity(now time.Time) float64 {
 	if nodes := b.nodes(); nodes >= b.mostNodes || now.After(b.mostNodesUntil) {
 		b.mostNodes, b.mostNodesUntil = nodes, now.Add(nodesMemory)
 	}
 	if b.mostNodes <= 0 {
-		return assumedNodes
-	}
-	return b.mostNodes
-}
-
-// second returns the whole seconds since the process started, which a change of the time of day does not alter.
-func (b *Budgeter) second(now time.Time) int64 { return int64(now.Sub(b.startedAt) / time.Second) }
-
-// current returns the counts of the second of now and drops those before the window. The caller holds mu.
-func (b *Budgeter) current(now time.Time, service string) *secondCounts {
-	second := b.second(now)
-	counts := b.services[service]
-	for len(counts) > 0 && counts[0].second <= second-int64(b.limits.WindowS) {
-		counts = counts[1:]
-	}
-	if len(counts) == 0 || counts[len(counts)-1].second != second {
-		counts = append(counts, secondCounts{second: second})
+		return minCapacity
 	}
-	b.services[service] = counts
-	return &counts[len(counts)-1]
+	return max(usedFraction*b.limits.Slack/float64(b.mostNodes), minCapacity)
 }
--- a/budgeter/budgeter_test.go
+++ b/budgeter/budgeter_test.go
@@ -30,6 +30,24 @@
 	// Restarts are the seconds at which all nodes restart. From each second of LeaderChanges on, nodes hear for two seconds of one node only, as
 	// from a leader that has just taken over.
 	Restarts, LeaderChanges []int
+	// Changes replace Loads and Tries from a second on.
+	Changes []struct {
+		At, Tries int
+		Loads     []int
+	}
+	// Least is the least number of retries in the whole time.
+	Least int
+}
+
+// loadAt returns the loads and the number of retries that are attempted at a second.
+func (s script) loadAt(second int) (loads []int, tries int) {
+	loads, tries = s.Loads, s.Tries
+	for _, change := range s.Changes {
+		if second >= change.At {
+			loads, tries = change.Loads, change.Tries
+		}
+	}
+	return loads, tries
 }
 
 // knownNodes returns the number of nodes that each node hears of at a second.
@@ -53,24 +71,25 @@
 	budgets := make([]*budgeter.Budgeter, s.Nodes)
 	known := s.Nodes
 	start := time.Unix(5000, 0)
-	restart := func(now time.Time) {
+	restart := func() {
 		for i := range budgets {
-			budgets[i] = budgeter.New(now, s.Limits, func() int { return known })
+			budgets[i] = budgeter.New(s.Limits, func() int { return known })
 		}
 	}
-	restart(start)
+	restart()
 	requests, retries := make([]int, s.Seconds), make([]int, s.Seconds)
 	for second := range s.Seconds {
 		known = s.knownNodes(second)
 		if lo.Contains(s.Restarts, second) {
-			restart(start.Add(time.Duration(second) * time.Second))
+			restart()
 		}
+		loads, tries := s.loadAt(second)
 		for node, budget := range budgets {
-			for i := range s.Loads[node%len(s.Loads)] {
+			for i := range loads[node%len(loads)] {
 				now := start.Add(time.Duration(second)*time.Second + time.Duration(i)*time.Millisecond)
 				budget.CountRequest(now, "service")
 				requests[second]++
-				for range s.Tries {
+				for range tries {
 					if allowed, _ := budget.AllowRetry(now, "service"); allowed {
 						retries[second]++
 					}
@@ -89,4 +108,9 @@
 		totalRetried += retried
 	}
 	gomega.Expect(totalRetried).To(gomega.BeNumerically(">", 0))
+	sum := 0
+	for _, retried := range retries {
+		sum += retried
+	}
+	gomega.Expect(sum).To(gomega.BeNumerically(">=", s.Least))
 }
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -156,7 +156,7 @@
 	f.workers.OnDeparture(f.observeDeparture)
 	f.subscriber = f.newSubscriber(do.MustInvoke[*demandcounter.Counter](i))
 	retryLimits := budgeter.Limits{Ratio: settings.RetryRatio(), Slack: settings.RetrySlack(), WindowS: settings.RetryWindow()}
-	retryBudget := budgeter.New(time.Now(), retryLimits, f.subscriber.Nodes)
+	retryBudget := budgeter.New(retryLimits, f.sharingNodes)
 	f.forwarder = forwarder.New(forwarder.Dependencies{
 		Zone: settings.Zone(), Catalog: f.watcher.Catalog, Workers: do.MustInvoke[*registrar.Registrar](i), Tracker: f.fleetTracker,
 		DemandCounter: do.MustInvoke[*demandcounter.Counter](i), Assessor: do.MustInvoke[*assessor.Assessor](i), Recorder: do.MustInvoke[*recorder.Recorder](i),
@@ -210,6 +210,18 @@
 	return lo.Uniq(append(zones, f.settings.Zone()))
 }
 
+// sharingNodes returns the number of nodes among which the retry budget is divided, or 0 while a zone is known of whose leader nothing was heard: the
+// leaders of a part that is cut off know of the nodes there only.
+func (f *FleetNode) sharingNodes() int {
+	now := time.Now()
+	for _, zone := range lo.Uniq(append(f.workerZones(), f.leaseholder.Zones()...)) {
+		if !f.fleetTracker.IsLeaderLive(now, zone) {
+			return 0
+		}
+	}
+	return f.subscriber.Nodes()
+}
+
 func (f *FleetNode) newSubscriber(demandCounter *demandcounter.Counter) *subscriber.Subscriber {
 	return subscriber.New(subscriber.Dependencies{
 		Self: f.leaseholder.Self(), Zone: f.settings.Zone(), Holder: f.leaseholder.Holder, Client: f.peers.FleetClient, Drop: f.peers.Drop,
