Grant slots of brittle workers by the leader of their zone

Cause: a bound over all hosts that each host keeps by an estimate. Found on the way: nodes learn that a service is brittle from their own responses only, and forget it after 3 s; at 195 nodes most send as if it were sound.

Change: the leader of a worker's zone grants a slot for each send, as many as the worker runs at the same time. While its count may be wrong (the first ten seconds of a lease, ten after a rejection), the slots at risk are bounded by what the worker bears; a new leader grants nothing for a second. Nodes tell it what became of their slots, at most once in 10 ms a zone. News of brittle services travels with the leaders' announcements, at most twice a second and service. Without a leader, nodes share a fifth of what the worker bears; with a leader of the last landing they act as it does.

--- a/fleetleader/bench_test.go
+++ b/fleetleader/bench_test.go
@@ -50,6 +50,7 @@
 	}
 	leader := New(Dependencies{
 		CrashesSince:    func(first int64) ([]*nodewire.Suspicion, int64) { return nil, first },
+		BrittleSince:    func(first int64) ([]*nodewire.BrittleService, int64) { return nil, first },
 		DeparturesSince: func(first int64) ([]*nodewire.Departure, int64) { return nil, first },
 		LimitsSince:     func(first int64) ([]*nodewire.WorkerLimit, int64) { return nil, first }, Limited: func(string, int64) bool { return false },
 		Node: "n", Zone: "z0", Catalog: func() *cataloger.Catalog { return catalog }, Workers: list, Tracker: tracker, ListFreshness: readNow, Recorder: recorder.New(),
--- a/fleetleader/fleetleader.go
+++ b/fleetleader/fleetleader.go
@@ -106,6 +106,8 @@
 	CrashesSince func(first int64) (crashes []*nodewire.Suspicion, next int64)
 	// LimitsSince returns the changes of workers' limits that this node knows in the same way. Limited reports whether a worker names a limit.
 	LimitsSince func(first int64) (limits []*nodewire.WorkerLimit, next int64)
+	// BrittleSince returns the news of brittle services in the same way.
+	BrittleSince func(first int64) (services []*nodewire.BrittleService, next int64)
 	// DeparturesSince returns the workers that leave by their own word in the same way.
 	DeparturesSince func(first int64) (departures []*nodewire.Departure, next int64)
 	Limited         func(worker string, incarnation int64) bool
--- a/fleetleader/fleetleader_test.go
+++ b/fleetleader/fleetleader_test.go
@@ -177,6 +177,7 @@
 	}
 	z.leader = New(Dependencies{
 		CrashesSince:    func(first int64) ([]*nodewire.Suspicion, int64) { return nil, first },
+		BrittleSince:    func(first int64) ([]*nodewire.BrittleService, int64) { return nil, first },
 		DeparturesSince: func(first int64) ([]*nodewire.Departure, int64) { return nil, first },
 		LimitsSince:     func(first int64) ([]*nodewire.WorkerLimit, int64) { return nil, first }, Limited: func(string, int64) bool { return false },
 		Node: "n", Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, Workers: list, Tracker: fleettracker.New(list), ListFreshness: readNow, Recorder: recorder.New(),
--- a/fleetleader/follow.go
+++ b/fleetleader/follow.go
@@ -31,8 +31,9 @@
 	// listVersion is the version of the store up to which the node knows all changes of the list of workers,
 	// or unknownListVersion.
 	listVersion int64
-	// nextCrash, nextLimit and nextDeparture are the numbers of the first crash, change of a limit and departure that were not sent to the node.
-	nextCrash, nextLimit, nextDeparture int64
+	// nextCrash, nextLimit, nextBrittle and nextDeparture are the numbers of the first crash, change of a limit, news of a brittle service and departure that
+	// were not sent to the node.
+	nextCrash, nextLimit, nextBrittle, nextDeparture int64
 	// carriers are those that were last sent to the node; nil before.
 	carriers []string
 	// leaseVersions holds the version of each zone's lease that was last sent to the node.
@@ -180,6 +181,7 @@
 	}
 	message.Suspicions, f.nextCrash = l.dependencies.CrashesSince(f.nextCrash)
 	message.Limits, f.nextLimit = l.dependencies.LimitsSince(f.nextLimit)
+	message.Brittle, f.nextBrittle = l.dependencies.BrittleSince(f.nextBrittle)
 	message.Departures, f.nextDeparture = l.dependencies.DeparturesSince(f.nextDeparture)
 	for id := range f.changedWorkers {
 		if state, found := l.workers[id]; found {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -211,6 +211,8 @@
 	sentAt       time.Time
 	events       int
 	firstEventAt time.Time
+	// slot is that of the last send or, before it, the one that it was granted; nil unless the worker is brittle.
+	slot *limiter.Slot
 	// worker is the ID of the worker of the last send, software the version of its software, workerLoad the number of requests that it was known to run
 	// when it was chosen; workerLoad is set for requests for models only.
 	worker, software string
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -102,6 +102,7 @@
 	sentAt := time.Now()
 	response, err := f.dependencies.Send(sendCtx, c.Request, send)
 	if err == nil {
+		c.slot.Accept()
 		f.reportLoad(worker, response.Load)
 		f.observeLimit(c, worker, response.PerSecond)
 		f.observePause(c, worker, response.PauseS)
@@ -163,7 +164,7 @@
 				}
 				continue
 			}
-			if f.dependencies.Limiter.Acquire(worker.Zone, worker.ID, worker.Incarnation) {
+			if f.permitSend(c, worker) {
 				return worker, nil
 			}
 			f.endTrial(c, now)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -11,6 +11,7 @@
 	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/assessor"
+	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
@@ -66,7 +67,7 @@
 			}
 			continue
 		}
-		if !f.dependencies.Limiter.Acquire(worker.Zone, worker.ID, worker.Incarnation) {
+		if !f.permitSend(c, worker) {
 			f.endTrial(c, time.Now())
 			continue // The worker is not chosen again before the time at which a permit may be had.
 		}
@@ -138,9 +139,17 @@
 	}
 	log.Debug().Str("request", c.ID).Str("worker", worker.ID).Int("send", c.sends).Int64("left_ms", time.Until(c.deadline).Milliseconds()).
 		Int64("age_ms", c.stateAgeMS).Msg("request sent")
+	slot := c.slot
+	endSilence := func() bool { return false }
+	if slot != nil {
+		endSilence = time.AfterFunc(limiter.SilenceTime, slot.Accept).Stop
+	}
 	return func(err error) {
+		endSilence()
 		var notRun *NotRunError
-		if !errors.As(err, &notRun) || notRun.reason != ReasonUnreachable {
+		isNotRun := errors.As(err, &notRun)
+		slot.End(isNotRun && notRun.reason == ReasonFull)
+		if !isNotRun || notRun.reason != ReasonUnreachable {
 			c.reached, c.retryAllowed = true, false
 		}
 		f.recordOutcome(c, worker, f.isWorkerFault(c, err))
--- a/forwarder/usable.go
+++ b/forwarder/usable.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/acaciaproxy/acaciaproxy/assessor"
+	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
@@ -52,6 +53,22 @@
 	return v
 }
 
+// permitSend reports whether a call may be sent to a worker that was chosen for it. It gets a slot of a brittle worker and a permit of one that names a limit; if
+// it does not, the worker is not chosen again before one may be had.
+func (f *Forwarder) permitSend(c *call, worker *registrar.Worker) bool {
+	seat := limiter.Seat{Service: worker.Service, Zone: worker.Zone, Worker: worker.ID, Incarnation: worker.Incarnation, Slots: worker.Slots}
+	slot, reserved := f.dependencies.Limiter.Reserve(time.Now(), seat, c.deadline)
+	if !reserved {
+		return false
+	}
+	if !f.dependencies.Limiter.Acquire(worker.Zone, worker.ID, worker.Incarnation) {
+		slot.End(false)
+		return false
+	}
+	c.slot = slot
+	return true
+}
+
 // refusalMessages are the messages of refusals by the codes of verdicts.
 var refusalMessages = map[string]string{
 	"limited": "the workers take no more requests now",
--- a/limiter/limiter.go
+++ b/limiter/limiter.go
@@ -96,6 +96,11 @@
 	nextNumber int64
 	// brittle holds the services whose workers are or were brittle, by name.
 	brittle map[string]*brittleService
+	// nextBrittle is the number of the next piece of news of a brittle service.
+	nextBrittle int64
+	// reservations are nil unless ReserveBy was called; uses are what leaders are to be told of slots.
+	reservations *Reservations
+	uses         slotUses
 }
 
 // New returns a limiter that knows no limits. The fields of Limiter of the same names describe its parameters.
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -54,8 +54,9 @@
 	limiter      *limiter.Limiter
 	// carriers are the nodes that may serve requests for this one.
 	carriers carrierList
-	// granter grants permits for limited workers of the zone while this node leads it.
-	granter *limiter.Granter
+	// granter grants permits for limited workers of the zone while this node leads it, slotGranter slots of brittle ones.
+	granter     *limiter.Granter
+	slotGranter *limiter.SlotGranter
 	// arbiter decides on trials of requests that may crash workers while this node leads its zone.
 	arbiter *trier.Arbiter
 	peers   *peerclient.Pool
@@ -129,9 +130,10 @@
 	settings := do.MustInvoke[*settingsreader.Settings](i)
 	f := &FleetNode{
 		settings: settings, workerList: do.MustInvoke[*registrar.Registrar](i), recorder: do.MustInvoke[*recorder.Recorder](i), watcher: do.MustInvoke[*watcher.Watcher](i), crashKeeper: do.MustInvoke[*crashkeeper.Keeper](i), fleetTracker: do.MustInvoke[*fleettracker.Tracker](i),
-		granter: limiter.NewGranter(), arbiter: trier.NewArbiter(), peers: do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: adminserver.NewMetrics(), streamKeeper: streamkeeper.New(),
+		granter: limiter.NewGranter(), slotGranter: limiter.NewSlotGranter(), arbiter: trier.NewArbiter(), peers: do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: adminserver.NewMetrics(), streamKeeper: streamkeeper.New(),
 	}
 	f.limiter = limiter.New(f.askPermits, func() int { return f.subscriber.Nodes() }, do.MustInvoke[*recorder.Recorder](i).Count)
+	f.limiter.ReserveBy(limiter.Reservations{Reserve: f.reserveSlots, Later: tellLater})
 	f.leaseholder = leaseholder.New(leaseholder.Dependencies{
 		Zone: settings.Zone(), Now: timekeeper.Now, QuietMS: settings.QuietMS(), Rows: do.MustInvoke[*platform.Store](i).Rows,
 		Self:       elector.Member{Node: settings.Name(), Incarnation: newIncarnation(settings.Name()), Address: settings.Nodes()},
@@ -147,6 +149,7 @@
 		Tracker: f.fleetTracker, Recorder: do.MustInvoke[*recorder.Recorder](i), SendOrder: f.workers.Order, ReadReport: f.workers.Report,
 		CrashesSince:    func(first int64) ([]*nodewire.Suspicion, int64) { return f.crashesSince(first, false) },
 		LimitsSince:     func(first int64) ([]*nodewire.WorkerLimit, int64) { return f.limitsSince(first, false) },
+		BrittleSince:    func(first int64) ([]*nodewire.BrittleService, int64) { return f.brittleSince(first, false) },
 		DeparturesSince: func(first int64) ([]*nodewire.Departure, int64) { return f.departuresSince(first, false) },
 		Limited:         f.isLimited,
 		Lease:           fleetleader.Lease{Leading: f.leaseholder.Leading, QuietRemaining: f.leaseholder.QuietRemaining, CheckOrder: f.leaseholder.CheckOrder, Leases: f.leaseholder.Leases},
@@ -234,6 +237,8 @@
 		OwnStreams:    f.streamsSince,
 		OwnCrashes:    func(first int64) ([]*nodewire.Suspicion, int64) { return f.crashesSince(first, true) },
 		OwnLimits:     func(first int64) ([]*nodewire.WorkerLimit, int64) { return f.limitsSince(first, true) },
+		OwnBrittle:    func(first int64) ([]*nodewire.BrittleService, int64) { return f.brittleSince(first, true) },
+		OnBrittle:     f.learnBrittle,
 		OwnDepartures: func(first int64) ([]*nodewire.Departure, int64) { return f.departuresSince(first, true) },
 		OnDeparture:   func(departure *nodewire.Departure, zone string) { f.learnDeparture(departure, "leader of "+zone) },
 		OnLimit:       func(limit *nodewire.WorkerLimit, zone string) { f.learnLimit(limit, "leader of "+zone) },
--- a/server/fleetservice.go
+++ b/server/fleetservice.go
@@ -4,9 +4,11 @@
 	"context"
 	"time"
 
+	"github.com/samber/lo"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
 
+	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/nodewire"
 )
 
@@ -38,6 +40,9 @@
 			for _, limit := range demand.GetLimits() {
 				s.node.learnLimit(limit, demand.GetNode())
 			}
+			for _, service := range demand.GetBrittle() {
+				s.node.learnBrittle(service)
+			}
 			s.node.learnStreams(demand.GetStreams())
 			for _, departure := range demand.GetDepartures() {
 				s.node.learnDeparture(departure, demand.GetNode())
@@ -72,6 +77,14 @@
 	return &nodewire.PermitReply{Leading: leading, Granted: int32(granted), RetryMs: time.Until(retryAt).Milliseconds()}, nil
 }
 
+// Reserve implements nodewire.FleetServer. It grants nothing unless this node leads the zone.
+func (s *fleetService) Reserve(_ context.Context, request *nodewire.ReserveRequest) (*nodewire.ReserveReply, error) {
+	now := time.Now()
+	uses := lo.Map(request.GetUses(), func(use *nodewire.SlotUse, _ int) limiter.SlotUse { return newSlotUse(now, use) })
+	granted, retryAt, leading := s.node.applySlotUses(now, request.GetNode(), request.GetZone(), uses)
+	return &nodewire.ReserveReply{Leading: leading, Granted: granted, RetryMs: max(retryAt.Sub(now).Milliseconds(), 0)}, nil
+}
+
 // Try implements nodewire.FleetServer. It grants nothing unless this node leads its zone.
 func (s *fleetService) Try(_ context.Context, request *nodewire.TryRequest) (*nodewire.TryReply, error) {
 	return s.node.try(request), nil
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -78,6 +78,9 @@
 	// CutOff reports whether this node reaches no worker, OnCarriers is called with the addresses of nodes that do, as the leader of a zone knows them.
 	CutOff     func() bool
 	OnCarriers func(zone string, addresses []string)
+	// OwnBrittle and OnBrittle are the same for services whose workers are brittle.
+	OwnBrittle func(first int64) (services []*nodewire.BrittleService, next int64)
+	OnBrittle  func(service *nodewire.BrittleService)
 	// OwnDepartures and OnDeparture are the same for workers that leave by their own word.
 	OwnDepartures func(first int64) (departures []*nodewire.Departure, next int64)
 	OnDeparture   func(departure *nodewire.Departure, zone string)
@@ -246,6 +249,9 @@
 	for _, limit := range view.GetLimits() {
 		s.dependencies.OnLimit(limit, view.GetZone())
 	}
+	for _, service := range view.GetBrittle() {
+		s.dependencies.OnBrittle(service)
+	}
 	for _, departure := range view.GetDepartures() {
 		s.dependencies.OnDeparture(departure, view.GetZone())
 	}
@@ -328,8 +334,9 @@
 	runs    map[demandcounter.RunKey]int
 	// whole is set until the first message is built, which contains the whole demand.
 	whole bool
-	// nextCrash, nextLimit and nextDeparture are the numbers of the first crash, change of a limit and departure that were not sent.
-	nextCrash, nextLimit, nextDeparture int64
+	// nextCrash, nextLimit, nextBrittle and nextDeparture are the numbers of the first crash, change of a limit, news of a brittle service and departure that
+	// were not sent.
+	nextCrash, nextLimit, nextBrittle, nextDeparture int64
 	// zone is the leader's, nextStream the number of the first stream whose origin was not sent.
 	zone       string
 	nextStream int64
@@ -378,9 +385,10 @@
 	}
 	message.Suspicions, sent.nextCrash = s.dependencies.OwnCrashes(sent.nextCrash)
 	message.Limits, sent.nextLimit = s.dependencies.OwnLimits(sent.nextLimit)
+	message.Brittle, sent.nextBrittle = s.dependencies.OwnBrittle(sent.nextBrittle)
 	message.Departures, sent.nextDeparture = s.dependencies.OwnDepartures(sent.nextDeparture)
 	message.Streams, sent.nextStream = s.dependencies.OwnStreams(sent.zone, sent.nextStream)
-	if !sent.whole && len(message.Streams)+len(message.Models)+len(message.Runs)+len(message.Suspicions)+len(message.Limits)+len(message.Departures) == 0 {
+	if !sent.whole && len(message.Streams)+len(message.Models)+len(message.Runs)+len(message.Suspicions)+len(message.Limits)+len(message.Brittle)+len(message.Departures) == 0 {
 		return nil
 	}
 	sent.whole = false
