--- a/soaker/brittle_worker_test.go
+++ b/soaker/brittle_worker_test.go
@@ -31,11 +31,15 @@
 	})
 })
 
-// checkServed returns a breach if the share of an overload's attempts that were served is below minServedShare.
+// checkServed returns a breach if the share of an overload's attempts that were served is below minServedShare, or that of attempts beside odd entries below
+// minAnsweredShare.
 func (p *player) checkServed() []string {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	served := lo.CountBy(p.attempts, func(a nodeAttempt) bool { return a.served })
+	if p.odd && float64(served) < minAnsweredShare*float64(len(p.attempts)) {
+		return []string{fmt.Sprintf("RECOVER: %d of %d attempts served beside odd entries", served, len(p.attempts))}
+	}
 	if p.overloaded && float64(served) < minServedShare*float64(len(p.attempts)) {
 		return []string{fmt.Sprintf("RECOVER: %d of %d attempts served", served, len(p.attempts))}
 	}
--- a/soaker/script_test.go
+++ b/soaker/script_test.go
@@ -92,8 +92,8 @@
 	breaches []string
 	// attempts are those of the load.
 	attempts []nodeAttempt
-	// overloaded is set once an "overload" step was played.
-	overloaded bool
+	// overloaded is set once an "overload" step was played, odd once an "odd" step was.
+	overloaded, odd bool
 	// cut are the nodes that are cut off from all workers since cutAt.
 	cut   []*node
 	cutAt time.Time
@@ -156,6 +156,8 @@
 		return e.forWorkers(words, (*endpoint).setLimit)
 	case "brittle":
 		return e.forWorkers(words, func(target *endpoint, perSecond float64) { target.setBrittle(int(perSecond)) })
+	case "odd":
+		p.putOddEntries()
 	case "depart":
 		return e.forWorkers(words, func(target *endpoint, _ float64) { target.depart() })
 	case "pause":
