Do not take a late copy of an earlier refusal for a request that runs

Cause: a refusal is matched by the attempt's id, but a request that a worker has turned away may be sent to the same worker again, on the same connection; and a refusal without an id was taken for any request. Class of fault: what identifies a message does not differ between two sends.

Change: a request goes to a worker that it was sent to before over a connection of its own. Refused: no reuse of any connection that carried a refusal, since each turned-away request would cost a new connection.

--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -91,12 +91,12 @@
 
 // sendModel sends a request to a worker and relays the response.
 func (f *Forwarder) sendModel(ctx context.Context, c *call, worker *registrar.Worker, relay *relay) error {
+	send := f.newSend(c, worker)
 	endSend := f.beginSend(c, worker)
 	endRun := f.dependencies.DemandCounter.StartRunning(demandcounter.RunKey{Worker: worker.ID, Model: c.Model})
 	defer endRun()
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel() // Closes the connection to the worker, so that it stops running the request.
-	send := f.newSend(c, worker)
 	send.Urgency = urgency(c)
 	send.ResumeAfter = c.lastEventID
 	sentAt := time.Now()
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -91,8 +91,9 @@
 
 // sendPlain sends a request to a worker and reads the complete response; held has the space for its body.
 func (f *Forwarder) sendPlain(ctx context.Context, c *call, worker *registrar.Worker, held *heldBytes) (*Response, []byte, error) {
+	send := f.newSend(c, worker)
 	endSend := f.beginSend(c, worker)
-	response, err := f.dependencies.Send(ctx, c.Request, f.newSend(c, worker))
+	response, err := f.dependencies.Send(ctx, c.Request, send)
 	if err != nil {
 		endSend(err)
 		return nil, nil, err
@@ -121,7 +122,7 @@
 
 // newSend returns the parameters of a send of a call to a worker, without urgency.
 func (f *Forwarder) newSend(c *call, worker *registrar.Worker) Send {
-	return Send{Worker: worker, Deadline: c.deadline.Add(-returnReserve), Urgency: -1, NotRetryable: !c.route.Retryable()}
+	return Send{Worker: worker, Deadline: c.deadline.Add(-returnReserve), Urgency: -1, NotRetryable: !c.route.Retryable(), Again: c.sentTo[worker.ID]}
 }
 
 // returnReserve is how long before the call's deadline the worker's deadline is, so that its response reaches the caller in time.
@@ -130,6 +131,7 @@
 // beginSend counts a send and returns the function that records its end.
 func (f *Forwarder) beginSend(c *call, worker *registrar.Worker) (endSend func(error)) {
 	c.sends++
+	c.sentTo[worker.ID] = true
 	c.sentAt, c.events = time.Now(), 0
 	c.worker, c.software, c.stateAgeMS = worker.ID, worker.Software, f.stateAge(worker).Milliseconds()
 	f.dependencies.Assessor.BeginSend(time.Now(), worker.ID)
