Do not go on with a stream that another worker does not resume

Here an error response, signed or not, closes the caller's connection; that had a test and holds. Three ways were open: a 200 event stream that holds an error or another response's head as events; one that begins anew instead of after the last event; and a stream without a length that is resumed and ends at once, which counted as complete. A stream whose events have no ids was sent again from its beginning.

Change: the first event of a worker that resumes a stream must have a later id than the last that was relayed; else the send is broken and the caller's connection is closed. A resumed stream without a length and without an event has broken off. Without ids nothing is resumed.

Before and after: eight scripts. Four fail without the checks of the sequence and the empty stream, a fifth without that of missing ids; all pass now. Scripts that end with a closed connection now also check the bytes before it and the number of sends.

Open: a stream without a length that ends between two events when its worker's process ends looks like a whole one.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -50,6 +50,8 @@
 	Body   string
 	Cut    bool
 	Stream bool
+	// Unframed is set for a response without a length.
+	Unframed bool
 	// After is the event id after which the send must resume, empty for none. Worker is the intended worker; it is not checked.
 	Worker, After string
 }
@@ -250,6 +252,7 @@
 		return f.versions.send(attempt)
 	}
 	if f.sent >= len(f.sends) {
+		f.sent++
 		return nil, forwarder.NewBrokenError(attempt.Worker.ID, errors.New("the script has no more sends"))
 	}
 	next := f.sends[f.sent]
@@ -266,7 +269,7 @@
 	case next.Broken:
 		return nil, forwarder.NewBrokenError(attempt.Worker.ID, errors.New("connection reset"))
 	}
-	response := &forwarder.Response{Status: next.Status, Header: http.Header{"Content-Type": {"text/plain"}}, PerSecond: f.named}
+	response := &forwarder.Response{Status: next.Status, Unframed: next.Unframed, Header: http.Header{"Content-Type": {"text/plain"}}, PerSecond: f.named}
 	if next.Stream || strings.Contains(next.Body, "id:") {
 		response.Header.Set("Content-Type", "text/event-stream")
 	}
@@ -308,9 +311,14 @@
 			response, err := http.DefaultTransport.RoundTrip(request)
 			if s.Status == 0 {
 				if err == nil {
-					_, err = io.ReadAll(response.Body)
+					var body []byte
+					body, err = io.ReadAll(response.Body)
+					if s.Body != "" {
+						gomega.Expect(string(body)).To(gomega.Equal(s.Body))
+					}
 				}
 				gomega.Expect(err).To(gomega.HaveOccurred())
+				gomega.Expect(f.sent).To(gomega.Equal(len(s.Sends)), "sends")
 				return
 			}
 			gomega.Expect(err).NotTo(gomega.HaveOccurred())
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -69,6 +69,8 @@
 	Header http.Header
 	// Body returns an error if the response is incomplete; it must be closed.
 	Body io.ReadCloser
+	// Unframed is set if the response has no length, so that Body ends in the same way when it is complete and when the worker's process has ended.
+	Unframed bool
 	// Load is nil when the worker did not report it.
 	Load *Load
 	// PerSecond is how many requests a second the worker takes from all nodes together, or nil if it names no limit.
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -83,7 +83,10 @@
 			f.endTrial(c, time.Now())
 			return nil
 		}
-		if err := f.retry(ctx, c, worker, err); err != nil {
+		if retryErr := f.retry(ctx, c, worker, err); retryErr != nil {
+			return relay.endError(retryErr)
+		}
+		if !relay.canContinue() {
 			return relay.endError(err)
 		}
 	}
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 
 	"github.com/acaciaproxy/acaciaproxy/registrar"
@@ -17,6 +19,8 @@
 	call      *call
 	// headSent is set once status and headers were written to the caller.
 	headSent bool
+	// relayed is set once an event was written to the caller. From then on, continues is set from the head of a response to its first event, which must be a later one.
+	relayed, continues bool
 	// pending holds bytes read from the worker that do not form a complete event yet.
 	pending []byte
 }
@@ -45,14 +49,18 @@
 		return r.relayBuffered(response, worker)
 	}
 	r.pending = r.pending[:0]
+	r.continues = r.relayed
 	if !r.headSent {
 		r.headSent = true
 		copyHeader(r.writer.Header(), response.Header)
 		r.writer.WriteHeader(response.Status)
 	}
-	return r.relayEvents(response.Body, worker)
+	return r.relayEvents(response, worker)
 }
 
+// canContinue reports whether another worker can take up the stream where it broke off: no event was relayed yet, or the last one has an id.
+func (r *relay) canContinue() bool { return !r.relayed || r.call.lastEventID != "" }
+
 func hasEventStream(header http.Header) bool {
 	return strings.HasPrefix(header.Get("Content-Type"), "text/event-stream")
 }
@@ -91,12 +99,12 @@
 }
 
 // relayEvents writes complete events to the caller as they arrive.
-func (r *relay) relayEvents(body io.Reader, worker *registrar.Worker) error {
+func (r *relay) relayEvents(response *Response, worker *registrar.Worker) error {
 	buffer := make([]byte, relayBufferBytes)
 	held := &heldBytes{space: &r.forwarder.space}
 	defer held.release()
 	for {
-		n, err := body.Read(buffer)
+		n, err := response.Body.Read(buffer)
 		searched := max(len(r.pending)-len(eventEnd)+1, 0)
 		r.pending = append(r.pending, buffer[:n]...)
 		if flushErr := r.flushEvents(worker, searched); flushErr != nil {
@@ -106,7 +114,8 @@
 			return NewBrokenError(worker.ID, growErr)
 		}
 		if errors.Is(err, io.EOF) {
-			if empty := r.call.events == 0 && r.call.lastEventID == "" && r.call.LastEventID == ""; empty || len(r.pending) > 0 {
+			resumed := r.call.lastEventID != "" || r.call.LastEventID != ""
+			if empty := r.call.events == 0 && (!resumed || response.Unframed); empty || len(r.pending) > 0 {
 				return NewBrokenError(worker.ID, io.ErrUnexpectedEOF) // A stream without a length that breaks off may end like a whole one.
 			}
 			r.forwarder.recordAnswer(r.call)
@@ -126,8 +135,15 @@
 	}
 	lastEnd += searched
 	events := r.pending[:lastEnd+len(eventEnd)]
+	if r.continues {
+		if id := firstEventID(events); !follows(id, r.call.lastEventID) {
+			return &sequenceError{last: r.call.lastEventID, next: id}
+		}
+		r.continues = false
+	}
 	r.recordLastEventID(events)
 	r.forwarder.recordEvents(r.call, worker, bytes.Count(events, eventEnd))
+	r.relayed = true
 	if _, err := r.writer.Write(events); err != nil {
 		return err
 	}
@@ -138,6 +154,38 @@
 	return nil
 }
 
+// sequenceError reports that a worker that was to take up a stream began with something else than a later event.
+type sequenceError struct {
+	// last is the id of the last event that was relayed, next that of the worker's first, or empty.
+	last, next string
+}
+
+// Error names both ids.
+func (e *sequenceError) Error() string {
+	return fmt.Sprintf("worker did not resume the stream after event %q; it began with %q", e.last, e.next)
+}
+
+// firstEventID returns the id of the first of the events, or an empty string if it has none.
+func firstEventID(events []byte) string {
+	first, _, _ := bytes.Cut(events, eventEnd)
+	for _, line := range bytes.Split(first, []byte("\n")) {
+		if id, found := bytes.CutPrefix(line, eventIDField); found {
+			return string(bytes.TrimSpace(id))
+		}
+	}
+	return ""
+}
+
+// follows reports whether an event may come after another one, by their ids, which increase. Ids that are not numbers are not compared.
+func follows(id, last string) bool {
+	number, err := strconv.ParseInt(id, 10, 64)
+	lastNumber, lastErr := strconv.ParseInt(last, 10, 64)
+	if err != nil || lastErr != nil {
+		return id != "" && id != last
+	}
+	return number > lastNumber
+}
+
 // recordLastEventID records the last id among the events.
 func (r *relay) recordLastEventID(events []byte) {
 	for _, line := range bytes.Split(events, []byte("\n")) {
