Divide the retry budget by the nodes of all zones that have a lease

Reading the change again: a zone that only an odd entry of the list of workers names would have kept every node at one saved retry, and so would, after ten minutes, a zone that is gone for good. Zones count by their leases, and the last known number stays while the present one is not known. By reading; the scripts of the budgeter pass as before.

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -74,7 +74,7 @@
 // capacity returns the number of retries that a bucket holds at most: this node's share of the slack, which is taken as small while the number
 // of nodes is not known. The caller holds mu.
 func (b *Budgeter) capacity(now time.Time) float64 {
-	if nodes := b.nodes(); nodes >= b.mostNodes || now.After(b.mostNodesUntil) {
+	if nodes := b.nodes(); nodes > 0 && (nodes >= b.mostNodes || now.After(b.mostNodesUntil)) {
 		b.mostNodes, b.mostNodesUntil = nodes, now.Add(nodesMemory)
 	}
 	if b.mostNodes <= 0 {
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -213,11 +213,11 @@
 	return lo.Uniq(append(zones, f.settings.Zone()))
 }
 
-// sharingNodes returns the number of nodes among which the retry budget is divided, or 0 while a zone is known of whose leader nothing was heard: the
-// leaders of a part that is cut off know of the nodes there only.
+// sharingNodes returns the number of nodes among which the retry budget is divided, or 0 while a zone has a lease and nothing was heard of its leader: the
+// leaders of a part that is cut off know of the nodes there only. Zones that only entries of workers name may have no nodes.
 func (f *FleetNode) sharingNodes() int {
 	now := time.Now()
-	for _, zone := range lo.Uniq(append(f.workerZones(), f.leaseholder.Zones()...)) {
+	for _, zone := range f.leaseholder.Zones() {
 		if !f.fleetTracker.IsLeaderLive(now, zone) {
 			return 0
 		}
