Free slots that no node uses, and ignore earlier starts of a brittle worker

Found when the change was read again: a slot whose grant did not reach the node was held until its request's deadline, up to 25 s, so a slow leader would have lost all slots of a worker; and a node with an older list made the leader forget the slots of the worker's present start. A slot that is not accepted within two seconds is free; earlier starts get none. A denied node waits 10 ms at least.

--- a/limiter/reservations.go
+++ b/limiter/reservations.go
@@ -14,6 +14,8 @@
 	SilenceTime = 100 * time.Millisecond
 	// reserveTimeout bounds the call to the leader.
 	reserveTimeout = 150 * time.Millisecond
+	// minDenied is the least time for which a node that was denied a slot does not ask again.
+	minDenied = 10 * time.Millisecond
 	// unledTime is how long a node that got no reply of a worker's leader does without.
 	unledTime = time.Second
 )
@@ -223,6 +225,9 @@
 		delete(known.unledUntil, seat.Worker)
 	}
 	if !granted {
+		if earliest := now.Add(minDenied); retryAt.Before(earliest) {
+			retryAt = earliest
+		}
 		known.dropPast(now)
 		known.pausedUntil[seat.Worker] = retryAt
 		l.count("slots denied")
--- a/limiter/slots.go
+++ b/limiter/slots.go
@@ -16,6 +16,8 @@
 	settleTime = arrivalTime
 	// cautionTime is how long a leader distrusts its count of a worker's requests, after it took the lease or the worker turned a request away.
 	cautionTime = 10 * time.Second
+	// unusedTime is the time after which a slot counts as not used if the node has not told that the worker took the request; it tells within a fraction of a second.
+	unusedTime = arrivalTime + time.Second
 	// fullRetry is when a worker whose slots are taken is likely to have one, about the time that a short response takes.
 	fullRetry = 50 * time.Millisecond
 )
@@ -55,7 +57,7 @@
 // slotWorker is what a leader knows of the slots of one start of a brittle worker.
 type slotWorker struct {
 	incarnation int64
-	// grants are the slots whose requests have not ended, oldest first.
+	// grants are the slots whose requests have not ended, oldest first. Those that are not accepted are younger than unusedTime.
 	grants []slotGrant
 	// rejections are when the slots were granted whose requests the worker turned away lately, in no particular order.
 	rejections []time.Time
@@ -89,6 +91,9 @@
 		g.epoch, g.since, g.workers = epoch, now, map[string]*slotWorker{}
 	}
 	worker := g.workers[use.Worker]
+	if worker != nil && use.Incarnation < worker.incarnation {
+		return false, now.Add(fullRetry) // The node does not know yet that the worker has started again.
+	}
 	if worker == nil || worker.incarnation != use.Incarnation {
 		g.dropIdle(now)
 		worker = &slotWorker{incarnation: use.Incarnation}
@@ -133,18 +138,18 @@
 			ended--
 			return false
 		}
-		return now.Before(grant.endsAt)
+		return now.Before(grant.endsAt) && (grant.accepted || now.Sub(grant.grantedAt) < unusedTime)
 	})
 	if use.Rejected > 0 {
 		w.distrustedUntil = now.Add(cautionTime)
 	}
-	w.rejections = lo.Filter(w.rejections, func(grantedAt time.Time, _ int) bool { return now.Sub(grantedAt) < arrivalTime+time.Second })
+	w.rejections = lo.Filter(w.rejections, func(grantedAt time.Time, _ int) bool { return now.Sub(grantedAt) < unusedTime })
 }
 
 // atRisk returns the number of requests that the worker may turn away within the same second as one that is granted now.
 func (w *slotWorker) atRisk(now time.Time) int {
 	return len(w.rejections) + lo.CountBy(w.grants, func(grant slotGrant) bool {
-		return !grant.accepted && now.Sub(grant.grantedAt) < arrivalTime+time.Second
+		return !grant.accepted && now.Sub(grant.grantedAt) < unusedTime
 	})
 }
 
