Count late rejections of brittle workers, and take a request for accepted later

Found when the change was read again: a worker may turn a request away later than 100 ms after the send began, when the connection took up to 350 ms to open or the node is slow; the leader then neither counted the rejection nor became cautious. A request counts as taken after 400 ms of silence or with the head of its response, and a rejection counts also after that. Without a leader, a worker that bears no rejection gets nothing.

--- a/limiter/brittle.go
+++ b/limiter/brittle.go
@@ -61,7 +61,10 @@
 		emptied := newBucket(now)
 		s.unled[worker] = &emptied
 	}
-	taken, _ := s.unled[worker].take(now, max(rate, minRate/assumedNodes), 1, 1)
+	if rate <= 0 {
+		return false
+	}
+	taken, _ := s.unled[worker].take(now, rate, 1, 1)
 	return taken > 0
 }
 
--- a/limiter/reservations.go
+++ b/limiter/reservations.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// SilenceTime is the time after a send in which a worker without room would have turned the request away.
-	SilenceTime = 100 * time.Millisecond
+	// SilenceTime is the time after the begin of a send in which a worker without room would have turned the request away; opening a connection may take most of it.
+	SilenceTime = 400 * time.Millisecond
 	// reserveTimeout bounds the call to the leader.
 	reserveTimeout = 150 * time.Millisecond
 	// minDenied is the least time for which a node that was denied a slot does not ask again.
@@ -158,7 +158,7 @@
 	use := s.use
 	use.Ended = 1
 	switch {
-	case rejected && !s.accepted:
+	case rejected:
 		use.Rejected = 1
 	case !s.accepted:
 		use.Accepted = 1
--- a/limiter/slots.go
+++ b/limiter/slots.go
@@ -35,7 +35,7 @@
 	Wanted bool
 	EndsAt time.Time
 	// Accepted and Rejected count the slots whose requests the worker took or turned away, Ended those whose requests have ended. A request that was
-	// turned away has ended too.
+	// turned away has ended too; it may have been told as taken before.
 	Accepted, Rejected, Ended int
 }
 
@@ -59,7 +59,7 @@
 	incarnation int64
 	// grants are the slots whose requests have not ended, oldest first. Those that are not accepted are younger than unusedTime.
 	grants []slotGrant
-	// rejections are when the slots were granted whose requests the worker turned away lately, in no particular order.
+	// rejections are when this node was told of requests with its slots that the worker turned away, oldest first, for unusedTime.
 	rejections []time.Time
 	// distrustedUntil is the end of the caution after the last of these; usedAt is when a node asked for the worker last.
 	distrustedUntil, usedAt time.Time
@@ -121,7 +121,9 @@
 
 // settle applies what became of a node's slots and drops what is over.
 func (w *slotWorker) settle(now time.Time, node string, use SlotUse) {
-	accepted, rejected, ended := use.Accepted, use.Rejected, use.Ended-use.Rejected
+	accepted, ended := use.Accepted, use.Ended-use.Rejected
+	rejected := w.reject(now, node, false, use.Rejected)
+	w.reject(now, node, true, rejected)
 	for i := range w.grants {
 		if grant := &w.grants[i]; grant.node == node && !grant.accepted && accepted > 0 {
 			grant.accepted = true
@@ -130,10 +132,6 @@
 	}
 	w.grants = lo.Filter(w.grants, func(grant slotGrant, _ int) bool {
 		switch {
-		case grant.node == node && !grant.accepted && rejected > 0:
-			rejected--
-			w.rejections = append(w.rejections, grant.grantedAt)
-			return false
 		case grant.node == node && grant.accepted && ended > 0:
 			ended--
 			return false
@@ -143,7 +141,20 @@
 	if use.Rejected > 0 {
 		w.distrustedUntil = now.Add(cautionTime)
 	}
-	w.rejections = lo.Filter(w.rejections, func(grantedAt time.Time, _ int) bool { return now.Sub(grantedAt) < unusedTime })
+	w.rejections = lo.Filter(w.rejections, func(toldAt time.Time, _ int) bool { return now.Sub(toldAt) < unusedTime })
+}
+
+// reject ends a number of a node's slots, accepted ones or others, whose requests the worker turned away. It returns how many were not found.
+func (w *slotWorker) reject(now time.Time, node string, accepted bool, count int) (left int) {
+	w.grants = lo.Reject(w.grants, func(grant slotGrant, _ int) bool {
+		if grant.node != node || grant.accepted != accepted || count == 0 {
+			return false
+		}
+		count--
+		w.rejections = append(w.rejections, now)
+		return true
+	})
+	return count
 }
 
 // atRisk returns the number of requests that the worker may turn away within the same second as one that is granted now.
