--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -318,6 +318,8 @@
 					}
 				}
 				gomega.Expect(err).To(gomega.HaveOccurred())
+				f.mu.Lock()
+				defer f.mu.Unlock()
 				gomega.Expect(f.sent).To(gomega.Equal(len(s.Sends)), "sends")
 				return
 			}
