--- a/review/player/node.go
+++ b/review/player/node.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"io"
+	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"os/exec"
@@ -28,10 +30,27 @@
 
 var program, folder string
 
+// Ports of nodes are below those that the kernel gives to outgoing connections, so that no connection takes one before its node starts.
+const (
+	firstPort = 14000
+	lastPort  = 31000
+)
+
+var nextPort = firstPort + rand.IntN(lastPort-firstPort)
+
 func freeAddress() string {
-	listener := listen()
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
+	for range lastPort - firstPort {
+		if nextPort++; nextPort > lastPort {
+			nextPort = firstPort
+		}
+		address := fmt.Sprintf("127.0.0.1:%d", nextPort)
+		if listener, err := net.Listen("tcp", address); err == nil {
+			_ = listener.Close()
+			return address
+		}
+	}
+	void("no free port")
+	return ""
 }
 
 // newNode writes the settings of a node, as the platform fills in deploy/settings.json.
