--- a/review/player/main.go
+++ b/review/player/main.go
@@ -26,6 +26,7 @@
 	"stop":  playStop,
 	"lease": playLease,
 	"join":  playJoin,
+	"path":  playPath,
 	"room":  playRoom,
 }
 
--- a/review/player/worker.go
+++ b/review/player/worker.go
@@ -29,7 +29,8 @@
 type run struct {
 	attempt, worker, software string
 	began, ended              time.Time
-	after                     int // Last-Event-Id
+	after                     int    // Last-Event-Id
+	target                    string // as in the request line
 	whole                     bool
 }
 
@@ -340,11 +341,11 @@
 	w.active++
 	w.mu.Unlock()
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	this := &run{attempt: attempt, worker: w.id, software: w.software, began: time.Now(), after: after}
+	this := &run{attempt: attempt, worker: w.id, software: w.software, began: time.Now(), after: after, target: r.RequestURI}
 	w.seen.mu.Lock()
 	w.seen.runs = append(w.seen.runs, this)
 	w.seen.mu.Unlock()
-	notes.add("worker %s: runs %s after event %d", w.id, attempt, after)
+	notes.add("worker %s: runs %s, %s %s, after event %d", w.id, attempt, r.Method, r.RequestURI, after)
 	defer func() {
 		w.mu.Lock()
 		w.active--
