--- a/review/player/join.go
+++ b/review/player/join.go
@@ -135,7 +135,7 @@
 		r := request{method: http.MethodPost, path: pathBatch + "2f", attempt: fmt.Sprintf("%s-%d", name, try), model: "m0", budget: time.Until(deadline)}
 		if len(p.ids) > 0 {
 			r.lastEvent = strconv.Itoa(p.ids[len(p.ids)-1])
-			if os.Getenv("RESUMES") == "1" { // The project's own stand-in sends it; the users' pages do not name it.
+			if os.Getenv("RESUMES") != "0" { // The bench's clients send it; the users' pages do not name it.
 				r.resumes = origin
 			}
 		}
--- a/review/player/lease.go
+++ b/review/player/lease.go
@@ -14,10 +14,12 @@
 const thawMS = 300
 
 const (
-	leaseZone   = "riga-a"
-	leaseModels = 10
-	freezeTime  = 4 * time.Second
-	rollGap     = 1300 * time.Millisecond // between two machines of a rolling restart
+	leaseZone    = "riga-a"
+	leaseModels  = 16
+	leaseWorkers = 4
+	leaseClients = 24
+	freezeTime   = 4 * time.Second
+	rollGap      = 1 * time.Second // between two machines of a rolling restart
 )
 
 // holder returns the node that the zone's lease row names. The row is the system's own; the case reads it only to choose whom to disrupt.
@@ -51,7 +53,7 @@
 		models = append(models, model{name: fmt.Sprintf("m%d", i), weightsMB: 65000, loadS: 1, diskS: 0.5, warmS: 0.3})
 	}
 	s.put("op", "config", configuration(10, models, 140000))
-	for i := range 2 {
+	for i := range leaseWorkers {
 		w := &worker{
 			id: fmt.Sprintf("i-model-%d", i), service: modelService, zone: leaseZone, software: "v1", store: s, seen: saw, models: models, capacityMB: 140000, slots: 64,
 			events: 4, gap: 30 * time.Millisecond, loaded: map[string]bool{models[2*i].name: true, models[2*i+1].name: true},
@@ -72,7 +74,7 @@
 	awaitReady(fronts...)
 	ending := make(chan struct{})
 	var served, failed atomic.Int64
-	for i := range 12 {
+	for i := range leaseClients {
 		go func() {
 			for n := 0; ; n++ {
 				select {
@@ -120,7 +122,7 @@
 		third := awaitHolder(s, second, 8*time.Second)
 		notes.add("leader: %s", third)
 		time.Sleep(10 * time.Second)
-		// Planned: a rolling restart, the leading machine first, 1.3 s between two machines.
+		// Planned: a rolling restart, the leading machine first, a second between two machines.
 		for range 2 {
 			name := awaitHolder(s, "", 3*time.Second)
 			if byName[name].command == nil || !byName[name].running() {
