--- a/review/player/lease.go
+++ b/review/player/lease.go
@@ -45,8 +45,8 @@
 	return ""
 }
 
-// playLease freezes the machine that gives the orders, lets it wake, and then restarts the machines of the zone one after the other.
-func playLease(trouble bool) bool {
+// leaseWorld returns a store with the configuration and model workers that hold half of the models, so that a leader gives orders all the time.
+func leaseWorld() (*store, *seen, []model) {
 	s, saw := newStore(), &seen{}
 	var models []model
 	for i := range leaseModels {
@@ -60,25 +60,22 @@
 		}
 		w.start()
 	}
-	byName := map[string]*node{}
-	startNode := func(name string) *node {
-		n := addNode(s, name, leaseZone)
-		n.start()
-		byName[name] = n
-		return n
-	}
-	var fronts []*node
-	for i := range 3 {
-		fronts = append(fronts, startNode(fmt.Sprintf("front-riga-a-%d", i+1)))
-	}
-	awaitReady(fronts...)
-	ending := make(chan struct{})
-	var served, failed atomic.Int64
+	return s, saw, models
+}
+
+// leaseLoad are clients that ask for all models alike, each time at another node.
+type leaseLoad struct {
+	ending         chan struct{}
+	served, failed atomic.Int64
+}
+
+func startLeaseLoad(models []model) *leaseLoad {
+	l := &leaseLoad{ending: make(chan struct{})}
 	for i := range leaseClients {
 		go func() {
 			for n := 0; ; n++ {
 				select {
-				case <-ending:
+				case <-l.ending:
 					return
 				default:
 				}
@@ -93,14 +90,33 @@
 				a := c.send(request{method: http.MethodPost, path: pathBatch + "2f", attempt: fmt.Sprintf("c%d-%d", i, n), model: models[rand.IntN(len(models))].name, budget: batchBudget})
 				c.close()
 				if a.whole && a.status == http.StatusOK {
-					served.Add(1)
+					l.served.Add(1)
 				} else {
-					failed.Add(1)
+					l.failed.Add(1)
 					time.Sleep(200 * time.Millisecond)
 				}
 			}
 		}()
 	}
+	return l
+}
+
+// playLease freezes the machine that gives the orders, lets it wake, and then restarts the machines of the zone one after the other.
+func playLease(trouble bool) bool {
+	s, saw, models := leaseWorld()
+	byName := map[string]*node{}
+	startNode := func(name string) *node {
+		n := addNode(s, name, leaseZone)
+		n.start()
+		byName[name] = n
+		return n
+	}
+	var fronts []*node
+	for i := range 3 {
+		fronts = append(fronts, startNode(fmt.Sprintf("front-riga-a-%d", i+1)))
+	}
+	awaitReady(fronts...)
+	load := startLeaseLoad(models)
 	time.Sleep(8 * time.Second)
 	first := awaitHolder(s, "", 5*time.Second)
 	notes.add("leader: %s", first)
@@ -138,10 +154,10 @@
 		}
 		time.Sleep(10 * time.Second)
 	}
-	close(ending)
+	close(load.ending)
 	orders := saw.allOrders()
-	notes.say("%d requests served, %d not; %d orders", served.Load(), failed.Load(), len(orders))
-	if served.Load() < 50 || len(orders) < 20 {
+	notes.say("%d requests served, %d not; %d orders", load.served.Load(), load.failed.Load(), len(orders))
+	if load.served.Load() < 50 || len(orders) < 20 {
 		void("the system did not serve")
 	}
 	return turns(orders, byName) > 0
--- a/review/player/main.go
+++ b/review/player/main.go
@@ -23,11 +23,13 @@
 }
 
 var cases = map[string]func(trouble bool) (broken bool){
-	"stop":  playStop,
-	"lease": playLease,
-	"join":  playJoin,
-	"path":  playPath,
-	"room":  playRoom,
+	"stop":   playStop,
+	"lease":  playLease,
+	"join":   playJoin,
+	"path":   playPath,
+	"resume": playResume,
+	"drill":  playDrill,
+	"room":   playRoom,
 }
 
 func main() {
--- a/review/player/store.go
+++ b/review/player/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/base64"
 	"encoding/json"
+	"maps"
 	"net"
 	"net/http"
 	"sort"
@@ -26,6 +27,7 @@
 	rows    map[string]*row
 	changed chan struct{}
 	started time.Time
+	era     int64 // rises with each return from an older copy
 }
 
 // door is the address at which one node reaches the store.
@@ -143,6 +145,9 @@
 		encoded = append(encoded, entry)
 	}
 	text, _ := json.Marshal(map[string]any{"rows": encoded, "hasMore": more, "rowVersion": version, "serverTimeMs": time.Since(s.started).Milliseconds()})
+	s.mu.Lock()
+	w.Header().Set("Store-Era", strconv.FormatInt(s.era, 10))
+	s.mu.Unlock()
 	w.Header().Set("Content-Type", "application/json")
 	w.WriteHeader(status)
 	_, _ = w.Write(text)
@@ -176,6 +181,10 @@
 		}
 		version, changed := s.version, s.changed
 		s.mu.Unlock()
+		if after > version {
+			s.answer(w, http.StatusGone, nil, false, version)
+			return
+		}
 		sort.Slice(found, func(i, j int) bool { return found[i].version < found[j].version })
 		if len(found) > 0 {
 			s.answer(w, http.StatusOK, found, false, version)
@@ -238,3 +247,25 @@
 	}
 	s.answer(w, http.StatusOK, nil, false, version)
 }
+
+// copied is the content of the store at one moment.
+type copied struct {
+	version int64
+	rows    map[string]*row
+}
+
+func (s *store) copy() copied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return copied{version: s.version, rows: maps.Clone(s.rows)} // rows are never changed
+}
+
+// restore brings a copy back: what was written since is gone, and its versions are given out again.
+func (s *store) restore(from copied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.version, s.rows = from.version, maps.Clone(from.rows)
+	s.era++
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
