--- a/review/player/lease.go
+++ b/review/player/lease.go
@@ -18,6 +18,7 @@
 	leaseModels  = 16
 	leaseWorkers = 4
 	leaseClients = 24
+	maxReplaced  = 4
 	freezeTime   = 4 * time.Second
 	rollGap      = 1 * time.Second // between two machines of a rolling restart
 )
@@ -123,14 +124,24 @@
 	if !trouble {
 		time.Sleep(30 * time.Second)
 	} else {
-		// Planned: a new machine is added, and the one that leads is taken away.
-		added := startNode("front-riga-a-4")
-		awaitReady(added)
-		time.Sleep(2 * time.Second)
-		go byName[first].stop()
-		second := awaitHolder(s, first, 6*time.Second)
-		notes.add("leader: %s", second)
-		<-byName[first].ended
+		// Planned: a new machine is added, and the one that leads is taken away, again if the new one does not lead then.
+		second := first
+		for replaced := 1; ; replaced++ {
+			added := startNode(fmt.Sprintf("front-riga-a-%d", 3+replaced))
+			awaitReady(added)
+			time.Sleep(2 * time.Second)
+			removed := byName[second]
+			go removed.stop()
+			second = awaitHolder(s, removed.name, 6*time.Second)
+			notes.add("leader: %s", second)
+			<-removed.ended
+			if second == added.name {
+				break
+			}
+			if replaced == maxReplaced {
+				void("no new machine came to lead")
+			}
+		}
 		time.Sleep(6 * time.Second)
 		second = holder(s)
 		// Unplanned: the machine that leads stands still for four seconds.
--- a/review/player/worker.go
+++ b/review/player/worker.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strconv"
 	"strings"
@@ -318,6 +319,9 @@
 }
 
 func (w *worker) request(out http.ResponseWriter, r *http.Request) {
+	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+		panic(http.ErrAbortHandler)
+	}
 	attempt := r.Header.Get("X-Acaciaproxy-Attempt-Id")
 	out.Header().Set("X-Acaciaproxy-Attempt-Id", attempt)
 	name, adapter, _ := strings.Cut(r.Header.Get("X-Acaciaproxy-Model"), "/")
