--- a/review/player/node.go
+++ b/review/player/node.go
@@ -9,6 +9,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -76,7 +78,8 @@
 	}
 	n.command = exec.Command(program, "serve", "-settings", n.settings)
 	n.command.Stdout, n.command.Stderr = output, output
-	if err := n.command.Start(); err != nil {
+	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := startProcess(n.command); err != nil {
 		void("start %s: %v", n.name, err)
 	}
 	n.starts++
@@ -91,6 +94,33 @@
 	}()
 }
 
+// starts are processes to be started, each with where the result goes.
+var starts = make(chan struct {
+	command *exec.Cmd
+	result  chan error
+})
+
+// startProcess starts a process that ends with this one, however that ends. The kernel ties it to the thread that started it, so one thread starts
+// all of them and never ends before.
+func startProcess(command *exec.Cmd) error {
+	startThread.Do(func() {
+		go func() {
+			runtime.LockOSThread()
+			for start := range starts {
+				start.result <- start.command.Start()
+			}
+		}()
+	})
+	result := make(chan error)
+	starts <- struct {
+		command *exec.Cmd
+		result  chan error
+	}{command, result}
+	return <-result
+}
+
+var startThread sync.Once
+
 func (n *node) signal(signal syscall.Signal) {
 	notes.add("node %s: %v", n.name, signal)
 	_ = n.command.Process.Signal(signal)
--- a/review/player/room.go
+++ b/review/player/room.go
@@ -14,7 +14,7 @@
 	roomAdapters  = 4
 	roomTime      = 12 * time.Second
 	roomClients   = 8
-	roomSteady    = 2               // clients whose demand stays at the models
+	roomSteady    = 4               // clients whose demand stays at the models
 	roomDown      = 3 * time.Second // a crashed worker is back after some seconds
 )
 
