Keep the origins of streams in the store while several versions serve

What callers saw: LOST. Each was refused as origin_unknown.

Cause: where a stream began is kept in the memory of the node that relays it and of three leaders. If they end together, nobody knows. Evidence: the log line "origin of stream looked up" names no source, with both versions listed and all leaders answering; it rules out slow or missing leaders.

Change: the leader of a zone writes the origins of its nodes' streams into the store, which nodes send it only while a service has several versions: at most one row of 2,000 streams in 0.4 s, in 48 rows a zone used in turn. A node that finds an origin neither itself nor at the leaders reads them, at most every 0.5 s and a tenth of the time. Without several versions nothing is written or read. Refused: to choose the version by a hash of the attempt, since streams that had to go elsewhere would be joined from two versions again.

The script "a caller takes a stream up that began before all nodes ended" is refused without the look into the store. A stream that began within the last half second before all nodes end is in no row and is refused, as before.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -69,10 +69,11 @@
 	// one may be asked; untried is set if the request has reached no worker there. The error is a *NotRunError if no node has taken it, else it may have run.
 	Carry func(ctx context.Context, request *Request, deadline time.Time, refused func(untried bool) (askNext bool)) (*Carried, error)
 	// Streams holds the software versions at which streams began. FindStream asks the leaders; complete is set if none of them knows and all have answered.
-	// ListFresh reports whether the list of workers is not old.
-	Streams    *streamkeeper.Keeper
-	FindStream func(deadline time.Time, attempt uint64) (origin streamkeeper.Origin, known, complete bool)
-	ListFresh  func(now time.Time) bool
+	// FindArchived looks in the store; read is set if that could be read. ListFresh reports whether the list of workers is not old.
+	Streams      *streamkeeper.Keeper
+	FindStream   func(deadline time.Time, attempt uint64) (origin streamkeeper.Origin, known, complete bool)
+	FindArchived func(attempt uint64) (origin streamkeeper.Origin, known, read bool)
+	ListFresh    func(now time.Time) bool
 	// Budget limits the sends beyond the first of each request.
 	Budget Budget
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -91,6 +91,9 @@
 	listOld   bool
 	// leadersAnswer is set if all leaders answer.
 	leadersAnswer bool
+	// archived is the version at which the stream of the attempt "first" began, as the store holds it; archiveRead is set if the store can be read.
+	archived    string
+	archiveRead bool
 	// named is the limit that responses name, or nil.
 	named *float64
 	// permits is the number of permits that the leader grants; it denies more for a second.
@@ -154,7 +157,7 @@
 		Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, Workers: f.list, Tracker: f.tracker, DemandCounter: demandcounter.New(),
 		Assessor: assessor.New(), Limiter: f.limiter, Recorder: f.recorder, Ready: func() bool { return true }, Isolated: func() bool { return f.isolated },
 		Decode: decode, Send: f.send, SetAttemptID: func(http.Header, string) {}, Crashed: f.hasCrashed,
-		Streams: f.streams, FindStream: f.findStream, ListFresh: func(time.Time) bool { return !f.listOld },
+		Streams: f.streams, FindStream: f.findStream, FindArchived: f.findArchived, ListFresh: func(time.Time) bool { return !f.listOld },
 		Carry:   f.carry,
 		Crashes: f.crashes, CrashesKnown: func() bool { return true },
 		Trier: trier.New("n", func() int { return 1 }, trier.Arbitration{
@@ -199,6 +202,14 @@
 	return streamkeeper.Origin{}, false, f.leadersAnswer
 }
 
+// findArchived returns the origins that the store holds.
+func (f *fixture) findArchived(attempt uint64) (origin streamkeeper.Origin, known, read bool) {
+	if f.archived != "" && attempt == streamkeeper.Hash("first") {
+		return streamkeeper.Origin{Service: "models", Software: f.archived}, true, true
+	}
+	return streamkeeper.Origin{}, false, f.archiveRead
+}
+
 // ask grants the permits of the fixture.
 func (f *fixture) ask(time.Time, string, limiter.Limit, int) (granted int, retryAt time.Time, err error) {
 	f.mu.Lock()
--- a/forwarder/origins.go
+++ b/forwarder/origins.go
@@ -124,11 +124,14 @@
 		}
 	}
 	version, known, complete := f.dependencies.FindStream(now.Add(findStreamTimeout), attempt)
-	if known || !complete {
-		return version, "leaders", known, known
+	if known {
+		return version, "leaders", true, true
 	}
-	version, known = f.onlyVersion(now, c.service)
-	return version, "only version, no leader knows another", known, true
+	if only, single := f.onlyVersion(now, c.service); single {
+		return only, "only version, no leader knows another", complete, complete
+	}
+	version, known, read := f.dependencies.FindArchived(attempt)
+	return version, "store", known, known || complete && read
 }
 
 // onlyVersion returns the software version of a service's workers if this node has listed only one for a minute.
--- a/forwarder/versions_test.go
+++ b/forwarder/versions_test.go
@@ -24,7 +24,9 @@
 	Name                            string
 	Workers                         []string
 	Resumes, After, Own, Leaders    string
+	Archived                        string
 	ListOld, LeadersAnswer, Crashed bool
+	StoreDown                       bool
 	Sends                           []versionSend
 	Status, LeadersAfterMS          int
 	Code, CrashedBefore             string
@@ -81,6 +83,7 @@
 		ginkgo.It(s.Name, func() {
 			f := newFixture(nil, false)
 			defer f.server.Close()
+			f.archived, f.archiveRead = s.Archived, !s.StoreDown
 			f.crashed, f.listOld, f.leadersAnswer, f.versions = s.Crashed, s.ListOld, s.LeadersAnswer, &versionPlayer{script: s}
 			now := time.Now()
 			workers := lo.Map(s.Workers, func(text string, _ int) registrar.Worker {
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc"
 
 	"github.com/acaciaproxy/acaciaproxy/adminserver"
+	"github.com/acaciaproxy/acaciaproxy/archiver"
 	"github.com/acaciaproxy/acaciaproxy/assessor"
 	"github.com/acaciaproxy/acaciaproxy/budgeter"
 	"github.com/acaciaproxy/acaciaproxy/crashkeeper"
@@ -49,9 +50,11 @@
 	forwarder    *forwarder.Forwarder
 	crashKeeper  *crashkeeper.Keeper
 	streamKeeper *streamkeeper.Keeper
-	workerList   *registrar.Registrar
-	recorder     *recorder.Recorder
-	limiter      *limiter.Limiter
+	// archiver keeps the origins of streams in the store.
+	archiver   *archiver.Archiver
+	workerList *registrar.Registrar
+	recorder   *recorder.Recorder
+	limiter    *limiter.Limiter
 	// carriers are the nodes that may serve requests for this one.
 	carriers carrierList
 	// granter grants permits for limited workers of the zone while this node leads it, slotGranter slots of brittle ones.
@@ -154,6 +157,7 @@
 		Limited:         f.isLimited,
 		Lease:           fleetleader.Lease{Leading: f.leaseholder.Leading, QuietRemaining: f.leaseholder.QuietRemaining, CheckOrder: f.leaseholder.CheckOrder, Leases: f.leaseholder.Leases},
 	})
+	f.archiver = archiver.New(archiver.Dependencies{Zone: settings.Zone(), Rows: do.MustInvoke[*platform.Store](i).Streams, Leading: f.isLeading, Count: f.recorder.Count})
 	f.crashKeeper.OnNew(f.fleetLeader.NotifyCrash)
 	do.MustInvoke[*platform.Store](i).OnEra(f.observeEra)
 	f.workers.OnDeparture(f.observeDeparture)
@@ -164,7 +168,7 @@
 		Zone: settings.Zone(), Catalog: f.watcher.Catalog, Workers: do.MustInvoke[*registrar.Registrar](i), Tracker: f.fleetTracker,
 		DemandCounter: do.MustInvoke[*demandcounter.Counter](i), Assessor: do.MustInvoke[*assessor.Assessor](i), Recorder: do.MustInvoke[*recorder.Recorder](i),
 		Ready: f.watcher.Ready, Isolated: f.isolated, Decode: platform.DecodeRequest, Send: f.workers.Send, SetAttemptID: platform.SetAttemptID, Crashed: f.workers.Crashed,
-		Carry: f.carry, Limiter: f.limiter, Streams: f.streamKeeper, FindStream: f.findStream, ListFresh: f.isListFresh,
+		Carry: f.carry, Limiter: f.limiter, Streams: f.streamKeeper, FindStream: f.findStream, FindArchived: f.archiver.Find, ListFresh: f.isListFresh,
 		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
 		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
 		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry},
@@ -314,6 +318,7 @@
 	go func() { failed <- f.metrics.Serve(listeners[3]) }()
 	f.watcher.Run()
 	f.crashKeeper.Run()
+	f.archiver.Run()
 	f.leaseholder.Run()
 	f.fleetLeader.Run()
 	f.subscriber.Run()
@@ -354,6 +359,7 @@
 	f.leaseholder.Stop()
 	f.watcher.Stop()
 	f.crashKeeper.Stop()
+	f.archiver.Stop()
 	f.grpc.Stop()
 	_ = f.metrics.Stop() // The process is about to exit, so a failure has no effect.
 	f.peers.Close()
--- a/server/fleetservice.go
+++ b/server/fleetservice.go
@@ -43,7 +43,7 @@
 			for _, service := range demand.GetBrittle() {
 				s.node.learnBrittle(service)
 			}
-			s.node.learnStreams(demand.GetStreams())
+			s.node.learnStreams(demand.GetZone(), demand.GetStreams())
 			for _, departure := range demand.GetDepartures() {
 				s.node.learnDeparture(departure, demand.GetNode())
 			}
--- a/server/streams.go
+++ b/server/streams.go
@@ -33,22 +33,18 @@
 	now := time.Now()
 	several := func(service string) bool { return len(f.workerList.Fleet().Software(now, service)) > 1 }
 	streams, next := f.streamKeeper.Since(now, first, several)
-	groups := lo.GroupBy(streams, func(stream streamkeeper.Stream) streamkeeper.Origin { return stream.Origin })
-	for origin, group := range groups {
-		attempts := lo.Map(group, func(stream streamkeeper.Stream, _ int) uint64 { return stream.Attempt })
-		origins = append(origins, &nodewire.StreamOrigins{Service: origin.Service, Software: origin.Software, Attempts: attempts})
-	}
-	return origins, next
+	return streamkeeper.Encode(streams), next
 }
 
-// learnStreams records the origins of streams that another node relayed.
-func (f *FleetNode) learnStreams(origins []*nodewire.StreamOrigins) {
+// learnStreams records the origins of streams that a node of a zone relayed. Those of the local zone are archived.
+func (f *FleetNode) learnStreams(zone string, origins []*nodewire.StreamOrigins) {
 	now := time.Now()
-	for _, group := range origins {
-		origin := streamkeeper.Origin{Service: group.GetService(), Software: group.GetSoftware()}
-		for _, attempt := range group.GetAttempts() {
-			f.streamKeeper.Learn(now, streamkeeper.Stream{Attempt: attempt, Origin: origin})
-		}
+	streams := streamkeeper.Decode(origins)
+	for _, stream := range streams {
+		f.streamKeeper.Learn(now, stream)
+	}
+	if zone == f.settings.Zone() {
+		f.archiver.Add(streams)
 	}
 }
 
--- a/streamkeeper/streamkeeper.go
+++ b/streamkeeper/streamkeeper.go
@@ -10,6 +10,8 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
+
+	"github.com/acaciaproxy/acaciaproxy/nodewire"
 )
 
 const (
@@ -33,6 +35,23 @@
 	Origin  Origin
 }
 
+// Encode returns streams as messages to other nodes hold them, one entry for each origin.
+func Encode(streams []Stream) []*nodewire.StreamOrigins {
+	groups := lo.GroupBy(streams, func(stream Stream) Origin { return stream.Origin })
+	return lo.MapToSlice(groups, func(origin Origin, group []Stream) *nodewire.StreamOrigins {
+		attempts := lo.Map(group, func(stream Stream, _ int) uint64 { return stream.Attempt })
+		return &nodewire.StreamOrigins{Service: origin.Service, Software: origin.Software, Attempts: attempts}
+	})
+}
+
+// Decode returns the streams of a message.
+func Decode(encoded []*nodewire.StreamOrigins) []Stream {
+	return lo.FlatMap(encoded, func(group *nodewire.StreamOrigins, _ int) []Stream {
+		origin := Origin{Service: group.GetService(), Software: group.GetSoftware()}
+		return lo.Map(group.GetAttempts(), func(attempt uint64, _ int) Stream { return Stream{Attempt: attempt, Origin: origin} })
+	})
+}
+
 // Hash returns the hash of the ID of a caller's attempt.
 func Hash(attempt string) uint64 { return xxhash.Sum64String(attempt) }
 
