Do not take the only version that a process lists for the only one there was

Cause: a node answers from its own list a question about time that it has not seen. A stream of unknown origin went on at the only version "listed for a minute", but the minute is kept in the memory of the process; and a list counted as current for 3 s, by responses that may have waited while the node stood still. It is not the leaders' memory: with nobody to ask, the list alone decided.

Change: lease rows hold the software versions of the last minute, which a process that starts reads anyway; a copy that came back, a row of an earlier program and a missing row in a store with an era count as unknown. Leaders are asked first and answer with the versions that they know. Else the origins in the store are looked at. Nodes of the last landing answer without versions, and their rows leave a new process without the minute: it refuses for that long.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -62,6 +62,9 @@
 	// QuietMS is the quiet period left when the row was written, in milliseconds. A holder that takes
 	// the lease after a resignation or a restart sends no order to a worker before it has passed.
 	QuietMS int64 `json:"quiet,omitempty"`
+	// Software holds the software versions of each service's workers that were listed in the last minute before the row was written, and how long before, in
+	// milliseconds. It is nil if the holder did not know them all.
+	Software map[string]map[string]int64 `json:"software,omitzero"`
 }
 
 // Row is a lease row as read from the store.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -68,12 +68,12 @@
 	// Carry passes a request to another node, which serves it until the deadline. Each node that refuses it is reported to refused, which says whether the next
 	// one may be asked; untried is set if the request has reached no worker there. The error is a *NotRunError if no node has taken it, else it may have run.
 	Carry func(ctx context.Context, request *Request, deadline time.Time, refused func(untried bool) (askNext bool)) (*Carried, error)
-	// Streams holds the software versions at which streams began. FindStream asks the leaders; complete is set if none of them knows and all have answered.
-	// FindArchived looks in the store; read is set if that could be read. ListFresh reports whether the list of workers is not old.
+	// Streams holds the software versions at which streams began. FindStream asks the leaders; FindArchived looks in the store, and read is set if that could
+	// be read. ConfirmList reports whether the list of workers is known to have been up to date at some time after since.
 	Streams      *streamkeeper.Keeper
-	FindStream   func(deadline time.Time, attempt uint64) (origin streamkeeper.Origin, known, complete bool)
+	FindStream   func(deadline time.Time, service string, attempt uint64) streamkeeper.Inquiry
 	FindArchived func(attempt uint64) (origin streamkeeper.Origin, known, read bool)
-	ListFresh    func(now time.Time) bool
+	ConfirmList  func(deadline, since time.Time) bool
 	// Budget limits the sends beyond the first of each request.
 	Budget Budget
 }
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -84,13 +84,16 @@
 	crashes   *crashkeeper.Keeper
 	limiter   *limiter.Limiter
 	streams   *streamkeeper.Keeper
-	// origins are those that the leaders know, by attempt; listOld is set while the list of workers is old.
+	// origins are those that the leaders know, by attempt; listOld is set while the list of workers cannot be confirmed.
 	origins map[string]streamkeeper.Origin
 	// originsAt is when the leaders begin to know them.
 	originsAt time.Time
 	listOld   bool
-	// leadersAnswer is set if all leaders answer.
+	// listedMeanwhile are the workers that a confirmation of the list finds.
+	listedMeanwhile []registrar.Change
+	// leadersAnswer is set if all leaders answer, leadersList holds the software versions that they have listed.
 	leadersAnswer bool
+	leadersList   []string
 	// archived is the version at which the stream of the attempt "first" began, as the store holds it; archiveRead is set if the store can be read.
 	archived    string
 	archiveRead bool
@@ -157,7 +160,7 @@
 		Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, Workers: f.list, Tracker: f.tracker, DemandCounter: demandcounter.New(),
 		Assessor: assessor.New(), Limiter: f.limiter, Recorder: f.recorder, Ready: func() bool { return true }, Isolated: func() bool { return f.isolated },
 		Decode: decode, Send: f.send, SetAttemptID: func(http.Header, string) {}, Crashed: f.hasCrashed,
-		Streams: f.streams, FindStream: f.findStream, FindArchived: f.findArchived, ListFresh: func(time.Time) bool { return !f.listOld },
+		Streams: f.streams, FindStream: f.findStream, FindArchived: f.findArchived, ConfirmList: f.confirmList,
 		Carry:   f.carry,
 		Crashes: f.crashes, CrashesKnown: func() bool { return true },
 		Trier: trier.New("n", func() int { return 1 }, trier.Arbitration{
@@ -193,13 +196,23 @@
 }
 
 // findStream returns the origins that the leaders know.
-func (f *fixture) findStream(_ time.Time, attempt uint64) (origin streamkeeper.Origin, known, complete bool) {
+func (f *fixture) findStream(_ time.Time, _ string, attempt uint64) streamkeeper.Inquiry {
 	for name, origin := range f.origins {
 		if streamkeeper.Hash(name) == attempt && !time.Now().Before(f.originsAt) {
-			return origin, true, false
+			return streamkeeper.Inquiry{Origin: origin, Known: true}
 		}
 	}
-	return streamkeeper.Origin{}, false, f.leadersAnswer
+	return streamkeeper.Inquiry{Complete: f.leadersAnswer, Versions: f.leadersList}
+}
+
+// confirmList lists the workers that the store has listed meanwhile.
+func (f *fixture) confirmList(time.Time, time.Time) bool {
+	if f.listOld {
+		return false
+	}
+	f.list.Apply(time.Now(), f.listedMeanwhile)
+	f.tracker.MarkWorkersChanged()
+	return true
 }
 
 // findArchived returns the origins that the store holds.
--- a/forwarder/origins.go
+++ b/forwarder/origins.go
@@ -92,55 +92,67 @@
 	if start := c.startDeadline().Add(-responseReserve); start.Before(latest) {
 		latest = start
 	}
-	version, source, known, final := f.lookUpOrigin(c)
-	for !known && !final && time.Now().Before(latest) && ctx.Err() == nil {
+	found := f.lookUpOrigin(c, began)
+	for !found.known && !found.final && time.Now().Before(latest) && ctx.Err() == nil {
 		time.Sleep(findStreamPause)
-		version, source, known, final = f.lookUpOrigin(c)
+		found = f.lookUpOrigin(c, began)
 	}
 	now := time.Now()
-	logger.Info("origin of stream looked up").Str("request", c.ID).Str("resumes", c.Resumes).Str("after_event", c.LastEventID).Bool("known", known).Str("source", source).Int64("took_ms", now.Sub(began).Milliseconds()).
-		Str("software", version.Software).Strs("versions", f.dependencies.Workers.Fleet().Software(now, c.service.Name)).Msg("origin of stream looked up")
-	if !known {
+	logger.Info("origin of stream looked up").Str("request", c.ID).Str("resumes", c.Resumes).Str("after_event", c.LastEventID).Bool("known", found.known).Str("source", found.source).Int64("took_ms", now.Sub(began).Milliseconds()).
+		Str("software", found.version.Software).Strs("versions", found.versions).Bool("versions_known", found.versionsKnown).Bool("leaders_answered", found.leadersAnswered).Msg("origin of stream looked up")
+	if !found.known {
 		f.dependencies.Recorder.Count("streams of unknown origin")
 		return newRefusal("origin_unknown", "it is not known at which software version the stream began", originRetry)
 	}
+	version := found.version
 	c.origin = &origin{version: version}
-	if service, found := c.catalog.Service(version.Service); found && version.Service != c.service.Name && lo.SomeBy(c.route.Shares, func(share cataloger.Share) bool { return share.Service == version.Service }) {
+	if service, exists := c.catalog.Service(version.Service); exists && version.Service != c.service.Name && lo.SomeBy(c.route.Shares, func(share cataloger.Share) bool { return share.Service == version.Service }) {
 		c.service = service
 	}
 	return nil
 }
 
-// lookUpOrigin looks once for where the stream began that a call takes up; source says who knows. Final is set if asking again is of no use.
-func (f *Forwarder) lookUpOrigin(c *call) (version streamkeeper.Origin, source string, known, final bool) {
-	now := time.Now()
-	attempt := streamkeeper.Hash(c.Resumes)
-	if version, known = f.dependencies.Streams.Find(now, attempt); known {
-		return version, "node", true, true
-	}
-	if f.dependencies.ListFresh(now) {
-		if version, known = f.onlyVersion(now, c.service); known {
-			return version, "only version", true, true
-		}
-	}
-	version, known, complete := f.dependencies.FindStream(now.Add(findStreamTimeout), attempt)
-	if known {
-		return version, "leaders", true, true
-	}
-	if only, single := f.onlyVersion(now, c.service); single {
-		return only, "only version, no leader knows another", complete, complete
-	}
-	version, known, read := f.dependencies.FindArchived(attempt)
-	return version, "store", known, known || complete && read
+// foundOrigin is the result of one look for where a stream began.
+type foundOrigin struct {
+	// version is where it began and source says who knows, if known is set. Final is set if looking again is of no use.
+	version      streamkeeper.Origin
+	source       string
+	known, final bool
+	// versions are the software versions of the service's workers in the last minute, as far as this node and the leaders that have answered know them.
+	// versionsKnown is set if these are all, leadersAnswered if all leaders have answered.
+	versions                       []string
+	versionsKnown, leadersAnswered bool
 }
 
-// onlyVersion returns the software version of a service's workers if this node has listed only one for a minute.
-func (f *Forwarder) onlyVersion(now time.Time, service *cataloger.Service) (streamkeeper.Origin, bool) {
-	versions := f.dependencies.Workers.Fleet().Software(now, service.Name)
-	if len(versions) != 1 || versions[0] == "" {
-		return streamkeeper.Origin{}, false
-	}
-	return streamkeeper.Origin{Service: service.Name, Software: versions[0]}, true
+// lookUpOrigin looks once for where the stream began that a call takes up, which arrived at a given time: at this node, the leaders, and in the store. If nobody knows, the
+// stream began at the only software version of the last minute, if it is certain that there was no other.
+func (f *Forwarder) lookUpOrigin(c *call, arrivedAt time.Time) foundOrigin {
+	now := time.Now()
+	attempt := streamkeeper.Hash(c.Resumes)
+	if version, known := f.dependencies.Streams.Find(now, attempt); known {
+		return foundOrigin{version: version, source: "node", known: true}
+	}
+	inquiry := f.dependencies.FindStream(now.Add(findStreamTimeout), c.service.Name, attempt)
+	result := foundOrigin{version: inquiry.Origin, source: "leaders", known: inquiry.Known, leadersAnswered: inquiry.Complete}
+	if inquiry.Known {
+		return result
+	}
+	fleet := f.dependencies.Workers.Fleet()
+	result.versionsKnown = inquiry.VersionsKnown || fleet.KnowsSoftware(now)
+	result.versions = lo.Union(fleet.Software(now, c.service.Name), inquiry.Versions)
+	confirmed := len(result.versions) > 1
+	if !confirmed {
+		confirmed = f.dependencies.ConfirmList(time.Now().Add(findStreamTimeout), arrivedAt)
+		result.versions = lo.Union(f.dependencies.Workers.Fleet().Software(now, c.service.Name), inquiry.Versions)
+	}
+	if len(result.versions) == 1 && result.versions[0] != "" && result.versionsKnown && (confirmed || inquiry.Complete) {
+		result.version, result.source, result.known = streamkeeper.Origin{Service: c.service.Name, Software: result.versions[0]}, "only version", true
+		return result
+	}
+	var read bool
+	result.version, result.known, read = f.dependencies.FindArchived(attempt)
+	result.source, result.final = "store", inquiry.Complete && confirmed && read
+	return result
 }
 
 // refuseVersion returns the error with which a call ends whose stream can go on nowhere: no worker of its version has the model or is loading it.
--- a/forwarder/versions_test.go
+++ b/forwarder/versions_test.go
@@ -26,7 +26,9 @@
 	Resumes, After, Own, Leaders    string
 	Archived                        string
 	ListOld, LeadersAnswer, Crashed bool
-	StoreDown                       bool
+	StoreDown, Young                bool
+	Recalled, LeadersList           []string
+	Meanwhile                       []string
 	Sends                           []versionSend
 	Status, LeadersAfterMS          int
 	Code, CrashedBefore             string
@@ -86,11 +88,16 @@
 			f.archived, f.archiveRead = s.Archived, !s.StoreDown
 			f.crashed, f.listOld, f.leadersAnswer, f.versions = s.Crashed, s.ListOld, s.LeadersAnswer, &versionPlayer{script: s}
 			now := time.Now()
-			workers := lo.Map(s.Workers, func(text string, _ int) registrar.Worker {
+			newWorker := func(text string, _ int) registrar.Worker {
 				id, software, _ := strings.Cut(text, " ")
 				return registrar.Worker{ID: id, Service: "models", Zone: "z", Address: "127.0.0.1:1", Software: software, Slots: 8, Loaded: map[string][]string{"m": nil}, SeenAt: now, RowVersion: 2}
-			})
-			f.list.Replace(now, workers, 2)
+			}
+			f.list.Replace(now, lo.Map(s.Workers, newWorker), 2)
+			f.listedMeanwhile = lo.Map(lo.Map(s.Meanwhile, newWorker), func(w registrar.Worker, _ int) registrar.Change { return registrar.Change{Worker: w} })
+			if !s.Young {
+				f.list.Recall(now, registrar.Software{"models": lo.SliceToMap(s.Recalled, func(version string) (string, time.Time) { return version, now })})
+			}
+			f.leadersList = s.LeadersList
 			f.tracker.MarkWorkersChanged()
 			if s.CrashedBefore != "" {
 				f.crashes.Learn(now, crashkeeper.Crash{Fingerprint: "f", Worker: s.CrashedBefore, FoundAt: now}, "test")
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -91,6 +91,10 @@
 	QuietMS int64
 	// Cores is the number of cores that this node may use; stronger nodes are preferred as leaders.
 	Cores float64
+	// Software returns what this node writes as the Software of a lease. OnSoftware is called with that of each new row, and with an empty one if a store
+	// that never came back from a copy has no row. Both are called with the leaseholder's lock held, so that they must not call the leaseholder.
+	Software   func() map[string]map[string]int64
+	OnSoftware func(software map[string]map[string]int64)
 	// Changed is called after this node took or lost the lease.
 	Changed func()
 }
@@ -280,6 +284,7 @@
 			l.quietUntil = l.quietEnd(now, l.elector.Predecessor())
 		}
 		proposal.Lease.QuietMS = max(l.quietUntil.Sub(now).Milliseconds(), 0)
+		proposal.Lease.Software = l.dependencies.Software()
 	}
 	l.mu.Unlock()
 	if proposal != nil {
@@ -341,6 +346,7 @@
 			sinceOrder = 0 // The last order of the previous holder may be recent.
 		}
 		proposal.Lease.QuietMS = max(l.dependencies.QuietMS+maxOrderTransit.Milliseconds()-max(sinceOrder, 0), 0)
+		proposal.Lease.Software = l.dependencies.Software()
 	}
 	l.mu.Unlock()
 	if proposal == nil {
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -58,6 +58,16 @@
 	otherRow platformclient.Row
 	// lastOrderAt maps nodes to when they could last send an order.
 	lastOrderAt map[string]time.Time
+	// software maps nodes to the software versions that they have listed, recalled to what they learned from lease rows.
+	software, recalled map[string]map[string]map[string]int64
+}
+
+// newFakeZone returns a zone without nodes.
+func newFakeZone() *fakeZone {
+	return &fakeZone{
+		now: time.Unix(1e6, 0), disconnected: map[string]bool{}, nodes: map[string]*Leaseholder{}, lastOrderAt: map[string]time.Time{},
+		software: map[string]map[string]map[string]int64{}, recalled: map[string]map[string]map[string]int64{},
+	}
 }
 
 var _ = ginkgo.Describe("leases", func() {
@@ -73,7 +83,7 @@
 		ginkgo.It(scenario.Name, func() {
 			logged := casereader.NewCapture()
 			defer logged.Close()
-			z := &fakeZone{now: time.Unix(1e6, 0), disconnected: map[string]bool{}, nodes: map[string]*Leaseholder{}, lastOrderAt: map[string]time.Time{}}
+			z := newFakeZone()
 			for _, name := range scenario.Nodes {
 				z.start(name)
 			}
@@ -90,7 +100,7 @@
 
 var _ = ginkgo.Describe("a leaseholder that is called while it renews its lease", func() {
 	ginkgo.It("returns from calls made from its Successors function", func() {
-		z := &fakeZone{now: time.Unix(1e6, 0), disconnected: map[string]bool{}, nodes: map[string]*Leaseholder{}, lastOrderAt: map[string]time.Time{}}
+		z := newFakeZone()
 		z.start("a")
 		calls := 0
 		z.nodes["a"].dependencies.Successors = func() []elector.Member {
@@ -111,7 +121,8 @@
 
 var _ = ginkgo.Describe("a node that starts before another zone has a leader", func() {
 	newZone := func() *fakeZone {
-		z := &fakeZone{now: time.Unix(1e6, 0), disconnected: map[string]bool{}, nodes: map[string]*Leaseholder{}, lastOrderAt: map[string]time.Time{}, zones: []string{"z", "y"}}
+		z := newFakeZone()
+		z.zones = []string{"z", "y"}
 		z.start("a")
 		z.run(scenarioStep{AfterMS: 1000})
 		return z
@@ -134,7 +145,7 @@
 
 var _ = ginkgo.Describe("a node that resigns right after it sent an order", func() {
 	ginkgo.It("lengthens the next leader's quiet period, since the order may still be in transit", func() {
-		z := &fakeZone{now: time.Unix(1e6, 0), disconnected: map[string]bool{}, nodes: map[string]*Leaseholder{}, lastOrderAt: map[string]time.Time{}}
+		z := newFakeZone()
 		z.start("a")
 		z.run(scenarioStep{AfterMS: 5000})
 		gomega.Expect(z.leader()).To(gomega.Equal("a"))
@@ -145,6 +156,45 @@
 	})
 })
 
+// Guards against a process that takes the only software version that it has listed for the only one of the last minute.
+var _ = ginkgo.Describe("software versions in lease rows", func() {
+	listed := map[string]map[string]int64{"s": {"v1": 500, "v2": 0}}
+	ginkgo.It("are known to a process that starts after all others have ended", func() {
+		z := newFakeZone()
+		z.software["a"] = listed
+		z.start("a")
+		z.run(scenarioStep{AfterMS: 3000})
+		z.run(scenarioStep{Do: "kill a"})
+		z.start("b")
+		z.run(scenarioStep{AfterMS: 200})
+		gomega.Expect(z.recalled["b"]).To(gomega.Equal(listed))
+	})
+	ginkgo.It("are known to be none in a store without lease rows that never came back from a copy", func() {
+		z := newFakeZone()
+		z.start("a")
+		z.run(scenarioStep{AfterMS: 200})
+		gomega.Expect(z.recalled["a"]).To(gomega.And(gomega.BeEmpty(), gomega.Not(gomega.BeNil())))
+	})
+	ginkgo.It("are not taken from a row that has come back from an older copy, nor from the lack of one there", func() {
+		z := newFakeZone()
+		z.software["a"] = listed
+		z.start("a")
+		z.run(scenarioStep{AfterMS: 3000})
+		z.run(scenarioStep{Do: "copy"})
+		z.run(scenarioStep{Do: "kill a"})
+		z.run(scenarioStep{Do: "restore"})
+		z.start("b")
+		z.run(scenarioStep{AfterMS: 1000})
+		gomega.Expect(z.recalled["b"]).To(gomega.BeNil())
+		empty := newFakeZone()
+		empty.run(scenarioStep{Do: "copy"})
+		empty.run(scenarioStep{Do: "restore"})
+		empty.start("a")
+		empty.run(scenarioStep{AfterMS: 1000})
+		gomega.Expect(empty.recalled["a"]).To(gomega.BeNil())
+	})
+})
+
 const quietMS = 3000
 
 func (z *fakeZone) start(name string) {
@@ -152,6 +202,8 @@
 	z.nodes[name] = New(Dependencies{
 		Zone: "z", Self: self, QuietMS: quietMS, Cores: coresOf(name), Changed: func() {}, Now: func() time.Time { z.mu.Lock(); defer z.mu.Unlock(); return z.now },
 		Rows:       &platformclient.Platform{ReadRows: z.read(name), Write: z.write(name), Era: func() int64 { z.mu.Lock(); defer z.mu.Unlock(); return z.era }},
+		Software:   func() map[string]map[string]int64 { return z.software[name] },
+		OnSoftware: func(software map[string]map[string]int64) { z.recalled[name] = software },
 		Zones:      func() []string { return z.zones },
 		Heard:      func(string) bool { return z.hearsLeader(name) },
 		Successors: func() []elector.Member { return z.otherMembers(name) },
--- a/leaseholder/row.go
+++ b/leaseholder/row.go
@@ -115,6 +115,9 @@
 		l.firstReadAt = l.readAt
 	}
 	local := elector.Row{Version: l.missingVersion()}
+	if len(rows) == 0 && platformclient.Era(local.Version) == 0 {
+		l.dependencies.OnSoftware(map[string]map[string]int64{})
+	}
 	for _, row := range rows {
 		var lease elector.Lease
 		if err := json.Unmarshal([]byte(row.Value), &lease); err != nil {
@@ -162,6 +165,9 @@
 		return
 	}
 	if version > l.leases[zone].GetVersion() {
+		if lease.Software != nil && lease.Era == platformclient.Era(version) {
+			l.dependencies.OnSoftware(lease.Software)
+		}
 		l.leases[zone] = &nodewire.LeaseView{Zone: zone, Lease: text, Version: version}
 	}
 	if l.holders[zone] != lease.Holder {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -63,14 +63,8 @@
 	// software holds the software versions of each service's workers, those that are not listed any more included, with the time until which they count;
 	// zero for those that are listed.
 	software map[string]map[string]time.Time
-}
-
-// softwareMemory is how long a software version counts after its last worker has left the list.
-const softwareMemory = time.Minute
-
-// Software returns the software versions of the workers of a service, in no particular order, those that were listed in the last minute included.
-func (f *Fleet) Software(now time.Time, service string) []string {
-	return lo.Keys(lo.PickBy(f.software[service], func(_ string, until time.Time) bool { return until.IsZero() || now.Before(until) }))
+	// softwareSince is the time from which on every version that was listed is in software; zero before the first list.
+	softwareSince time.Time
 }
 
 // Worker returns the worker with an ID, and whether it is listed.
@@ -113,6 +107,8 @@
 	nextDeparture int64
 	// newestChange is the version of the newest change that ChangesSince returns; it never decreases.
 	newestChange int64
+	// softwareSince is that of the current list.
+	softwareSince time.Time
 }
 
 // missingGrace is how long a worker whose entry expired during a store outage stays
@@ -175,6 +171,9 @@
 func (r *Registrar) Replace(now time.Time, workers []Worker, version int64) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if r.softwareSince.IsZero() {
+		r.softwareSince = now
+	}
 	if era := platformclient.Era(version); era > r.era {
 		if r.era != unknownEra {
 			r.recordRestored(now, workers)
@@ -294,7 +293,7 @@
 
 // publish builds the list that Fleet returns; the caller holds mu.
 func (r *Registrar) publish() {
-	fleet := &Fleet{byID: make(map[string]*Worker, len(r.workers)), byService: map[string][]*Worker{}, software: map[string]map[string]time.Time{}}
+	fleet := &Fleet{byID: make(map[string]*Worker, len(r.workers)), byService: map[string][]*Worker{}, software: map[string]map[string]time.Time{}, softwareSince: r.softwareSince}
 	for id, entry := range r.workers {
 		w := r.withDeparture(entry)
 		fleet.byID[id] = w
@@ -309,26 +308,3 @@
 	}
 	r.fleet.Store(fleet)
 }
-
-// addSoftware records a software version of a service.
-func (f *Fleet) addSoftware(service, software string, until time.Time) {
-	if f.software[service] == nil {
-		f.software[service] = map[string]time.Time{}
-	}
-	f.software[service][software] = until
-}
-
-// keepSoftware records the software versions of an earlier list that still count.
-func (f *Fleet) keepSoftware(now time.Time, previous *Fleet) {
-	for service, versions := range previous.software {
-		for software, until := range versions {
-			if _, listed := f.software[service][software]; listed || !until.IsZero() && now.After(until) {
-				continue
-			}
-			if until.IsZero() {
-				until = now.Add(softwareMemory)
-			}
-			f.addSoftware(service, software, until)
-		}
-	}
-}
--- a/server/fleetservice.go
+++ b/server/fleetservice.go
@@ -97,8 +97,7 @@
 
 // FindStream implements nodewire.FleetServer.
 func (s *fleetService) FindStream(_ context.Context, request *nodewire.FindStreamRequest) (*nodewire.FindStreamReply, error) {
-	origin, known := s.node.streamKeeper.Find(time.Now(), request.GetAttempt())
-	return &nodewire.FindStreamReply{Known: known, Service: origin.Service, Software: origin.Software}, nil
+	return s.node.findOwnStream(request.GetService(), request.GetAttempt()), nil
 }
 
 // Succeed implements nodewire.FleetServer: it makes this node read the lease that its zone's leader released.
--- a/server/streams.go
+++ b/server/streams.go
@@ -14,9 +14,6 @@
 // originZones is the number of zones whose leaders know the origins of a node's streams: its own and those that follow it by name.
 const originZones = 3
 
-// maxListAge is the age of the last read of the list of workers from which on it is old.
-const maxListAge = 3 * time.Second
-
 // keepsOrigins reports whether the leader of a zone is sent the origins of this node's streams.
 func (f *FleetNode) keepsOrigins(zone string) bool {
 	zones := lo.Uniq(append(f.workerZones(), f.leaseholder.Zones()...))
@@ -48,35 +45,42 @@
 	}
 }
 
-// findStream asks the leaders of all zones at once where a stream began, and returns the first answer of one that knows it. Complete is set if none
-// does and all have answered.
-func (f *FleetNode) findStream(deadline time.Time, attempt uint64) (origin streamkeeper.Origin, known, complete bool) {
+// findStream asks the leaders of all zones at once where a stream of a service began, until one knows it or all have answered.
+func (f *FleetNode) findStream(deadline time.Time, service string, attempt uint64) streamkeeper.Inquiry {
 	zones := lo.Uniq(append(f.workerZones(), f.leaseholder.Zones()...))
 	answers := make(chan *nodewire.FindStreamReply, len(zones))
 	for _, zone := range zones {
-		go func() { answers <- f.askStream(deadline, zone, attempt) }()
+		go func() { answers <- f.askStream(deadline, zone, service, attempt) }()
 	}
-	complete = true
+	inquiry := streamkeeper.Inquiry{Complete: true}
 	for range zones {
 		answer := <-answers
-		complete = complete && answer != nil
+		if answer == nil {
+			inquiry.Complete = false
+			continue
+		}
+		inquiry.Versions = lo.Union(inquiry.Versions, answer.GetVersions())
+		inquiry.VersionsKnown = inquiry.VersionsKnown || answer.GetVersionsKnown()
 		if answer.GetKnown() {
-			origin = streamkeeper.Origin{Service: answer.GetService(), Software: answer.GetSoftware()}
-			f.streamKeeper.Learn(time.Now(), streamkeeper.Stream{Attempt: attempt, Origin: origin})
-			return origin, true, false
+			inquiry.Origin, inquiry.Known = streamkeeper.Origin{Service: answer.GetService(), Software: answer.GetSoftware()}, true
+			f.streamKeeper.Learn(time.Now(), streamkeeper.Stream{Attempt: attempt, Origin: inquiry.Origin})
+			return inquiry
 		}
 	}
-	return streamkeeper.Origin{}, false, complete
+	return inquiry
 }
 
 // askStream asks the leader of a zone where a stream began. The answer is nil if there is none.
-func (f *FleetNode) askStream(deadline time.Time, zone string, attempt uint64) *nodewire.FindStreamReply {
+func (f *FleetNode) askStream(deadline time.Time, zone, service string, attempt uint64) *nodewire.FindStreamReply {
 	holder, _, known := f.leaseholder.Holder(zone)
 	if !known {
 		return nil
 	}
 	if holder.Node == f.settings.Name() {
-		return &nodewire.FindStreamReply{} // What this node knows has been looked up already.
+		if !f.isLeading() {
+			return nil
+		}
+		return f.findOwnStream(service, attempt)
 	}
 	client, err := f.peers.FleetClient(holder.Address)
 	if err != nil {
@@ -84,7 +88,7 @@
 	}
 	ctx, cancel := peerclient.WithDeadline(deadline)
 	defer cancel()
-	reply, err := client.FindStream(ctx, &nodewire.FindStreamRequest{Attempt: attempt, Node: f.settings.Name()})
+	reply, err := client.FindStream(ctx, &nodewire.FindStreamRequest{Attempt: attempt, Node: f.settings.Name(), Service: service})
 	if err != nil {
 		f.recorder.Count("questions for origins of streams failed")
 		return nil
@@ -92,7 +96,30 @@
 	return reply
 }
 
-// isListFresh reports whether the store has responded to a read of the list of workers lately, by this node or its leader.
-func (f *FleetNode) isListFresh(now time.Time) bool {
-	return now.Sub(f.watcher.LastResponseAt()) < maxListAge
+// findOwnStream returns what this node knows of a stream of a service, and of the software versions of the service.
+func (f *FleetNode) findOwnStream(service string, attempt uint64) *nodewire.FindStreamReply {
+	now := time.Now()
+	origin, known := f.streamKeeper.Find(now, attempt)
+	fleet := f.workerList.Fleet()
+	return &nodewire.FindStreamReply{Known: known, Service: origin.Service, Software: origin.Software, Versions: fleet.Software(now, service), VersionsKnown: fleet.KnowsSoftware(now)}
+}
+
+// listedSoftware returns the software versions that were listed in the last minute, with their ages in milliseconds, or nil if they are not all known.
+func (f *FleetNode) listedSoftware() map[string]map[string]int64 {
+	now := time.Now()
+	listed := f.workerList.Fleet().LastListed(now)
+	if listed == nil {
+		return nil
+	}
+	return lo.MapValues(listed, func(versions map[string]time.Time, _ string) map[string]int64 {
+		return lo.MapValues(versions, func(listedAt time.Time, _ string) int64 { return now.Sub(listedAt).Milliseconds() })
+	})
+}
+
+// recallSoftware adds the software versions in a lease row to those that this node has listed.
+func (f *FleetNode) recallSoftware(ages map[string]map[string]int64) {
+	now := time.Now()
+	f.workerList.Recall(now, lo.MapValues(ages, func(versions map[string]int64, _ string) map[string]time.Time {
+		return lo.MapValues(versions, func(ageMS int64, _ string) time.Time { return now.Add(-time.Duration(ageMS) * time.Millisecond) })
+	}))
 }
--- a/streamkeeper/streamkeeper.go
+++ b/streamkeeper/streamkeeper.go
@@ -35,6 +35,19 @@
 	Origin  Origin
 }
 
+// Inquiry is what the leaders of all zones know of one stream.
+type Inquiry struct {
+	// Origin is where the stream began, if Known is set.
+	Origin Origin
+	Known  bool
+	// Complete is set if all leaders have answered and none knows the stream.
+	Complete bool
+	// Versions are the software versions of the service's workers in the last minute, as far as the leaders that have answered know them. VersionsKnown is set
+	// if one of them knows all, also those of the time before its process started.
+	Versions      []string
+	VersionsKnown bool
+}
+
 // Encode returns streams as messages to other nodes hold them, one entry for each origin.
 func Encode(streams []Stream) []*nodewire.StreamOrigins {
 	groups := lo.GroupBy(streams, func(stream Stream) Origin { return stream.Origin })
