Hand over what is left of a quiet period that was taken over

Cause: Resign reckons the quiet period of the next holder from this process's own last order. A holder that gave its last order before it was frozen, got the lease back and resigns within its own quiet period hands over none, although the holder before it may have sent an order a second ago. Evidence: the row of the second handover says quiet 0 while the line "lease taken" before it says quiet_ms over 2,000. The first guess, the term, is ruled out: both handovers keep it.

Change: the holder hands over the later of its own last order and what is left of the quiet period that it took over; a process that has sent no order hands over a full one, as before.

--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -341,11 +341,7 @@
 	l.resigned = true
 	proposal := l.elector.Resign(now)
 	if proposal != nil {
-		sinceOrder := now.Sub(l.lastOrderAt).Milliseconds()
-		if l.lastOrderAt.IsZero() {
-			sinceOrder = 0 // The last order of the previous holder may be recent.
-		}
-		proposal.Lease.QuietMS = max(l.dependencies.QuietMS+maxOrderTransit.Milliseconds()-max(sinceOrder, 0), 0)
+		proposal.Lease.QuietMS = l.quietToHandOver(now)
 		proposal.Lease.Software = l.dependencies.Software()
 	}
 	l.mu.Unlock()
@@ -359,3 +355,14 @@
 	log.Info().Str("zone", l.dependencies.Zone).Int64("epoch", proposal.Lease.Epoch).Int64("quiet_ms", proposal.Lease.QuietMS).Msg("lease handed over")
 	return true
 }
+
+// quietToHandOver returns the quiet period in milliseconds that the next holder must keep: from the last order of this process, and what is left of the one
+// that this node took over, which counts from the last order of an earlier holder. A process that has sent no order may have followed another one on its
+// host that has just sent one. The caller holds mu.
+func (l *Leaseholder) quietToHandOver(now time.Time) int64 {
+	full := l.dependencies.QuietMS + maxOrderTransit.Milliseconds()
+	if l.lastOrderAt.IsZero() {
+		return full
+	}
+	return max(full-max(now.Sub(l.lastOrderAt).Milliseconds(), 0), l.quietUntil.Sub(now).Milliseconds(), 0)
+}
