Tie the permission to take a lease at once to the lease that it is for

The store came back from a copy in which an earlier process of b2 led; b2, started anew, took epoch 4 0.2 s after b1 had written its epoch 3 again.

Cause: a process whose row names an earlier process of its host need not wait, and that permission was one flag without a name. The copy set it; the wait after a return of the store kept it from use until the holder wrote its row again, and it then applied to that holder's lease. An invitation to take a lease that another node takes first is the same. The write of 03.228 did not stop it because nothing compared the two.

Change: the permission names the holder and the epoch that it is for.

The random sequences now also have processes that do not hear the leader for up to a second after their start.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -74,6 +74,11 @@
 	Version int64
 }
 
+// release returns what allows a node to take the row's lease without waiting.
+func (r Row) release() release {
+	return release{holder: r.Lease.Holder.Incarnation, epoch: r.Lease.Epoch}
+}
+
 // Proposal is a lease to write if the row in the store still has the version.
 type Proposal struct {
 	Lease   Lease
@@ -110,8 +115,9 @@
 	heldOverUntil time.Time
 	// resigned is set when this node must never take the lease again.
 	resigned bool
-	// mayTakeImmediately is set when this node need not wait until the holder's lease expires.
-	mayTakeImmediately bool
+	// released is the holder and the epoch of the lease that this node may take without waiting until it expires; zero for none. It does not allow to take
+	// the lease of another holder that came after it.
+	released release
 	// inFlight is the proposal whose write has no known result yet, or nil.
 	inFlight *Proposal
 	// sentAt is when inFlight was sent.
@@ -128,6 +134,13 @@
 	predecessor Lease
 }
 
+// release identifies the lease of one holder.
+type release struct {
+	// holder is an incarnation.
+	holder string
+	epoch  int64
+}
+
 // New returns the elector of an incarnation, with the default times.
 func New(self Member) *Elector { return NewWithTerm(self, Term, RenewAfter, MaxHoldOver) }
 
@@ -275,7 +288,7 @@
 	if e.PredecessorUnknown() {
 		return now.Sub(e.unchangedSince) >= e.term()+e.maxHoldOver()
 	}
-	if !e.row.Exists() || e.row.Lease.Holder.Incarnation == "" || e.mayTakeImmediately {
+	if !e.row.Exists() || e.row.Lease.Holder.Incarnation == "" || e.released == e.row.release() {
 		return true
 	}
 	if e.isHolder() {
@@ -316,7 +329,7 @@
 	e.validUntil = sentAt.Add(e.term() - driftMargin)
 	e.renewAt = sentAt.Add(time.Duration(e.renewAfterMS) * time.Millisecond)
 	e.unchangedSince = sentAt
-	e.mayTakeImmediately = false
+	e.released = release{}
 }
 
 func (e *Elector) clearLease() {
@@ -383,10 +396,10 @@
 // reports whether this node may do so: it has not resigned, and the last known row
 // has that holder and epoch.
 func (e *Elector) Invite(holder string, epoch int64) bool {
-	if e.resigned || e.row.Lease.Holder.Incarnation != holder || e.row.Lease.Epoch != epoch {
+	if e.resigned || e.row.release() != (release{holder: holder, epoch: epoch}) {
 		return false
 	}
-	e.mayTakeImmediately = true
+	e.released = e.row.release()
 	return true
 }
 
@@ -398,6 +411,6 @@
 	if !e.rowKnown || e.isHolder() || holder.Node != e.self.Node || holder.Address != e.self.Address {
 		return false
 	}
-	e.mayTakeImmediately = true
+	e.released = e.row.release()
 	return true
 }
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -56,8 +56,10 @@
 	zones    []string
 	reads    int
 	otherRow platformclient.Row
-	// lastOrderAt maps nodes to when they could last send an order.
-	lastOrderAt map[string]time.Time
+	// lastOrderAt maps nodes to when they could last send an order, startedAt to when their processes started.
+	lastOrderAt, startedAt map[string]time.Time
+	// followMS is for how many milliseconds a process that has started does not hear the leader yet.
+	followMS int64
 	// highestEpoch is that of all orders.
 	highestEpoch int64
 	// software maps nodes to the software versions that they have listed, recalled to what they learned from lease rows.
@@ -67,7 +69,7 @@
 // newFakeZone returns a zone without nodes.
 func newFakeZone() *fakeZone {
 	return &fakeZone{
-		now: time.Unix(1e6, 0), disconnected: map[string]bool{}, frozen: map[string]bool{}, nodes: map[string]*Leaseholder{}, lastOrderAt: map[string]time.Time{},
+		now: time.Unix(1e6, 0), disconnected: map[string]bool{}, frozen: map[string]bool{}, nodes: map[string]*Leaseholder{}, lastOrderAt: map[string]time.Time{}, startedAt: map[string]time.Time{},
 		software: map[string]map[string]map[string]int64{}, recalled: map[string]map[string]map[string]int64{},
 	}
 }
@@ -77,6 +79,8 @@
 		Name  string
 		Nodes []string
 		Steps []scenarioStep
+		// FollowMS is for how long a process that has started does not hear the leader yet.
+		FollowMS int64
 		// Lines are log lines that must be written.
 		Lines []string
 	}
@@ -86,6 +90,7 @@
 			logged := casereader.NewCapture()
 			defer logged.Close()
 			z := newFakeZone()
+			z.followMS = scenario.FollowMS
 			for _, name := range scenario.Nodes {
 				z.start(name)
 			}
@@ -200,6 +205,7 @@
 const quietMS = 3000
 
 func (z *fakeZone) start(name string) {
+	z.startedAt[name] = z.now
 	self := elector.Member{Node: name, Incarnation: name + z.now.String(), Address: name}
 	z.nodes[name] = New(Dependencies{
 		Zone: "z", Self: self, QuietMS: quietMS, Cores: coresOf(name), Changed: func() {}, Now: func() time.Time { z.mu.Lock(); defer z.mu.Unlock(); return z.now },
@@ -269,7 +275,7 @@
 
 // hearsLeader reports whether a node is connected to another node that leads.
 func (z *fakeZone) hearsLeader(name string) bool {
-	if z.disconnected[name] {
+	if z.disconnected[name] || z.now.Before(z.startedAt[name].Add(time.Duration(z.followMS)*time.Millisecond)) {
 		return false
 	}
 	for other, node := range z.nodes {
--- a/leaseholder/random_test.go
+++ b/leaseholder/random_test.go
@@ -16,6 +16,8 @@
 	randomRuns  = 400
 	randomSteps = 40
 	maxStepMS   = 3000
+	// maxFollowMS bounds the time for which a process that has started does not hear the leader yet.
+	maxFollowMS = 1000
 )
 
 // Guards against two nodes that send orders under one lease, too soon after each other or under a lower epoch, after any sequence of kills, freezes, cuts,
@@ -35,6 +37,7 @@
 func playRandom(seed uint64) (events []string) {
 	random := rand.New(rand.NewPCG(seed, 17))
 	z := newFakeZone()
+	z.followMS = random.Int64N(maxFollowMS)
 	names := []string{"a", "b", "c", "d"}
 	gomega.RegisterFailHandler(func(message string, _ ...int) {
 		gomega.RegisterFailHandler(ginkgo.Fail)
