--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -51,7 +51,7 @@
 	losesResponses bool
 	// disconnected nodes reach neither the store nor other nodes; the processes of frozen ones stand still.
 	disconnected, frozen map[string]bool
-	nodes        map[string]*Leaseholder
+	nodes                map[string]*Leaseholder
 	// zones are those that have workers; reads counts the reads of rows. otherRow is the lease row of another zone, without a key if there is none.
 	zones    []string
 	reads    int
