Refuse what comes late in a planned stop and may last longer than it

Cause: a request was taken while 3.5 s (streams) or 1.2 s (others) of the drain were left, a guess of how long it lasts. The responses to requests that came before the SIGTERM did not ask for the connection to be closed, which brought more late ones.

Change: from 2.8 s after the signal on a request is taken only if its deadline ends before the drain, else refused at once as not run; within 3 s operators allow the cut. The guesses stay as further bounds. A request that another node passed on is taken only with such a deadline from the signal on: its caller's node does not stop. Every response from the signal on asks for the connection to be closed. What is in flight at the drain's end is answered 504, not cut without an answer.

The drain's new specs fail without the change: a late request is served, and one in flight gets no answer at the end. Open: a stream passed on early by another node that lasts until the drain's end is cut there.

--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -189,7 +189,7 @@
 	}
 	defer func() { _ = response.Body.Close() }() // Unread bytes are discarded.
 	copyHeader(w.Header(), response.Header)
-	w.WriteHeader(response.Status)
+	f.writeHead(w, response.Status)
 	controller := http.NewResponseController(w)
 	buffer := make([]byte, relayBufferBytes)
 	for {
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -99,7 +99,7 @@
 	if early {
 		prepareEarlyResponse(w, r)
 	}
-	w.WriteHeader(failure.status)
+	f.writeHead(w, failure.status)
 	_, _ = w.Write(body) // A write fails only if the caller left; nothing remains to be done.
 	if early {
 		dropBody(w, r)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -93,11 +93,13 @@
 	// readyServer serves readiness checks.
 	readyServer *http.Server
 	inFlight    atomic.Int64
-	// drainEnd is when the drain ends, or nil while the node does not drain.
-	drainEnd atomic.Pointer[time.Time]
-	// draining is closed when the drain begins.
+	// drain is the drain in progress, or nil. Draining is closed when it begins.
+	drain     atomic.Pointer[drain]
 	draining  chan struct{}
 	drainOnce sync.Once
+	// life ends with the drain, and the calls that are in flight then with it.
+	life    context.Context
+	endLife context.CancelFunc
 	// broken holds the sends that broke for an unknown reason.
 	broken brokenSends
 	// reach is the node's path to the workers; carried counts the requests that it serves for other nodes.
@@ -118,6 +120,7 @@
 // New returns a forwarder that does not listen yet; readyPath is the path of readiness checks.
 func New(dependencies Dependencies, readyPath string) *Forwarder {
 	f := &Forwarder{dependencies: dependencies, draining: make(chan struct{})}
+	f.life, f.endLife = context.WithCancel(context.Background())
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		DisableGeneralOptionsHandler: true,
@@ -144,7 +147,7 @@
 }
 
 func (f *Forwarder) handleReady(w http.ResponseWriter, _ *http.Request) {
-	if f.drainEnd.Load() != nil || !f.dependencies.Ready() || f.dependencies.Isolated() {
+	if f.drain.Load() != nil || !f.dependencies.Ready() || f.dependencies.Isolated() {
 		w.WriteHeader(http.StatusServiceUnavailable)
 	}
 }
@@ -152,20 +155,6 @@
 // InFlight returns the number of requests that have not ended.
 func (f *Forwarder) InFlight() int64 { return f.inFlight.Load() }
 
-// drainPollInterval is how often Drain checks whether requests are in flight.
-const drainPollInterval = 20 * time.Millisecond
-
-// Drain fails the readiness check, sleeps until balancerUpdatedAt, when the load balancer
-// should have noticed, and returns once no request is in flight or at the deadline.
-func (f *Forwarder) Drain(balancerUpdatedAt, deadline time.Time) {
-	f.drainEnd.Store(&deadline)
-	f.drainOnce.Do(func() { close(f.draining) })
-	time.Sleep(time.Until(balancerUpdatedAt))
-	for f.inFlight.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(drainPollInterval)
-	}
-}
-
 // closeTimeout bounds the wait for requests that are still in flight when Close is called.
 const closeTimeout = 400 * time.Millisecond
 
@@ -258,9 +247,6 @@
 	arrived := time.Now()
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
-	if f.drainEnd.Load() != nil {
-		w.Header().Set("Connection", "close")
-	}
 	c, err := f.admit(w, r, arrived)
 	if err != nil {
 		f.fail(w, r, c, err)
@@ -317,33 +303,14 @@
 	if c.Body, err = readBody(w, r, c.catalog.Limits().BodyBytes, c.deadline); err != nil {
 		return c, err
 	}
-	if f.drainEndsTooSoon(c) {
-		return c, newRefusal("stopping", "this node stops before the request could be answered", drainRetry)
+	if err := f.checkDrain(time.Now(), c); err != nil {
+		return c, err
 	}
 	c.setFingerprints()
 	f.dependencies.Crashes.Arrived(c.fingerprints)
 	return c, f.checkCrashes(c)
 }
 
-// Minimum time until the end of the drain for a request to be accepted.
-const (
-	streamReserve = 3500 * time.Millisecond
-	plainReserve  = 1200 * time.Millisecond
-)
-
-// drainEndsTooSoon reports whether the drain is likely to end before the request does.
-func (f *Forwarder) drainEndsTooSoon(c *call) bool {
-	end := f.drainEnd.Load()
-	if end == nil {
-		return false
-	}
-	reserve := plainReserve
-	if c.route.Kind == cataloger.KindStream {
-		reserve = streamReserve
-	}
-	return time.Until(*end) < reserve
-}
-
 // defaultBodyBytes limits bodies when the configuration sets no limit.
 const defaultBodyBytes = 8 << 20
 
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -150,9 +150,14 @@
 			Shares: []cataloger.Share{{Service: service, Weight: 1}},
 		}
 	}
+	lasting := func(route cataloger.Route) cataloger.Route {
+		route.TimeoutMS = 8000
+		return route
+	}
 	catalog := cataloger.New(1, []cataloger.Route{
 		route("once", cataloger.KindOnce, "plain", false), route("idempotent", cataloger.KindIdempotent, "plain", false),
 		route("stream", cataloger.KindStream, "models", false), route("resumable", cataloger.KindStream, "models", true),
+		lasting(route("lasting", cataloger.KindOnce, "plain", false)), lasting(route("lastingstream", cataloger.KindStream, "models", false)),
 	}, []cataloger.Service{
 		{Name: "plain"}, {Name: "models", Models: map[string]cataloger.Model{"m": {Name: "m"}, "cold": {Name: "cold"}}},
 	}, cataloger.Limits{BodyBytes: 100})
@@ -660,6 +665,15 @@
 	})
 })
 
+// drainRequest is a request of testdata/drains.json.
+type drainRequest struct {
+	// AtMS is when it is sent, from the beginning of the drain.
+	AtMS   int64
+	Path   string
+	Status int
+	Why    string
+}
+
 var _ = ginkgo.Describe("drain", func() {
 	ginkgo.It("serves requests on open connections, asks callers to close these, and refuses requests that it cannot finish", func() {
 		f := newFixture([]scriptedSend{{Status: 200, Body: "ok"}}, false)
@@ -681,4 +695,69 @@
 		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
 		gomega.Expect(response.Header.Get("Retry-After")).NotTo(gomega.BeEmpty())
 	})
+
+	// Guards against requests that are taken late in a planned stop and cut off at its end.
+	ginkgo.It("refuses requests that come late and may last longer than the drain", func() {
+		var requests []drainRequest
+		gomega.Expect(casereader.Read("testdata/drains.json", &requests)).To(gomega.Succeed())
+		sends := lo.FilterMap(requests, func(r drainRequest, _ int) (scriptedSend, bool) {
+			return scriptedSend{Status: 200, Body: "ok"}, r.Status == http.StatusOK
+		})
+		f := newFixture(sends, false)
+		defer f.server.Close()
+		began := time.Now()
+		go f.forwarder.Drain(began.Add(2500*time.Millisecond), began.Add(7100*time.Millisecond))
+		for _, r := range requests {
+			time.Sleep(time.Until(began.Add(time.Duration(r.AtMS) * time.Millisecond)))
+			model := lo.Ternary(strings.Contains(r.Path, "stream"), "m", "")
+			response, err := http.DefaultTransport.RoundTrip(f.request(r.Path, model))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred(), r.Why)
+			gomega.Expect(response.StatusCode).To(gomega.Equal(r.Status), r.Why)
+			gomega.Expect(response.Close).To(gomega.BeTrue(), r.Why)
+			gomega.Expect(response.Header.Get("Retry-After") != "").To(gomega.Equal(r.Status == http.StatusServiceUnavailable), r.Why)
+		}
+		gomega.Expect(f.sent).To(gomega.Equal(len(sends)), "requests that are refused reach no worker")
+	})
+	ginkgo.It("refuses requests of other nodes that may last longer than it, also those that come early", func() {
+		f := newFixture([]scriptedSend{{Status: 200, Body: "ok"}}, false)
+		defer f.server.Close()
+		now := time.Now()
+		go f.forwarder.Drain(now.Add(time.Second), now.Add(4*time.Second))
+		time.Sleep(50 * time.Millisecond)
+		carried := func(path string) (status int, refused bool) {
+			request := httptest.NewRequest(http.MethodPost, path, http.NoBody)
+			request.Host = "h"
+			recorded, outcome := httptest.NewRecorder(), &forwarder.CarriedOutcome{}
+			f.forwarder.ServeCarried(recorded, request, outcome)
+			return recorded.Code, outcome.Untried()
+		}
+		status, untried := carried("/lasting/x")
+		gomega.Expect(status).To(gomega.Equal(http.StatusServiceUnavailable))
+		gomega.Expect(untried).To(gomega.BeTrue())
+		status, _ = carried("/once/x")
+		gomega.Expect(status).To(gomega.Equal(http.StatusOK))
+	})
+	// Guards against connections that are closed without a response at the end of a planned stop.
+	ginkgo.It("answers requests that are in flight at its end, and asks their callers to close the connection", func() {
+		f := newFixture(nil, false)
+		defer f.server.Close()
+		f.hang, f.contextEnded = true, make(chan struct{}, 1)
+		type result struct {
+			response *http.Response
+			err      error
+		}
+		results := make(chan result, 1)
+		go func() {
+			response, err := http.DefaultTransport.RoundTrip(f.request("/lasting/x", ""))
+			results <- result{response, err}
+		}()
+		time.Sleep(50 * time.Millisecond)
+		now := time.Now()
+		f.forwarder.Drain(now, now.Add(300*time.Millisecond))
+		var got result
+		gomega.Eventually(results, time.Second).Should(gomega.Receive(&got))
+		gomega.Expect(got.err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(got.response.StatusCode).To(gomega.Equal(http.StatusGatewayTimeout))
+		gomega.Expect(got.response.Close).To(gomega.BeTrue())
+	})
 })
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -51,7 +51,7 @@
 
 // serveModel serves a request for a model, waiting for a worker that has the model loaded if need be.
 func (f *Forwarder) serveModel(w http.ResponseWriter, r *http.Request, c *call) error {
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := f.withEnd(r, c)
 	defer cancel()
 	if !c.isCarried { // Counted by the node that the caller reached.
 		f.dependencies.Budget.CountRequest(c.arrived, c.service.Name)
@@ -199,8 +199,8 @@
 // latestStart returns until when a call may wait for the start of its response.
 func (f *Forwarder) latestStart(c *call) time.Time {
 	latest := c.startDeadline().Add(-responseReserve)
-	if end := f.drainEnd.Load(); end != nil && end.Add(-streamReserve).Before(latest) {
-		return end.Add(-streamReserve)
+	if d := f.drain.Load(); d != nil && d.endsAt.Add(-streamReserve).Before(latest) {
+		return d.endsAt.Add(-streamReserve)
 	}
 	return latest
 }
@@ -296,11 +296,14 @@
 // error is the one with which the call ends; it is nil unless ctx has ended.
 func (f *Forwarder) waitForChange(ctx context.Context, c *call, viewChanged <-chan struct{}) error {
 	draining := f.draining
-	if f.drainEnd.Load() != nil {
+	if f.drain.Load() != nil {
 		draining = nil
 	}
 	select {
 	case <-ctx.Done():
+		if f.life.Err() != nil {
+			return f.refuse(c, newStopping())
+		}
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return newFailure(http.StatusServiceUnavailable, "caller_left", "the caller left while its request waited for the model")
 		}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -34,7 +34,7 @@
 // completely before its first byte is sent to the caller, so that an incomplete
 // one can be replaced by a retry or an error.
 func (f *Forwarder) servePlain(w http.ResponseWriter, r *http.Request, c *call) error {
-	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	ctx, cancel := f.withEnd(r, c)
 	defer cancel()
 	if !c.isCarried { // Counted by the node that the caller reached.
 		f.dependencies.Budget.CountRequest(c.arrived, c.service.Name)
@@ -75,7 +75,7 @@
 		response, body, err := f.sendPlain(ctx, c, worker, held)
 		if err == nil {
 			copyHeader(w.Header(), response.Header)
-			w.WriteHeader(response.Status)
+			f.writeHead(w, response.Status)
 			_, _ = w.Write(body) // A write fails only if the caller left; nothing remains to be done.
 		}
 		held.release()
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -53,7 +53,7 @@
 	if !r.headSent {
 		r.headSent = true
 		copyHeader(r.writer.Header(), response.Header)
-		r.writer.WriteHeader(response.Status)
+		r.forwarder.writeHead(r.writer, response.Status)
 	}
 	return r.relayEvents(response, worker)
 }
@@ -79,7 +79,7 @@
 	}
 	r.headSent = true
 	copyHeader(r.writer.Header(), response.Header)
-	r.writer.WriteHeader(response.Status)
+	r.forwarder.writeHead(r.writer, response.Status)
 	_, _ = r.writer.Write(body) // A write fails only if the caller left; nothing remains to be done.
 	if response.Succeeded() {
 		r.forwarder.recordAnswer(r.call)
