Count models and adapters in one account of a worker's memory

What callers saw: LIMIT.

Cause: an adapter was ordered by free slots alone; its memory counted only when a model was placed. Ruled out: adapters ordered at the same moment, since a worker gets one at a time; a stale report, since every order names the expected count.

Change: freeMB of a worker's state counts models, adapters and what is being loaded of both, for the placer and for adapters. An adapter without room has the adapters that are requested least unloaded first, as few as suffice; if the models leave no room, an idle model that is requested less often. Leaders prefer holders whose models leave room, and count adapters in other zones too. A request that fits into no worker is refused at once. Same cause, another account: a pending adapter older than a second counted no more, though the worker may have loaded it; now a report says, so slots and memory hold.

--- a/fleetleader/adapt.go
+++ b/fleetleader/adapt.go
@@ -6,8 +6,10 @@
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/phuslu/log"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
 const (
@@ -49,18 +51,18 @@
 		return
 	}
 	loaded, held := state.loadedModels[key.model]
-	if !held || !l.canOrderAdapter(now, loaded, key.adapter) {
+	if !held || !l.canOrderAdapter(now, state, loaded, key.adapter) {
 		return
 	}
 	l.startAdapter(now, service, state, loaded, key)
 }
 
-// adapterTarget returns the worker that should load an adapter, preferring workers
-// that are not busy; a hash of worker and adapter spreads the adapters over the
+// adapterTarget returns the worker that should load an adapter, preferring workers whose models leave room for it, then
+// workers that are not busy; a hash of worker and adapter spreads the adapters over the
 // workers. No load is needed if a worker has the adapter loaded or is loading it.
 // The caller holds mu.
 func (l *Leader) adapterTarget(now time.Time, service *cataloger.Service, key demandKey) (worker string, needed bool) {
-	best, bestBusy, bestScore := "", false, uint64(0)
+	best, bestCrowded, bestBusy, bestScore := "", false, false, uint64(0)
 	for _, holder := range l.dependencies.Tracker.Holders(now, service.Name, key.model, key.adapter) {
 		if !holder.ReadyAt.IsZero() {
 			continue
@@ -69,15 +71,30 @@
 			return "", false
 		}
 		id := holder.Worker.ID
-		busy := l.isBusy(now, id)
+		crowded, busy := l.isCrowded(now, service, holder.Worker, key.model), l.isBusy(now, id)
 		score := xxhash.Sum64String(id + "\x00" + key.model + "/" + key.adapter)
-		if best == "" || bestBusy && !busy || busy == bestBusy && score > bestScore {
-			best, bestBusy, bestScore = id, busy, score
+		better := score > bestScore
+		if crowded != bestCrowded {
+			better = bestCrowded
+		} else if busy != bestBusy {
+			better = bestBusy
+		}
+		if best == "" || better {
+			best, bestCrowded, bestBusy, bestScore = id, crowded, busy, score
 		}
 	}
 	return best, best != ""
 }
 
+// isCrowded reports whether the models on a worker, as all leaders know them, leave no room for an adapter of a model, even if no other adapter is loaded.
+func (l *Leader) isCrowded(now time.Time, service *cataloger.Service, worker *registrar.Worker, model string) bool {
+	free := service.MemoryMB
+	for _, unit := range l.dependencies.Tracker.Units(now, worker) {
+		free -= service.Models[unit.Model].MemoryMB
+	}
+	return free < service.Models[model].AdapterMB
+}
+
 // isBusy reports whether a worker of this zone has a move in progress or needs a report, or whether a worker of another
 // zone was announced as busy; the caller holds mu.
 func (l *Leader) isBusy(now time.Time, worker string) bool {
@@ -88,12 +105,13 @@
 	return announcement != nil && now.Before(announcement.BusyUntil)
 }
 
-// canOrderAdapter reports whether an adapter may be ordered for a model, after dropping pending adapters older than
-// adapterTimeout.
-func (l *Leader) canOrderAdapter(now time.Time, loaded *loadedModel, adapter string) bool {
-	for name, since := range loaded.pendingAdapters {
+// canOrderAdapter reports whether an adapter may be ordered for a model. A pending adapter that is older than adapterTimeout may have been loaded or given
+// up by the worker; a report must show which.
+func (l *Leader) canOrderAdapter(now time.Time, state *workerState, loaded *loadedModel, adapter string) bool {
+	for _, since := range loaded.pendingAdapters {
 		if now.Sub(since) > adapterTimeout {
-			delete(loaded.pendingAdapters, name)
+			state.needsReport = true
+			return false
 		}
 	}
 	_, pending := loaded.pendingAdapters[adapter]
@@ -101,56 +119,41 @@
 	return !pending && !ready && len(loaded.pendingAdapters) < maxPendingAdapters
 }
 
-// startAdapter starts loading an adapter. If all adapter slots are taken, the adapter that is requested least often is
-// unloaded first; if none is loaded, nothing is started. The caller holds mu.
+// startAdapter starts loading an adapter. If it lacks an adapter slot or memory, what costs least is unloaded first; if that does not suffice, nothing is
+// started. The caller holds mu.
 func (l *Leader) startAdapter(now time.Time, service *cataloger.Service, state *workerState, loaded *loadedModel, key demandKey) {
-	var victim Order
-	if state.adapterCount() >= service.AdapterSlots {
-		victim = l.unloadOfIdlestAdapter(service.Name, state)
+	victims, possible := l.adapterVictims(service, state, key)
+	if !possible {
+		return
+	}
+	freeMB := state.freeMB(service)
+	for _, victim := range victims {
 		if victim.Adapter == "" {
-			return
+			delete(state.loadedModels, victim.Model)
+		} else {
+			delete(state.loadedModels[victim.Model].adapters, victim.Adapter)
 		}
-		delete(state.loadedModels[victim.Model].adapters, victim.Adapter)
+		l.markChanged(state.worker.ID, victim.Model)
 	}
 	state.adapterOrderActive = true
 	loaded.pendingAdapters[key.adapter] = now
 	l.markChanged(state.worker.ID, key.model)
-	log.Info().Str("worker", state.worker.ID).Str("model", key.model).Str("adapter", key.adapter).Str("victim", victim.Adapter).
-		Int64("orders", state.orderCount).Int64("epoch", l.epoch).Msg("adapter load decided")
-	go l.loadAdapter(l.epoch, state, key, victim)
+	log.Info().Str("worker", state.worker.ID).Str("model", key.model).Str("adapter", key.adapter).Strs("victims", lo.Map(victims, func(victim Order, _ int) string { return victim.unit() })).
+		Float64("free_mb", freeMB).Float64("needed_mb", service.Models[key.model].AdapterMB).Int64("orders", state.orderCount).Int64("epoch", l.epoch).Msg("adapter load decided")
+	go l.loadAdapter(l.epoch, state, key, victims)
 }
 
-// unloadOfIdlestAdapter returns the order that unloads the adapter with the lowest rate of requests, since an adapter in
-// use stays until its requests end and the worker takes no other order meanwhile; of several, the one loaded longest ago.
-// The order is empty if no adapter is loaded. The caller holds mu.
-func (l *Leader) unloadOfIdlestAdapter(service string, state *workerState) Order {
-	var idlest Order
-	var idlestAt time.Time
-	idlestRate := 0.0
-	for _, model := range state.modelNames() {
-		for adapter, loadedAt := range state.loadedModels[model].adapters {
-			adapterRate := 0.0
-			if r, found := l.demand.rates[demandKey{service: service, model: model, adapter: adapter}]; found {
-				adapterRate = r.fast
-			}
-			if idlest.Adapter == "" || adapterRate < idlestRate || adapterRate == idlestRate && loadedAt.Before(idlestAt) {
-				idlest, idlestAt, idlestRate = Order{Unload: true, Model: model, Adapter: adapter}, loadedAt, adapterRate
-			}
-		}
-	}
-	return idlest
-}
-
-// loadAdapter loads an adapter, after unloading the victim if there is one.
-func (l *Leader) loadAdapter(epoch int64, state *workerState, key demandKey, victim Order) {
+// loadAdapter loads an adapter, after unloading the victims.
+func (l *Leader) loadAdapter(epoch int64, state *workerState, key demandKey, victims []Order) {
 	w := l.workerOf(state)
 	var err error
-	if victim.Adapter != "" {
-		err = l.sendWithRetry(epoch, state, w, victim, Order{})
-	}
+	var before Order
 	order := Order{Model: key.model, Adapter: key.adapter}
-	if err == nil {
-		err = l.sendWithRetry(epoch, state, w, order, victim)
+	for _, next := range append(victims, order) {
+		if err = l.sendWithRetry(epoch, state, w, next, before); err != nil {
+			break
+		}
+		before = next
 	}
 	if err == nil {
 		ordered := time.Now()
--- a/fleetleader/aggregator.go
+++ b/fleetleader/aggregator.go
@@ -215,6 +215,35 @@
 	return r
 }
 
+// fastRate returns the fast rate of requests for a key, 0 if it is not tracked.
+func (a *demandAggregator) fastRate(key demandKey) float64 {
+	if r, found := a.rates[key]; found {
+		return r.fast
+	}
+	return 0
+}
+
+// modelRate returns the fast rate of requests for a model and its adapters.
+func (a *demandAggregator) modelRate(service, model string) float64 {
+	sum := 0.0
+	for key, r := range a.rates {
+		if key.service == service && key.model == model {
+			sum += r.fast
+		}
+	}
+	return sum
+}
+
+// isWaiting reports whether requests wait for a model or an adapter of it.
+func (a *demandAggregator) isWaiting(service, model string) bool {
+	for key := range a.waiting {
+		if key.service == service && key.model == model {
+			return true
+		}
+	}
+	return false
+}
+
 // nodeTimeout is the time after a node's last message at which its demand is dropped.
 const nodeTimeout = 1500 * time.Millisecond
 
--- a/fleetleader/fleetleader.go
+++ b/fleetleader/fleetleader.go
@@ -52,6 +52,14 @@
 	ExpectedOrderCount int64
 }
 
+// unit returns the model and, after a slash, the adapter that the order is for.
+func (o Order) unit() string {
+	if o.Adapter == "" {
+		return o.Model
+	}
+	return o.Model + "/" + o.Adapter
+}
+
 // Outcome is the result of sending an order.
 type Outcome int
 
--- a/fleetleader/fleetleader_test.go
+++ b/fleetleader/fleetleader_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -33,6 +34,12 @@
 	fakeStoreMS   = 1000
 	fakeCapacity  = 2 // Models that fit into memory.
 	fakeReportAge = 30 * time.Millisecond
+	// fakeModelMB, fakeAdapterMB and fakeMemoryMB are sizes of models, adapters and of a worker's memory, fakeAdapterSlots its adapter slots.
+	fakeModelMB      = 100
+	fakeAdapterMB    = 30
+	fakeMemoryMB     = fakeModelMB*fakeCapacity + 50
+	fakeAdapterSlots = 2
+	fakeAdapterLoad  = 10 * time.Millisecond
 )
 
 // fakeWorker handles orders as the users' workers do.
@@ -42,11 +49,13 @@
 	orderCount int64
 	busy       bool
 	loaded     map[string]bool
+	// adapters are those that are loaded or, if set, still loading, by model and name.
+	adapters map[string]map[string]bool
 	// onDisk are the models with a copy on disk according to heartbeats and reports.
 	onDisk map[string]bool
 	// reports are the reports made up to now, each fakeReportAge after the state it shows.
 	reports []Report
-	// crashed is set once a load did not fit into memory.
+	// crashed is set once a load did not fit into memory or adapter slots.
 	crashed bool
 	random  *rand.Rand
 	// evicted is set if the worker has lost the copies that its heartbeats still list.
@@ -82,7 +91,54 @@
 	return w.execute(order), nil
 }
 
+// freeMB returns the memory that neither models nor adapters take, and the number of adapters. The caller holds mu.
+func (w *fakeWorker) freeMB() (free, adapters int) {
+	for _, names := range w.adapters {
+		adapters += len(names)
+	}
+	return fakeMemoryMB - fakeModelMB*len(w.loaded) - fakeAdapterMB*adapters, adapters
+}
+
+// executeAdapter executes an order for an adapter: an unload at once, a load in fakeAdapterLoad, in which other orders are accepted.
+func (w *fakeWorker) executeAdapter(order Order) Outcome {
+	names := w.adapters[order.Model]
+	loading, known := names[order.Adapter]
+	switch {
+	case !order.Unload && known && !loading || order.Unload && !known:
+		return OutcomeAlreadyDone
+	case w.busy || known && loading || order.ExpectedOrderCount != w.orderCount:
+		return OutcomeConflict
+	case !w.loaded[order.Model]:
+		return OutcomeRefused
+	}
+	w.orderCount++
+	defer w.recordReport()
+	if order.Unload {
+		delete(names, order.Adapter)
+		return OutcomeAlreadyDone
+	}
+	free, adapters := w.freeMB()
+	w.crashed = w.crashed || free < fakeAdapterMB || adapters >= fakeAdapterSlots
+	if names == nil {
+		names = map[string]bool{}
+		w.adapters[order.Model] = names
+	}
+	names[order.Adapter] = true
+	time.AfterFunc(fakeAdapterLoad, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if _, known := names[order.Adapter]; known {
+			names[order.Adapter] = false
+		}
+		w.recordReport()
+	})
+	return OutcomeAccepted
+}
+
 func (w *fakeWorker) execute(order Order) Outcome {
+	if order.Adapter != "" {
+		return w.executeAdapter(order)
+	}
 	switch {
 	case w.busy:
 		return OutcomeConflict
@@ -99,7 +155,8 @@
 		if w.evicted {
 			duration = fakeStoreLoad
 		}
-		w.crashed = w.crashed || len(w.loaded) >= fakeCapacity
+		free, _ := w.freeMB()
+		w.crashed = w.crashed || free < fakeModelMB
 	}
 	time.AfterFunc(duration, func() {
 		w.mu.Lock()
@@ -108,6 +165,7 @@
 		w.executedAt = time.Now()
 		if order.Unload {
 			delete(w.loaded, order.Model)
+			delete(w.adapters, order.Model)
 		} else {
 			w.loaded[order.Model] = true
 		}
@@ -122,6 +180,13 @@
 	report := Report{Incarnation: 1, OrderCount: w.orderCount, Busy: w.busy, Loaded: map[string][]string{}, OnDisk: w.onDisk}
 	for model := range w.loaded {
 		report.Loaded[model] = nil
+		for name, loading := range w.adapters[model] {
+			if loading {
+				report.LoadingAdapters = append(report.LoadingAdapters, model+"/"+name)
+			} else {
+				report.Loaded[model] = append(report.Loaded[model], name)
+			}
+		}
 	}
 	time.AfterFunc(fakeReportAge, func() {
 		w.mu.Lock()
@@ -143,6 +208,8 @@
 type fakeZone struct {
 	leader  *Leader
 	workers map[string]*fakeWorker
+	// heartbeats counts the calls of writeHeartbeats.
+	heartbeats int64
 	// mu guards everything below.
 	mu         sync.Mutex
 	leading    bool
@@ -165,14 +232,14 @@
 	onDisk := map[string]bool{}
 	for i := range 6 {
 		name := fmt.Sprintf("m%d", i)
-		models[name] = cataloger.Model{Name: name, MemoryMB: 100, StoreMS: fakeStoreMS, DiskMS: 20, MemoryMS: 20}
+		models[name] = cataloger.Model{Name: name, MemoryMB: fakeModelMB, AdapterMB: fakeAdapterMB, StoreMS: fakeStoreMS, DiskMS: 20, MemoryMS: 20}
 		onDisk[name] = true
 	}
-	catalog := cataloger.New(1, nil, []cataloger.Service{{Name: "s", Models: models, MemoryMB: 100*fakeCapacity + 50, AdapterSlots: 2, LoadsPerS: 10}}, cataloger.Limits{})
+	catalog := cataloger.New(1, nil, []cataloger.Service{{Name: "s", Models: models, MemoryMB: fakeMemoryMB, AdapterSlots: fakeAdapterSlots, LoadsPerS: 10}}, cataloger.Limits{})
 	list := registrar.New()
 	for i := range count {
 		id := fmt.Sprintf("w%d", i)
-		z.workers[id] = &fakeWorker{loaded: map[string]bool{}, onDisk: onDisk, loadTime: fakeLoad, unloadTime: fakeUnload, random: rand.New(rand.NewPCG(uint64(i), 7)), lostShare: lostShare, lateShare: lateShare}
+		z.workers[id] = &fakeWorker{loaded: map[string]bool{}, adapters: map[string]map[string]bool{}, onDisk: onDisk, loadTime: fakeLoad, unloadTime: fakeUnload, random: rand.New(rand.NewPCG(uint64(i), 7)), lostShare: lostShare, lateShare: lateShare}
 		list.Apply(time.Now(), []registrar.Change{{Worker: registrar.Worker{ID: id, Service: "s", Zone: "z", Slots: 8, Incarnation: 1, OnDisk: onDisk, RowVersion: 1}}})
 	}
 	z.leader = New(Dependencies{
@@ -217,15 +284,27 @@
 	return nil
 }
 
-// sendDemand sends the demand of node "n": one request waits for each model.
-func (z *fakeZone) sendDemand(models ...string) {
+// sendDemand sends the demand of node "n": one request waits for each model, or for each adapter of a model as MODEL/ADAPTER.
+func (z *fakeZone) sendDemand(units ...string) {
 	message := &nodewire.Demand{Node: "n", Zone: "z", Whole: true}
-	for _, model := range models {
-		message.Models = append(message.Models, &nodewire.ModelDemand{Service: "s", Model: model, Waiting: 1, DueMs: 2000, Asked: 1})
+	for _, unit := range units {
+		model, adapter, _ := strings.Cut(unit, "/")
+		message.Models = append(message.Models, &nodewire.ModelDemand{Service: "s", Model: model, Adapter: adapter, Waiting: 1, DueMs: 2000, Asked: 1})
 	}
 	z.leader.ReceiveDemand(message)
 }
 
+// writeHeartbeats writes the entries of all workers, under a version that is later than the last.
+func (z *fakeZone) writeHeartbeats() {
+	z.heartbeats++
+	for id, w := range z.workers {
+		w.mu.Lock()
+		z.writeHeartbeat(id, z.heartbeats+1)
+		w.mu.Unlock()
+	}
+	z.leader.dependencies.Tracker.MarkWorkersChanged()
+}
+
 func (z *fakeZone) isLoaded(model string) bool {
 	for _, w := range z.workers {
 		w.mu.Lock()
@@ -260,6 +339,27 @@
 		}
 		gomega.Expect(z.crashed()).To(gomega.BeFalse())
 	})
+	// Guards against adapters that are ordered beyond a worker's memory.
+	ginkgo.It("loads the adapters for which requests wait one after the other if only one fits", func() {
+		z := newFakeZone(1, 0, 0)
+		z.leader.Run()
+		defer z.leader.Stop()
+		for _, unit := range []string{"m0", "m1"} {
+			gomega.Eventually(func() bool { z.sendDemand(unit); return z.isLoaded(unit) }, 3*time.Second, 10*time.Millisecond).Should(gomega.BeTrue(), unit)
+		}
+		w := z.workers["w0"]
+		for _, adapter := range []string{"a1", "a2", "a3"} {
+			gomega.Eventually(func() bool {
+				z.writeHeartbeats()
+				z.sendDemand("m0/" + adapter)
+				w.mu.Lock()
+				defer w.mu.Unlock()
+				loading, known := w.adapters["m0"][adapter]
+				return known && !loading
+			}, 3*time.Second, 10*time.Millisecond).Should(gomega.BeTrue(), adapter)
+		}
+		gomega.Expect(z.crashed()).To(gomega.BeFalse())
+	})
 	ginkgo.It("sends no order after its lease is lost, also in the middle of a move", func() {
 		z := newFakeZone(2, 0, 0)
 		z.leader.Run()
@@ -398,7 +498,14 @@
 	z.leader.Run()
 	defer z.leader.Stop()
 	for deadline := time.Now().Add(randomDuration); time.Now().Before(deadline); {
-		z.sendDemand(fmt.Sprintf("m%d", random.IntN(6)))
+		unit := fmt.Sprintf("m%d", random.IntN(6))
+		if random.IntN(2) == 0 {
+			unit += fmt.Sprintf("/a%d", random.IntN(3))
+		}
+		if random.IntN(8) == 0 {
+			z.writeHeartbeats()
+		}
+		z.sendDemand(unit)
 		time.Sleep(time.Duration(5+random.IntN(40)) * time.Millisecond)
 	}
 	return z.crashed()
--- a/fleetleader/orders_test.go
+++ b/fleetleader/orders_test.go
@@ -84,6 +84,11 @@
 	entry := registrar.Worker{ID: id, Service: "s", Zone: "z", Slots: 8, Incarnation: 1, OnDisk: w.onDisk, RowVersion: version, Loaded: map[string][]string{}}
 	for model := range w.loaded {
 		entry.Loaded[model] = nil
+		for name, loading := range w.adapters[model] {
+			if !loading {
+				entry.Loaded[model] = append(entry.Loaded[model], name)
+			}
+		}
 	}
 	z.leader.dependencies.Workers.Apply(time.Now(), []registrar.Change{{Worker: entry}})
 }
--- a/fleetleader/plan.go
+++ b/fleetleader/plan.go
@@ -207,11 +207,7 @@
 		worker.BusyMS = float64(max(state.readyAt.Sub(now).Milliseconds(), 0))
 	}
 	for _, model := range state.modelNames() {
-		loaded := state.loadedModels[model]
-		worker.Units = append(worker.Units, placer.Unit{
-			Model: model, Running: state.running[model], IdleMS: state.idleMS(now, model, loaded),
-			AdapterMB: float64(len(loaded.adapters)+len(loaded.pendingAdapters)) * service.Models[model].AdapterMB,
-		})
+		worker.Units = append(worker.Units, state.placerUnit(now, model, service.Models[model]))
 	}
 	return worker
 }
@@ -234,7 +230,8 @@
 			worker.AcceptsOrder = false
 			continue
 		}
-		worker.Units = append(worker.Units, placer.Unit{Model: unit.Model, Running: unit.Running, IdleMS: otherZoneIdleMS})
+		adapters := float64(len(unit.Adapters) + len(unit.LoadingAdapters))
+		worker.Units = append(worker.Units, placer.Unit{Model: unit.Model, Running: unit.Running, IdleMS: otherZoneIdleMS, AdapterMB: adapters * service.Models[unit.Model].AdapterMB})
 	}
 	sort.Slice(worker.Units, func(i, j int) bool { return worker.Units[i].Model < worker.Units[j].Model })
 	return worker
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -159,7 +159,7 @@
 		route("stream", cataloger.KindStream, "models", false), route("resumable", cataloger.KindStream, "models", true),
 		lasting(route("lasting", cataloger.KindOnce, "plain", false)), lasting(route("lastingstream", cataloger.KindStream, "models", false)),
 	}, []cataloger.Service{
-		{Name: "plain"}, {Name: "models", Models: map[string]cataloger.Model{"m": {Name: "m"}, "cold": {Name: "cold"}}},
+		{Name: "plain"}, {Name: "models", MemoryMB: 1000, Models: map[string]cataloger.Model{"m": {Name: "m"}, "cold": {Name: "cold"}, "huge": {Name: "huge", MemoryMB: 990, AdapterMB: 20}}},
 	}, cataloger.Limits{BodyBytes: 100})
 	f.forwarder = forwarder.New(forwarder.Dependencies{
 		Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, Workers: f.list, Tracker: f.tracker, DemandCounter: demandcounter.New(),
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"time"
@@ -57,10 +58,14 @@
 		f.dependencies.Budget.CountRequest(c.arrived, c.service.Name)
 		f.dependencies.DemandCounter.CountArrival(c.modelKey())
 	}
-	if _, known := c.service.Models[c.Model]; !known {
+	model, known := c.service.Models[c.Model]
+	if !known {
 		// Not a 404, since a newer configuration may have the model.
 		return newRefusal("no_model", "the service has no such model", configurationRetry)
 	}
+	if needed := model.MemoryMB + lo.Ternary(c.Adapter == "", 0, model.AdapterMB); c.service.MemoryMB > 0 && needed > c.service.MemoryMB {
+		return newRefusal("too_large", fmt.Sprintf("the model and the adapter need %.0f MB; a worker of the service has %.0f MB", needed, c.service.MemoryMB), configurationRetry)
+	}
 	if err := f.findOrigin(ctx, c); err != nil {
 		return err
 	}
