Do not relay a response without a length that broke off

Another operator reports workers that stop in the middle of an answer's head and close; clients got a 200 with an empty or short body, framed as whole. Here a response with neither length nor chunks ended whenever its connection did, and was relayed with a length of its own: empty after the blank line, or short when the worker's process ended.

Cause: the end of the connection was taken for the end of the body, though a process that ends closes its connections too; the mark for such responses was read only for streams before their first event. Ruled out by the new specs: a head that is cut at any byte, with a length, in chunks, with the length first or after an interim response, is an error in the client that is used.

Change: a response that ended without a length is whole if its worker still accepts connections (one dial, for such responses only); a successful one without a body is not.

The own interface is left as it is: its streams have an end mark, bodies of its plain services without a length are still believed.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -101,6 +101,9 @@
 	f.reach.succeed(time.Now())
 	body, err := readAll(response.Body, held)
 	_ = response.Body.Close() // Read to its end or failed.
+	if err == nil {
+		err = f.checkEnd(c, worker, response, len(body) == 0)
+	}
 	if err != nil {
 		err = NewBrokenError(worker.ID, err)
 		endSend(err)
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -71,6 +71,9 @@
 	held := &heldBytes{space: &r.forwarder.space}
 	defer held.release()
 	body, err := readAll(response.Body, held)
+	if err == nil {
+		err = r.forwarder.checkEnd(r.call, worker, response, len(body) == 0)
+	}
 	if err != nil {
 		return NewBrokenError(worker.ID, err)
 	}
@@ -115,8 +118,11 @@
 		}
 		if errors.Is(err, io.EOF) {
 			resumed := r.call.lastEventID != "" || r.call.LastEventID != ""
-			if empty := r.call.events == 0 && (!resumed || response.Unframed); empty || len(r.pending) > 0 {
-				return NewBrokenError(worker.ID, io.ErrUnexpectedEOF) // A stream without a length that breaks off may end like a whole one.
+			if len(r.pending) > 0 || r.call.events == 0 && !resumed {
+				return NewBrokenError(worker.ID, io.ErrUnexpectedEOF)
+			}
+			if err := r.forwarder.checkEnd(r.call, worker, response, r.call.events == 0); err != nil {
+				return NewBrokenError(worker.ID, err)
 			}
 			r.forwarder.recordAnswer(r.call)
 			return nil
