Refuse what may outlast the drain on the own interface too

What callers may see: the same loss as at the platform's form. The gateway took requests until its drain's end, whatever their deadline, and Stop cut them 2 s later.

Cause and change: as in the forwarder, the time that is left was not compared with the request's deadline. Once new connections no longer come, a request whose deadline lies after the drain is refused as not run, at once.

No run over processes shows the loss on this form.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -83,9 +83,9 @@
 	// requests is the number of requests received, the source of request IDs.
 	requests atomic.Int64
 	inFlight atomic.Int64
-	// stopping is set when draining begins: the readiness check fails and every
+	// drain is set when draining begins, nil before: the readiness check fails and every
 	// response closes its connection.
-	stopping atomic.Bool
+	drain atomic.Pointer[drain]
 	// budget limits retries to a fraction of the requests.
 	budget retryBudget
 	// mu guards engines, services and tenants.
@@ -135,20 +135,6 @@
 	return g.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
 }
 
-// drainPollInterval is how often Drain checks for requests in flight.
-const drainPollInterval = 20 * time.Millisecond
-
-// Drain fails the readiness check, sleeps until balancerUpdatedAt, when the load
-// balancer has stopped sending requests, and returns once no request is in flight
-// or at the deadline.
-func (g *Gateway) Drain(balancerUpdatedAt, deadline time.Time) {
-	g.stopping.Store(true)
-	time.Sleep(time.Until(balancerUpdatedAt))
-	for g.inFlight.Load() > 0 && time.Now().Before(deadline) {
-		time.Sleep(drainPollInterval)
-	}
-}
-
 // Stop closes the listener and the connections. It fails when connections are
 // still open after shutdownTimeout.
 func (g *Gateway) Stop() error { return g.app.ShutdownWithTimeout(shutdownTimeout) }
@@ -160,7 +146,7 @@
 func (g *Gateway) InFlight() int64 { return g.inFlight.Load() }
 
 func (g *Gateway) handleReadiness(c fiber.Ctx) error {
-	if g.stopping.Load() || g.dependencies.Follower.Current().Version() == 0 {
+	if g.drain.Load() != nil || g.dependencies.Follower.Current().Version() == 0 {
 		return c.Status(fiber.StatusServiceUnavailable).SendString("not ready")
 	}
 	return c.SendString("ok")
@@ -219,7 +205,7 @@
 	}
 	request := &callerRequest{id: g.newID(), versioned: g.dependencies.Follower.Current(), arrived: now}
 	c.Set(HeaderRequestID, request.id)
-	if g.stopping.Load() {
+	if g.drain.Load() != nil {
 		c.Response().SetConnectionClose() // Lets callers reconnect to other nodes before Stop.
 	}
 	c.Set(HeaderConfigVersion, strconv.FormatInt(request.versioned.Version(), 10))
@@ -258,6 +244,9 @@
 	if err := g.admit(c, request, body.Model); err != nil {
 		return false, err
 	}
+	if g.drain.Load().mayCutOff(time.Now(), request.deadline) {
+		return false, newRefusal(fiber.StatusServiceUnavailable, "stopping", "this node stops before the request could be answered", time.Now().Add(drainRetryDelay))
+	}
 	releaseTenant, err := g.acquireTenant(request)
 	if err != nil {
 		return false, err
