--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -109,3 +109,54 @@
 	}
 	return streams
 }
+
+// Guards against calls to the store and rows that grow with the number of hosts.
+var _ = ginkgo.Describe("archived origins of many hosts", func() {
+	var fleets []struct {
+		Hosts, Zones int
+		// StreamsPerS begin at each host, for Seconds.
+		StreamsPerS, Seconds int
+		// MaxWritesPerS and MaxRows bound the writes and the rows of all hosts together.
+		MaxWritesPerS float64
+		MaxRows       int
+	}
+	gomega.Expect(casereader.Read("testdata/fleets.json", &fleets)).To(gomega.Succeed())
+	for _, f := range fleets {
+		ginkgo.It(fmt.Sprintf("need writes by zone only, at %d hosts", f.Hosts), func() {
+			rows, writes := map[string]string{}, 0
+			dependencies := Dependencies{Count: func(string) {}, Leading: func() bool { return true }, Rows: Rows{
+				Put: func(_ time.Time, key, value string) error {
+					writes++
+					rows[key] = value
+					return nil
+				},
+				List: func(time.Time) ([]string, error) { return slices.Collect(maps.Values(rows)), nil },
+			}}
+			leaders := make([]*Archiver, f.Zones)
+			for zone := range leaders {
+				dependencies.Zone = fmt.Sprintf("z%d", zone)
+				leaders[zone] = New(dependencies)
+			}
+			began, added := time.UnixMilli(0), 0
+			ticks := int(time.Duration(f.Seconds) * time.Second / writeInterval)
+			for tick := range ticks {
+				perTick := f.StreamsPerS * int(writeInterval.Milliseconds()) / 1000
+				for host := range f.Hosts {
+					leaders[host%f.Zones].Add(newStreams(added, perTick))
+					added += perTick
+				}
+				for _, leader := range leaders {
+					leader.write(began.Add(time.Duration(tick) * writeInterval))
+				}
+			}
+			gomega.Expect(float64(writes) / float64(f.Seconds)).To(gomega.BeNumerically("<=", f.MaxWritesPerS))
+			gomega.Expect(len(rows)).To(gomega.BeNumerically("<=", f.MaxRows))
+			recent := f.StreamsPerS * f.Hosts * 13 // Those of a caller's longest time budget, in seconds.
+			started := New(dependencies)
+			for stream := added - recent; stream < added; stream += 997 {
+				_, known, _ := started.Find(newStreams(stream, 1)[0].Attempt)
+				gomega.Expect(known).To(gomega.BeTrue(), "stream %d of %d", stream, added)
+			}
+		})
+	}
+})
