--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -15,11 +15,13 @@
 )
 
 const (
-	// writeInterval is the pause between two writes; a stream that began less than this before all nodes end may be in none.
+	// writeInterval is the pause between two writes; a stream that began less than this before all
+	// nodes end may be in none.
 	writeInterval = 200 * time.Millisecond
 	// writeTimeout bounds a write.
 	writeTimeout = 600 * time.Millisecond
-	// rowCount is the number of rows of a zone. At one row in writeInterval they hold the streams of the last 19 s, which is longer than a caller's time budget.
+	// rowCount is the number of rows of a zone. At one row in writeInterval they hold the streams
+	// of the last 19 s, which is longer than a caller's time budget.
 	rowCount = 96
 	// maxRowStreams bounds the streams of a row: at eight bytes each it is below half of what a row may hold.
 	maxRowStreams = 2000
--- a/elector/elector.go
+++ b/elector/elector.go
@@ -74,11 +74,6 @@
 	Version int64
 }
 
-// release returns what allows a node to take the row's lease without waiting.
-func (r Row) release() release {
-	return release{holder: r.Lease.Holder.Incarnation, epoch: r.Lease.Epoch}
-}
-
 // Proposal is a lease to write if the row in the store still has the version.
 type Proposal struct {
 	Lease   Lease
@@ -134,13 +129,6 @@
 	predecessor Lease
 }
 
-// release identifies the lease of one holder.
-type release struct {
-	// holder is an incarnation.
-	holder string
-	epoch  int64
-}
-
 // New returns the elector of an incarnation, with the default times.
 func New(self Member) *Elector { return NewWithTerm(self, Term, RenewAfter, MaxHoldOver) }
 
--- a/fleetleader/adapt.go
+++ b/fleetleader/adapt.go
@@ -139,7 +139,8 @@
 	state.adapterOrderActive = true
 	loaded.pendingAdapters[key.adapter] = now
 	l.markChanged(state.worker.ID, key.model)
-	log.Info().Str("worker", state.worker.ID).Str("model", key.model).Str("adapter", key.adapter).Str("victim", strings.Join(lo.Map(victims, func(victim Order, _ int) string { return victim.unit() }), ",")).
+	units := lo.Map(victims, func(victim Order, _ int) string { return victim.unit() })
+	log.Info().Str("worker", state.worker.ID).Str("model", key.model).Str("adapter", key.adapter).Str("victim", strings.Join(units, ",")).
 		Float64("free_mb", freeMB).Float64("needed_mb", service.Models[key.model].AdapterMB).Int64("orders", state.orderCount).Int64("epoch", l.epoch).Msg("adapter load decided")
 	go l.loadAdapter(l.epoch, state, key, victims)
 }
--- a/fleetleader/room.go
+++ b/fleetleader/room.go
@@ -14,8 +14,9 @@
 	return float64(len(m.adapters)+len(m.pendingAdapters)) * model.AdapterMB
 }
 
-// freeMB returns the memory that neither models nor adapters take, those included that are being loaded. What is unloaded counts as free from the decision
-// on, since orders are executed in their order.
+// freeMB returns the memory that neither models nor adapters take, those included that are being
+// loaded. What is unloaded counts as free from the decision on, since orders are executed in their
+// order.
 func (s *workerState) freeMB(service *cataloger.Service) float64 {
 	free := service.MemoryMB
 	for name, loaded := range s.loadedModels {
@@ -44,8 +45,9 @@
 	return r
 }
 
-// adapterVictims returns the orders that make room for one more adapter on a worker: unloads of the adapters that are requested least often or, if the models
-// leave no room, of an idle model. Possible is unset if there is no room to be made. The caller holds mu.
+// adapterVictims returns the orders that make room for one more adapter on a worker: unloads of the
+// adapters that are requested least often or, if the models leave no room, of an idle model.
+// Possible is unset if there is no room to be made. The caller holds mu.
 func (l *Leader) adapterVictims(service *cataloger.Service, state *workerState, key demandKey) (victims []Order, possible bool) {
 	lacking := room{freeMB: state.freeMB(service), neededMB: service.Models[key.model].AdapterMB, freeSlots: service.AdapterSlots - state.adapterCount()}
 	remaining := lacking
@@ -73,8 +75,9 @@
 	return victims, true
 }
 
-// idlestAdapters returns the orders that unload the adapters of a worker, the one with the lowest rate of requests first, since an adapter in use stays until its
-// requests end and the worker takes no other order meanwhile; of several, the one loaded longest ago. The caller holds mu.
+// idlestAdapters returns the orders that unload the adapters of a worker, the one with the lowest
+// rate of requests first, since an adapter in use stays until its requests end and the worker takes
+// no other order meanwhile; of several, the one loaded longest ago. The caller holds mu.
 func (l *Leader) idlestAdapters(service string, state *workerState) []Order {
 	type candidate struct {
 		order    Order
@@ -84,7 +87,8 @@
 	var candidates []candidate
 	for _, model := range state.modelNames() {
 		for adapter, loadedAt := range state.loadedModels[model].adapters {
-			candidates = append(candidates, candidate{order: Order{Unload: true, Model: model, Adapter: adapter}, rate: l.demand.fastRate(demandKey{service: service, model: model, adapter: adapter}), loadedAt: loadedAt})
+			rate := l.demand.fastRate(demandKey{service: service, model: model, adapter: adapter})
+			candidates = append(candidates, candidate{Order{Unload: true, Model: model, Adapter: adapter}, rate, loadedAt})
 		}
 	}
 	slices.SortFunc(candidates, func(a, b candidate) int {
@@ -100,8 +104,9 @@
 	return orders
 }
 
-// modelVictim returns the order that unloads the model with the lowest rate of requests from a worker, if that makes room for an adapter that is requested more
-// often. A model with running or waiting requests stays. The caller holds mu.
+// modelVictim returns the order that unloads the model with the lowest rate of requests from a
+// worker, if that makes room for an adapter that is requested more often. A model with running or
+// waiting requests stays. The caller holds mu.
 func (l *Leader) modelVictim(service *cataloger.Service, state *workerState, key demandKey, lacking room) (victims []Order, possible bool) {
 	victim, lowest := "", l.demand.fastRate(key)
 	for _, name := range state.modelNames() {
--- a/forwarder/drain.go
+++ b/forwarder/drain.go
@@ -10,11 +10,13 @@
 )
 
 const (
-	// streamReserve and plainReserve are the minimum time until the end of the drain for a request to be accepted.
+	// streamReserve and plainReserve are the minimum time until the end of the drain for a request
+	// to be accepted.
 	streamReserve = 3500 * time.Millisecond
 	plainReserve  = 1200 * time.Millisecond
-	// lateAfter is the time since the drain began after which a request is accepted only if it ends before the drain in any case. Operators allow a stopping
-	// node to cut off a request that it was sent within 3 s, no later one.
+	// lateAfter is the time since the drain began after which a request is accepted only if it ends
+	// before the drain in any case. Operators allow a stopping node to cut off a request that it
+	// was sent within 3 s, no later one.
 	lateAfter = 2800 * time.Millisecond
 	// drainPollInterval is how often Drain checks whether requests are in flight.
 	drainPollInterval = 20 * time.Millisecond
@@ -25,8 +27,9 @@
 	beganAt, endsAt time.Time
 }
 
-// Drain fails the readiness check, sleeps until balancerUpdatedAt, when the load balancer
-// should have noticed, and returns once no request is in flight or at the deadline. Requests that are in flight then are ended.
+// Drain fails the readiness check, sleeps until balancerUpdatedAt, when the load balancer should
+// have noticed, and returns once no request is in flight or at the deadline. Requests that are in
+// flight then are ended.
 func (f *Forwarder) Drain(balancerUpdatedAt, deadline time.Time) {
 	f.drain.Store(&drain{beganAt: time.Now(), endsAt: deadline})
 	f.drainOnce.Do(func() { close(f.draining) })
@@ -40,7 +43,8 @@
 	}
 }
 
-// withEnd returns a context for a call that ends with the caller's connection, at the call's deadline, or with the drain.
+// withEnd returns a context for a call that ends with the caller's connection, at the call's
+// deadline, or with the drain.
 func (f *Forwarder) withEnd(r *http.Request, c *call) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	stop := context.AfterFunc(f.life, cancel)
@@ -50,8 +54,9 @@
 	}
 }
 
-// checkDrain returns the refusal of a request that the drain may cut off. Another node's request is accepted only if it certainly ends in time: that node does not
-// stop, and could not tell its caller that the request has not run.
+// checkDrain returns the refusal of a request that the drain may cut off. Another node's request is
+// accepted only if it certainly ends in time: that node does not stop, and could not tell its
+// caller that the request has not run.
 func (f *Forwarder) checkDrain(now time.Time, c *call) error {
 	d := f.drain.Load()
 	if d == nil {
@@ -65,8 +70,9 @@
 	late := now.Sub(d.beganAt) > lateAfter || c.isCarried
 	endsInTime := !c.deadline.After(d.endsAt)
 	accepted := remaining >= reserve && (!late || endsInTime)
-	logger.Info("request during drain").Str("request", c.ID).Str("route", c.route.Name).Bool("accepted", accepted).Bool("late", late).Int64("left_ms", c.deadline.Sub(now).Milliseconds()).
-		Int64("drain_left_ms", remaining.Milliseconds()).Bool("for_other", c.isCarried).Msg("request during drain")
+	logger.Info("request during drain").Str("request", c.ID).Str("route", c.route.Name).Bool("accepted", accepted).Bool("late", late).
+		Int64("left_ms", c.deadline.Sub(now).Milliseconds()).Int64("drain_left_ms", remaining.Milliseconds()).
+		Bool("for_other", c.isCarried).Msg("request during drain")
 	if !accepted {
 		return newStopping()
 	}
--- a/forwarder/origins.go
+++ b/forwarder/origins.go
@@ -124,8 +124,9 @@
 	versionsKnown, leadersAnswered bool
 }
 
-// lookUpOrigin looks once for where the stream began that a call takes up, which arrived at a given time: at this node, the leaders, and in the store. If nobody knows, the
-// stream began at the only software version of the last minute, if it is certain that there was no other.
+// lookUpOrigin looks once for where the stream began that a call takes up, which arrived at a given
+// time: at this node, at the leaders, and in the store. If nobody knows, the stream began at the only
+// software version of the last minute, if it is certain that there was no other.
 func (f *Forwarder) lookUpOrigin(c *call, arrivedAt time.Time) foundOrigin {
 	now := time.Now()
 	attempt := streamkeeper.Hash(c.Resumes)
--- a/gateway/drain.go
+++ b/gateway/drain.go
@@ -5,17 +5,20 @@
 const (
 	// drainPollInterval is how often Drain checks for requests in flight.
 	drainPollInterval = 20 * time.Millisecond
-	// drainRetryDelay is the retry delay sent to callers by a node that stops; other nodes accept the request immediately.
+	// drainRetryDelay is the retry delay sent to callers by a node that stops; other nodes accept
+	// the request immediately.
 	drainRetryDelay = 20 * time.Millisecond
 )
 
 // drain is a planned stop in progress. It is immutable.
 type drain struct {
-	// refusesFrom is when new connections no longer come: later requests come on open ones, and their callers may reach other nodes.
+	// refusesFrom is when new connections no longer come: later requests come on open ones, and
+	// their callers may reach other nodes.
 	refusesFrom, endsAt time.Time
 }
 
-// mayCutOff reports whether a request that arrives now could be cut off at the end of the drain. A nil drain cuts nothing off.
+// mayCutOff reports whether a request that arrives now could be cut off at the end of the drain. A
+// nil drain cuts nothing off.
 func (d *drain) mayCutOff(now, deadline time.Time) bool {
 	return d != nil && !now.Before(d.refusesFrom) && deadline.After(d.endsAt)
 }
--- a/registrar/software.go
+++ b/registrar/software.go
@@ -14,21 +14,25 @@
 	maxSoftware = 256
 )
 
-// Software holds the software versions of each service's workers and when a worker of each was last listed, at most softwareMemory ago.
+// Software holds the software versions of each service's workers and when a worker of each was last
+// listed, at most softwareMemory ago.
 type Software map[string]map[string]time.Time
 
-// Software returns the software versions of the workers of a service, in no particular order, those that were listed in the last minute included.
+// Software returns the software versions of the workers of a service, in no particular order, those
+// that were listed in the last minute included.
 func (f *Fleet) Software(now time.Time, service string) []string {
 	return lo.Keys(lo.PickBy(f.software[service], func(_ string, until time.Time) bool { return until.IsZero() || now.Before(until) }))
 }
 
-// KnowsSoftware reports whether Software holds every version that any node has listed in the last minute. A process that has just started does not know
-// those that left the list before, until Recall.
+// KnowsSoftware reports whether Software holds every version that any node has listed in the last
+// minute. A process that has just started does not know those that left the list before, until
+// Recall.
 func (f *Fleet) KnowsSoftware(now time.Time) bool {
 	return !f.softwareSince.IsZero() && now.Sub(f.softwareSince) >= softwareMemory
 }
 
-// LastListed returns the software versions of all services for Recall at other nodes, or nil if KnowsSoftware is false or there are too many.
+// LastListed returns the software versions of all services for Recall at other nodes, or nil if
+// KnowsSoftware is false or there are too many.
 func (f *Fleet) LastListed(now time.Time) Software {
 	if !f.KnowsSoftware(now) {
 		return nil
@@ -51,7 +55,8 @@
 	return software
 }
 
-// Recall adds what LastListed returned at another node, which may have ended since. From then on this node knows the versions of the last minute.
+// Recall adds what LastListed returned at another node, which may have ended since. From then on
+// this node knows the versions of the last minute.
 func (r *Registrar) Recall(now time.Time, software Software) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -115,9 +114,8 @@
 	listBase atomic.Int64
 	// readAt is the time of this node's last successful read of the list, or nil.
 	readAt atomic.Pointer[time.Time]
-	// confirming serializes the calls of Confirm. confirmedAt is when the last read that showed all changes of the list was sent by it; zero before the first.
-	confirming  sync.Mutex
-	confirmedAt time.Time
+	// confirmation is the state of Confirm.
+	confirmation confirmation
 	// responded is closed and replaced at each response to a read of the list of workers.
 	responded responseSignal
 	// calls counts the calls to the store, failures those that failed.
@@ -340,39 +338,6 @@
 	return nil
 }
 
-// confirmPause is the pause between two calls to the store by Confirm.
-const confirmPause = 200 * time.Millisecond
-
-// Confirm reports whether the list of workers was as it is in the store at some time after since, and reads what has changed if that is not known yet. Forwarded reads
-// and responses to earlier calls do not count: while this node stood still or was cut off, they waited too.
-func (w *Watcher) Confirm(deadline, since time.Time) bool {
-	w.confirming.Lock()
-	defer w.confirming.Unlock()
-	if w.confirmedAt.After(since) {
-		return true
-	}
-	time.Sleep(time.Until(w.confirmedAt.Add(confirmPause)))
-	sentAt := time.Now()
-	if !w.listed.Load() || !sentAt.Before(deadline) {
-		return false
-	}
-	changes, version, err := w.source.FeedWorkers(deadline, w.listVersion.Load(), 1)
-	w.calls.Add(1)
-	if err != nil {
-		w.failures.Add(1)
-		log.Warn().Err(err).Int64("version", w.listVersion.Load()).Msg("list of workers not confirmed")
-		return false
-	}
-	w.logChanges(changes)
-	w.registrar.Apply(sentAt, changes)
-	w.raiseListVersion(version)
-	w.confirmedAt = sentAt
-	if len(changes) > 0 {
-		w.changed()
-	}
-	return true
-}
-
 // recordListRead records that this node has read all changes of the list up to a version.
 func (w *Watcher) recordListRead(at time.Time, version int64) {
 	w.raiseListVersion(version)
