Faulty workers in the soak, and a failing script: refusals that are not true

Workers of the soak were better than those of the users: they never answered twice, lost no answer after a run, read each body first, and ended a run with its connection.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"sync"
 	"time"
 
@@ -33,6 +34,7 @@
 // attempt is one request and its result.
 type attempt struct {
 	id            string
+	number        int // of the caller's attempts
 	kind          fleetstandin.Kind
 	node          *node
 	processNumber int // the node's process that was running when the request was sent
@@ -61,7 +63,7 @@
 }
 
 func (c *callers) run() {
-	c.running.Add(6 + callerCount + len(c.environment.nodes))
+	c.running.Add(7 + callerCount + len(c.environment.nodes))
 	go c.watchReadiness()
 	for i := range callerCount {
 		go c.runCaller(i, rand.New(rand.NewPCG(c.random.Uint64(), uint64(i))))
@@ -74,6 +76,7 @@
 	go c.sendStreams(rand.New(rand.NewPCG(c.random.Uint64(), callerCount+4)))
 	go c.sendCrashingParts(rand.New(rand.NewPCG(c.random.Uint64(), callerCount+2)))
 	go c.sendParts(soundPartPause, rand.New(rand.NewPCG(c.random.Uint64(), callerCount+3)), c.environment.parts.sendSound)
+	go c.makeFaulty(rand.New(rand.NewPCG(c.random.Uint64(), callerCount+5)))
 }
 
 // sleep waits for the duration of the pause and returns false if the load is stopped before the pause ends.
@@ -135,7 +138,7 @@
 			}
 			number++
 			kind := kinds[random.IntN(len(kinds))]
-			a := &attempt{id: fmt.Sprintf("c%d-%d", index, number), kind: kind, node: n}
+			a := &attempt{id: fmt.Sprintf("c%d-%d", index, number), number: number, kind: kind, node: n}
 			c.send(client, a, c.environment.models[random.IntN(len(c.environment.models))])
 			if a.result.Status == 0 {
 				break // The connection failed.
@@ -178,11 +181,63 @@
 	}
 }
 
+// Half of the workers are faulty for faultyTime, and turn all requests away but one in faultyRunsEvery; others follow after faultyPause.
+const (
+	faultyTime      = 5 * time.Second
+	faultyPause     = 500 * time.Millisecond
+	faultyRunsEvery = 2
+)
+
+// faultyWorkers are what faulty workers do.
+var faultyWorkers = []fleetstandin.Faults{
+	{Repeat: 2, Lose: 33, Early: 4, Detach: 5},
+	{Repeat: 2, Nameless: true, Lose: 33, Early: 4, Detach: 5},
+	{Repeat: 3, Early: 2, Detach: 3, Lose: 20},
+}
+
+// makeFaulty makes random workers faulty until the load is stopped.
+func (c *callers) makeFaulty(random *rand.Rand) {
+	defer c.running.Done()
+	endpoints := c.environment.endpoints
+	for c.sleep(faultyPause) {
+		order := random.Perm(len(endpoints))[:len(endpoints)/2]
+		for _, i := range order {
+			endpoints[i].setFaults(faultyWorkers[random.IntN(len(faultyWorkers))])
+			endpoints[i].shed(faultyRunsEvery)
+		}
+		running := c.sleep(faultyTime)
+		for _, i := range order {
+			endpoints[i].setFaults(fleetstandin.Faults{})
+			endpoints[i].shed(0)
+		}
+		if !running {
+			return
+		}
+	}
+}
+
+// A request in longBodyEvery has a body of longBodyBytes, which arrives after its head.
+const (
+	longBodyEvery = 4
+	longBodyBytes = 60 << 10
+)
+
+// bodyOf returns the body of the request with a number.
+func bodyOf(id string, number int) string {
+	body := "body of " + id
+	if number%longBodyEvery == 0 {
+		body += strings.Repeat(".", longBodyBytes)
+	}
+	return body
+}
+
 func (c *callers) send(client *http.Client, a *attempt, model string) {
 	stoppedBefore, processBefore := a.node.stopping()
 	a.processNumber = processBefore
 	a.sentAt = time.Now()
-	a.result = fleetstandin.Send(client, a.node.callerAddress, a.kind, "/"+string(a.kind)+"/x", a.id, model, requestTimeout)
+	a.result = fleetstandin.SendAttempt(client, a.node.callerAddress, fleetstandin.Attempt{
+		Kind: a.kind, Path: "/" + string(a.kind) + "/x", ID: a.id, Model: model, Body: bodyOf(a.id, a.number), Timeout: requestTimeout,
+	})
 	a.endedAt = time.Now()
 	stoppedAfter, processAfter := a.node.stopping()
 	a.nodeStopped = !stoppedBefore.IsZero() || !stoppedAfter.IsZero() || processAfter != processBefore
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -47,14 +47,12 @@
 // checked only for attempts that no fault affected.
 func (c *callers) breachOf(a *attempt) string {
 	runs := c.environment.record.Runs(a.id)
-	refused := a.result.Status == http.StatusServiceUnavailable || a.result.Status == http.StatusTooManyRequests
+	if breach := promiseBreach(a.kind, a.result.Status, runs); breach != "" {
+		return breach
+	}
 	switch {
 	case a.result.Status == http.StatusOK && (!a.result.Signed || a.result.AttemptID != a.id || !fleetstandin.IsComplete(a.kind, a.id, a.result.Body)):
 		return fmt.Sprintf("MIXED: answer %q is not the worker's whole one", a.result.Body)
-	case len(runs) > 1 && !a.kind.MayRetry():
-		return fmt.Sprintf("TWICE: it ran at %v", runs)
-	case refused && len(runs) > 0 && !a.kind.MayRetry():
-		return fmt.Sprintf("REFUSED: status %d though it ran at %v", a.result.Status, runs)
 	case a.result.Status == http.StatusNotFound:
 		return "DENIED: status 404"
 	case a.result.RetryAfter != "" && !isDelay(a.result.RetryAfter):
@@ -67,6 +65,22 @@
 	return ""
 }
 
+// promisingStatuses are the statuses by which a node promises that a request has not run and never will.
+var promisingStatuses = []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+
+// promiseBreach returns the guarantee that was breached for an attempt with the status of its response and the workers that ran it, or an empty string.
+func promiseBreach(kind fleetstandin.Kind, status int, runs []string) string {
+	switch {
+	case kind.MayRetry():
+		return ""
+	case len(runs) > 1:
+		return fmt.Sprintf("TWICE: it ran at %v", runs)
+	case lo.Contains(promisingStatuses, status) && len(runs) > 0:
+		return fmt.Sprintf("REFUSED: status %d though it ran at %v", status, runs)
+	}
+	return ""
+}
+
 // isDelay reports whether the text is a number of seconds that is not negative.
 func isDelay(text string) bool {
 	seconds, err := strconv.ParseFloat(text, 64)
--- a/soaker/cut_nodes_test.go
+++ b/soaker/cut_nodes_test.go
@@ -40,6 +40,8 @@
 	kind   fleetstandin.Kind
 	node   *node
 	sentAt time.Time
+	// status is that of the response, 0 without one.
+	status int
 	served bool
 }
 
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -1,6 +1,10 @@
 package soaker
 
-import "time"
+import (
+	"time"
+
+	"github.com/acaciaproxy/acaciaproxy/platform/fleetstandin"
+)
 
 // setLimit makes the current worker name a limit in requests a second; 0 for none.
 func (e *endpoint) setLimit(perSecond float64) {
@@ -17,6 +21,14 @@
 	e.worker.SetBrittle(perSecond)
 }
 
+// setFaults makes the current worker and those after it faulty; the zero value ends that.
+func (e *endpoint) setFaults(faults fleetstandin.Faults) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.faults = faults
+	e.worker.SetFaults(faults)
+}
+
 // shed makes the current worker turn all requests away but one in so many; 0 for none.
 func (e *endpoint) shed(runsEvery int) {
 	e.mu.Lock()
--- a/soaker/environment.go
+++ b/soaker/environment.go
@@ -50,6 +50,8 @@
 	server *http.Server
 	// brittle is the number that its workers name as brittle ones, or 0.
 	brittle int
+	// faults are those of its workers.
+	faults fleetstandin.Faults
 	// silent is set from the stop of a worker to the start of the next one; no heartbeats are written meanwhile.
 	silent bool
 }
@@ -203,11 +205,11 @@
 		e.addFailure("SOAK", err.Error())
 		return
 	}
-	server := &http.Server{Handler: worker}
-	go func() { _ = server.Serve(listener) }() // Ends when stopWorker closes the server.
+	server := fleetstandin.Serve(worker, listener) // Closed by stopWorker.
 	target.proxy.SetTarget(listener.Addr().String())
 	target.mu.Lock()
 	worker.SetBrittle(target.brittle)
+	worker.SetFaults(target.faults)
 	target.worker, target.server, target.silent = worker, server, false
 	target.mu.Unlock()
 }
--- /dev/null
+++ b/soaker/faulty_workers_test.go
@@ -0,0 +1,65 @@
+package soaker
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+
+	"github.com/acaciaproxy/acaciaproxy/platform/fleetstandin"
+)
+
+// Guards against a request that runs although its caller was promised that it never will (REFUSED), and against one that must run once and runs twice (TWICE).
+var _ = ginkgo.Describe("requests that must run once while workers are faulty", func() {
+	ginkgo.It("run once, and never after a refusal", func() {
+		playScripts("testdata/faulty_workers.json", func(e *environment) []string {
+			if e.record.Refusals() < minScriptRefusals {
+				return []string{fmt.Sprintf("the script is void: workers refused %d requests", e.record.Refusals())}
+			}
+			return nil
+		})
+	})
+})
+
+// minScriptRefusals is the number of refusals by workers below which a script proves nothing.
+const minScriptRefusals = 200
+
+// faultsByName are the faults that a "faulty" step names.
+var faultsByName = map[string]fleetstandin.Faults{
+	"named":    faultyWorkers[0],
+	"nameless": faultyWorkers[1],
+	"unmarked": {Repeat: 3, Early: 2, Detach: 3, Unmarked: 20},
+	"sound":    {},
+}
+
+// setFaulty makes all workers faulty in a way.
+func (p *player) setFaulty(name string) error {
+	faults, known := faultsByName[name]
+	if !known {
+		return fmt.Errorf("no such faults")
+	}
+	for _, target := range p.environment.endpoints {
+		target.setFaults(faults)
+	}
+	return nil
+}
+
+// startOnce starts callers of requests that must run once, on connections that are kept, until the end.
+func (p *player) startOnce(end time.Time) {
+	for i := range loadCallers {
+		random := rand.New(rand.NewPCG(uint64(i), 17))
+		p.load.Go(func() {
+			client := &http.Client{Timeout: requestTimeout + timeoutTolerance}
+			for number := 0; time.Now().Before(end); number++ {
+				kind := []fleetstandin.Kind{fleetstandin.KindOnce, fleetstandin.KindStream}[random.IntN(2)]
+				p.send(client, random, kind, fmt.Sprintf("o%d-%d", i, number), number)
+				time.Sleep(time.Duration(random.ExpFloat64() * float64(oncePause)))
+			}
+		})
+	}
+}
+
+// oncePause is the mean pause between two requests of a caller of startOnce.
+const oncePause = 60 * time.Millisecond
--- a/soaker/script_test.go
+++ b/soaker/script_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/onsi/gomega/format"
 	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/casereader"
@@ -22,6 +23,7 @@
 )
 
 func TestSpecs(t *testing.T) {
+	format.MaxLength = 0 // All breaches of a script are printed.
 	gomega.RegisterFailHandler(ginkgo.Fail)
 	ginkgo.RunSpecs(t, "soaker")
 }
@@ -78,6 +80,7 @@
 	}
 	player.load.Wait()
 	found := append(append(e.breaches(), player.breaches...), player.checkCut()...)
+	found = append(found, player.checkPromises()...)
 	found = append(found, checkRetries(e.record, player.sentAt())...)
 	return append(append(found, player.checkServed()...), check(e)...)
 }
@@ -154,6 +157,8 @@
 		return p.startStreams(rest)
 	case "limit":
 		return e.forWorkers(words, (*endpoint).setLimit)
+	case "faulty":
+		return p.setFaulty(rest)
 	case "brittle":
 		return e.forWorkers(words, func(target *endpoint, perSecond float64) { target.setBrittle(int(perSecond)) })
 	case "odd":
@@ -164,7 +169,7 @@
 		return e.forWorkers(words, func(target *endpoint, seconds float64) {
 			target.pause(time.Now().Add(time.Duration(seconds*float64(time.Second))), len(e.nodes))
 		})
-	case "load", "overload", "wait":
+	case "load", "overload", "once", "wait":
 		seconds, err := strconv.Atoi(rest)
 		if err != nil {
 			return err
@@ -174,6 +179,10 @@
 			time.Sleep(span)
 			return nil
 		}
+		if verb == "once" {
+			p.startOnce(time.Now().Add(span))
+			return nil
+		}
 		if verb == "overload" {
 			p.overloaded = true
 			p.startLoad(time.Now().Add(span), overloadCallers, overloadPause)
@@ -256,15 +265,21 @@
 }
 
 func (p *player) sendOne(client *http.Client, random *rand.Rand, id string) {
+	p.send(client, random, []fleetstandin.Kind{fleetstandin.KindIdempotent, fleetstandin.KindStream}[random.IntN(2)], id, 1)
+}
+
+// send sends a request of a kind to a random node.
+func (p *player) send(client *http.Client, random *rand.Rand, kind fleetstandin.Kind, id string, number int) {
 	e := p.environment
-	kind := []fleetstandin.Kind{fleetstandin.KindIdempotent, fleetstandin.KindStream}[random.IntN(2)]
 	sentAt := time.Now()
 	target := e.nodes[random.IntN(len(e.nodes))]
-	result := fleetstandin.Send(client, target.callerAddress, kind, "/"+string(kind)+"/x", id, e.models[random.IntN(modelCapacity*modelWorkers)], requestTimeout)
+	result := fleetstandin.SendAttempt(client, target.callerAddress, fleetstandin.Attempt{
+		Kind: kind, Path: "/" + string(kind) + "/x", ID: id, Model: e.models[random.IntN(modelCapacity*modelWorkers)], Body: bodyOf(id, number), Timeout: requestTimeout,
+	})
 	after := time.Since(sentAt)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.attempts = append(p.attempts, nodeAttempt{id: id, kind: kind, node: target, sentAt: sentAt, served: result.Status == http.StatusOK && fleetstandin.IsComplete(kind, id, result.Body)})
+	p.attempts = append(p.attempts, nodeAttempt{id: id, kind: kind, node: target, sentAt: sentAt, status: result.Status, served: result.Status == http.StatusOK && fleetstandin.IsComplete(kind, id, result.Body)})
 	switch {
 	case result.Status == http.StatusOK && !fleetstandin.IsComplete(kind, id, result.Body):
 		p.breaches = append(p.breaches, fmt.Sprintf("MIXED: answer %q to %s", result.Body, id))
@@ -275,6 +290,16 @@
 	}
 }
 
+// checkPromises returns the breaches of what nodes promised for the attempts of the load.
+func (p *player) checkPromises() []string {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return lo.FilterMap(p.attempts, func(a nodeAttempt, _ int) (string, bool) {
+		breach := promiseBreach(a.kind, a.status, p.environment.record.Runs(a.id))
+		return fmt.Sprintf("%s (attempt %s at node %s, %s)", breach, a.id, a.node.name, a.kind), breach != ""
+	})
+}
+
 // sentAt returns when the attempts of the load were sent, by their IDs, for each service.
 func (p *player) sentAt() map[string]map[string]time.Time {
 	p.mu.Lock()
