Log by what a send counts as not run, and which ends are promises

The line of a false refusal read like that of a true one: it named neither the connection nor the request that the response was for. send failed now has not_run, connection and answered_request, request not answered has promised, and the own interface logs a declined attempt. Package prover holds this evidence; no decision reads it yet.

--- a/forwarder/carry_test.go
+++ b/forwarder/carry_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/acaciaproxy/acaciaproxy/casereader"
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
+	"github.com/acaciaproxy/acaciaproxy/prover"
 )
 
 // carry takes a request as other nodes do, of which there are three if they refuse it.
@@ -28,7 +29,7 @@
 				break
 			}
 		}
-		return nil, forwarder.NewNotRunError("", forwarder.ReasonUnreachable, 0, nil)
+		return nil, forwarder.NewNotRunError(prover.Relayed(), "", forwarder.ReasonUnreachable, 0, nil)
 	}
 	f.carriedCount++
 	response := &forwarder.Carried{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: io.NopCloser(strings.NewReader("id:1\ndata:x\n\n"))}
@@ -41,7 +42,7 @@
 	case "break":
 		return nil, errors.New("connection reset")
 	}
-	return nil, forwarder.NewNotRunError("", forwarder.ReasonUnreachable, 0, nil)
+	return nil, forwarder.NewNotRunError(prover.Relayed(), "", forwarder.ReasonUnreachable, 0, nil)
 }
 
 // carryScript is one script of testdata/carry.json.
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -29,6 +29,7 @@
 	"github.com/acaciaproxy/acaciaproxy/fleettracker"
 	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/logger"
+	"github.com/acaciaproxy/acaciaproxy/prover"
 	"github.com/acaciaproxy/acaciaproxy/recorder"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/streamkeeper"
@@ -370,7 +371,7 @@
 	if c.Request != nil && c.Model != "" {
 		entry = entry.Str("model", c.Model).Str("adapter", c.Adapter)
 	}
-	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Int("sends", c.sends).Int("runs", c.runs).Str("why", failure.message).Msg("request not answered")
+	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Int("sends", c.sends).Int("runs", c.runs).Bool("promised", prover.Promises(failure.status)).Str("why", failure.message).Msg("request not answered")
 }
 
 func requestID(c *call) string {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -27,6 +27,7 @@
 	"github.com/acaciaproxy/acaciaproxy/fleettracker"
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
 	"github.com/acaciaproxy/acaciaproxy/limiter"
+	"github.com/acaciaproxy/acaciaproxy/prover"
 	"github.com/acaciaproxy/acaciaproxy/recorder"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/streamkeeper"
@@ -294,7 +295,7 @@
 	}
 	switch {
 	case next.NotRun != "":
-		return nil, forwarder.NewNotRunError(attempt.Worker.ID, forwarder.Reason(next.NotRun), 503, nil)
+		return nil, forwarder.NewNotRunError(prover.Unsent(), attempt.Worker.ID, forwarder.Reason(next.NotRun), 503, nil)
 	case next.Broken:
 		return nil, forwarder.NewBrokenError(attempt.Worker.ID, errors.New("connection reset"))
 	}
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -1,11 +1,13 @@
 package forwarder
 
 import (
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"time"
 
+	"github.com/acaciaproxy/acaciaproxy/prover"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
@@ -104,6 +106,10 @@
 
 // NotRunError reports that a worker certainly did not run a request.
 type NotRunError struct {
+	// proof shows that the send has not run; it is given.
+	proof prover.Proof
+	// evidence is what is known of the send; its zero value is that of a request that another node refused.
+	evidence prover.Evidence
 	// worker is the worker's ID, reason why it did not run the request.
 	worker string
 	reason Reason
@@ -119,9 +125,18 @@
 	brittle *float64
 }
 
-// NewNotRunError returns the error of a send that did not run; worker is the worker's ID, load may be nil.
-func NewNotRunError(worker string, reason Reason, status int, load *Load) *NotRunError {
-	return &NotRunError{worker: worker, reason: reason, status: status, load: load}
+// NewNotRunError returns the error of a send that did not run, which the proof shows; worker is the worker's ID, load may be nil.
+func NewNotRunError(proof prover.Proof, worker string, reason Reason, status int, load *Load) *NotRunError {
+	return &NotRunError{proof: proof, worker: worker, reason: reason, status: status, load: load}
+}
+
+// Evidence returns what is known of the send.
+func (e *NotRunError) Evidence() prover.Evidence { return e.evidence }
+
+// WithEvidence sets what is known of the send and returns the error.
+func (e *NotRunError) WithEvidence(evidence prover.Evidence) *NotRunError {
+	e.evidence = evidence
+	return e
 }
 
 // PerSecond returns the limit that the worker named, as in Response.
@@ -164,6 +179,8 @@
 	// worker is the worker's ID.
 	worker string
 	cause  error
+	// evidence is what is known of the send; its zero value is that of a response that broke off.
+	evidence prover.Evidence
 }
 
 // NewBrokenError returns the error of a send without a complete response; worker is the worker's ID.
@@ -171,6 +188,15 @@
 	return &BrokenError{worker: worker, cause: cause}
 }
 
+// Evidence returns what is known of the send.
+func (e *BrokenError) Evidence() prover.Evidence { return e.evidence }
+
+// WithEvidence sets what is known of the send and returns the error.
+func (e *BrokenError) WithEvidence(evidence prover.Evidence) *BrokenError {
+	e.evidence = evidence
+	return e
+}
+
 // Error names the worker and the cause.
 func (e *BrokenError) Error() string {
 	return fmt.Sprintf("answer of worker %q did not arrive whole: %v", e.worker, e.cause)
@@ -179,6 +205,15 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.cause }
 
+// evidenceOf returns what is known of a failed send.
+func evidenceOf(err error) prover.Evidence {
+	var holder interface{ Evidence() prover.Evidence }
+	if errors.As(err, &holder) {
+		return holder.Evidence()
+	}
+	return prover.Evidence{}
+}
+
 // BadRequestError reports a malformed request of a caller.
 type BadRequestError struct {
 	// field names the malformed header or part, value is its value as sent.
--- a/forwarder/pauses_test.go
+++ b/forwarder/pauses_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/acaciaproxy/acaciaproxy/casereader"
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
+	"github.com/acaciaproxy/acaciaproxy/prover"
 )
 
 // pauseScript is a script of testdata/pauses.json.
@@ -74,5 +75,5 @@
 	}
 	seconds, err := strconv.ParseFloat(result, 64)
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
-	return nil, forwarder.NewNotRunError(attempt.Worker.ID, forwarder.ReasonFull, http.StatusServiceUnavailable, nil).WithPause(&seconds)
+	return nil, forwarder.NewNotRunError(prover.Unsent(), attempt.Worker.ID, forwarder.ReasonFull, http.StatusServiceUnavailable, nil).WithPause(&seconds)
 }
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -279,8 +279,10 @@
 // retry returns nil when a call may be sent once more after a failed send, else the error with which it ends.
 func (f *Forwarder) retry(ctx context.Context, c *call, worker *registrar.Worker, err error) error {
 	now := time.Now()
-	logger.Info("send failed").Str("request", c.ID).Str("worker", worker.ID).Str("software", worker.Software).Int("send", c.sends).Str("after_event", c.lastEventID).Int64("age_ms", c.stateAgeMS).Err(err).Msg("send failed")
 	var notRun *NotRunError
+	evidence := evidenceOf(err)
+	logger.Info("send failed").Str("request", c.ID).Str("worker", worker.ID).Str("software", worker.Software).Int("send", c.sends).Str("after_event", c.lastEventID).Int64("age_ms", c.stateAgeMS).
+		Bool("not_run", errors.As(err, &notRun)).Str("connection", string(evidence.Connection())).Str("answered_request", evidence.ReceivedID()).Err(err).Msg("send failed")
 	if errors.As(err, &notRun) {
 		return f.handleNotRun(ctx, c, worker, notRun)
 	}
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -273,6 +273,7 @@
 // which certainly did not run, else the request's failure.
 func (g *Gateway) handleDeclined(m *modelRequest, notRun *engineclient.NotRunError) error {
 	m.declinedAttempts++
+	log.Info().Str("request", m.request.id).Str("worker", m.worker).Str("unit", m.unit).Int("declined", m.declinedAttempts).Err(notRun).Msg("attempt declined")
 	switch notRun.Reason() {
 	case "not loaded":
 		g.dependencies.Tracker.SetAbsent(m.worker, m.unit)
--- a/server/carry.go
+++ b/server/carry.go
@@ -17,6 +17,7 @@
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
 	"github.com/acaciaproxy/acaciaproxy/nodewire"
 	"github.com/acaciaproxy/acaciaproxy/platform"
+	"github.com/acaciaproxy/acaciaproxy/prover"
 )
 
 // maxCarriers is the number of nodes that are asked to serve a request for this one.
@@ -53,7 +54,7 @@
 			break
 		}
 	}
-	return nil, forwarder.NewNotRunError("", forwarder.ReasonUnreachable, 0, nil)
+	return nil, forwarder.NewNotRunError(prover.Relayed(), "", forwarder.ReasonUnreachable, 0, nil)
 }
 
 // carrierList holds the addresses of nodes that reach workers, as the leaders name them. It is safe for concurrent use.
