Refuse a request only with a proof that each of its sends has not run

What callers saw: a worker that ends a run in a signed 503 (408, 429) without 'not run' had that status passed on. For callers it is the promise that the request has not run (REFUSED), though the worker says nothing of the kind.

Cause: whether a refusal is true was decided at each of the fifteen places that made one, from a count that some of them did not ask, and not at all for statuses that were relayed. Class: a promise about the past of a request is built where the past is not known.

Change: prover.Ledger counts a send as one that may have run from its beginning until a proof of this send. A refusal takes a Promise, which only the ledger gives; a failure with such a status and without one becomes 502 at the one place that writes it. Waits that end with the connection or with the drain ask the ledger too. The response to a send is believed by the evidence of that send, its ID and its connection, in one function.

A pause that such a 503 asks for still counts.

--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -12,6 +12,7 @@
 	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/logger"
+	"github.com/acaciaproxy/acaciaproxy/prover"
 )
 
 const (
@@ -123,7 +124,7 @@
 
 // refuseCutOff returns the refusal of a call that this node cannot send to any worker.
 func (f *Forwarder) refuseCutOff(c *call) error {
-	return f.refuse(c, newRefusal("cut_off", "this node reaches no worker; another may", cutRetry))
+	return c.refuse("cut_off", "this node reaches no worker; another may", cutRetry)
 }
 
 // CarriedOutcome says how a request that another node passed on has ended.
@@ -157,13 +158,14 @@
 
 // mayCarry reports whether a call may be passed to another node: nothing of it can have run, and it has not been passed on before.
 func (c *call) mayCarry() bool {
-	return !c.isCarried && !c.carryTried && c.runs == 0 && c.lastEventID == "" && len(c.Body) <= maxCarriedBody
+	return !c.isCarried && !c.carryTried && c.ledger.MayHaveRun() == 0 && c.lastEventID == "" && len(c.Body) <= maxCarriedBody
 }
 
 // carry passes a call to another node and relays its response. It returns false if no node has taken it, which has not run then, and this node may send it.
 func (f *Forwarder) carry(ctx context.Context, w http.ResponseWriter, c *call) (done bool, err error) {
 	c.carryTried = true
 	f.endTrial(c, time.Now())
+	c.ledger.Begin()
 	response, err := f.dependencies.Carry(ctx, c.Request, c.deadline, func(untried bool) bool {
 		if !untried {
 			c.reached, c.retryAllowed = true, false
@@ -173,13 +175,13 @@
 	var notRun *NotRunError
 	logger.Info("request passed to another node").Str("request", c.ID).Strs("unreachable", c.unreachable).Bool("reached", c.reached).Int64("left_ms", time.Until(c.deadline).Milliseconds()).Err(err).Msg("request passed to another node")
 	if errors.As(err, &notRun) {
+		c.ledger.Prove(notRun.proof)
 		f.dependencies.Recorder.Count("requests no node took")
 		if !f.allowRetry(time.Now(), c) {
-			return true, f.refuse(c, newRefusal("full", "no node found a worker with room, and the retry budget is spent", busyRetry))
+			return true, c.refuse("full", "no node found a worker with room, and the retry budget is spent", busyRetry)
 		}
 		return false, nil
 	}
-	c.runs++
 	f.dependencies.Recorder.Count("requests carried")
 	if err != nil {
 		if ctx.Err() != nil {
@@ -188,6 +190,9 @@
 		return true, newFailure(http.StatusBadGateway, "broken", "the node that serves the request broke off: "+err.Error())
 	}
 	defer func() { _ = response.Body.Close() }() // Unread bytes are discarded.
+	if prover.Promises(response.Status) {        // The other node has refused nothing, so the status is a worker's.
+		return true, newFailure(http.StatusBadGateway, "unproved", (&UnprovedRefusalError{status: response.Status}).Error())
+	}
 	copyHeader(w.Header(), response.Header)
 	f.writeHead(w, response.Status)
 	controller := http.NewResponseController(w)
--- a/forwarder/carry_test.go
+++ b/forwarder/carry_test.go
@@ -39,6 +39,9 @@
 	case "break off":
 		response.Body = io.NopCloser(&brokenBody{text: strings.NewReader("id:1\ndata")})
 		return response, nil
+	case "own 503":
+		response.Status = http.StatusServiceUnavailable
+		return response, nil
 	case "break":
 		return nil, errors.New("connection reset")
 	}
--- a/forwarder/drain.go
+++ b/forwarder/drain.go
@@ -74,14 +74,14 @@
 		Int64("left_ms", c.deadline.Sub(now).Milliseconds()).Int64("drain_left_ms", remaining.Milliseconds()).
 		Bool("for_other", c.isCarried).Msg("request during drain")
 	if !accepted {
-		return newStopping()
+		return newStopping(c)
 	}
 	return nil
 }
 
 // newStopping returns the refusal of a request that this node cannot answer before it stops.
-func newStopping() *FailureError {
-	return newRefusal("stopping", "this node stops before the request could be answered", drainRetry)
+func newStopping(c *call) *FailureError {
+	return c.refuse("stopping", "this node stops before the request could be answered", drainRetry)
 }
 
 // writeHead writes the head of a response. While this node drains it asks the caller to close the connection.
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -8,12 +8,15 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/acaciaproxy/acaciaproxy/prover"
 )
 
 // FailureError is the error response to a request that ends without a worker's response.
 type FailureError struct {
-	// status is the HTTP status. 503 and 429 guarantee that the request has not run and will not run.
-	status int
+	// status is the HTTP status. One that promises that the request has not run and never will is sent only with a promise that was given.
+	status  int
+	promise prover.Promise
 	// code identifies the failure for programs; message describes it in one sentence.
 	code, message string
 	// retryMS is the delay in milliseconds after which the caller may retry; 0 when unknown.
@@ -23,14 +26,26 @@
 // Error returns the message that the caller gets.
 func (e *FailureError) Error() string { return e.message }
 
-// newFailure returns a failure without a retry delay.
+// newFailure returns a failure without a retry delay, whose status promises nothing.
 func newFailure(status int, code, message string) *FailureError {
 	return &FailureError{status: status, code: code, message: message}
 }
 
-// newRefusal returns a 503 for a request that has not run and may be retried after a delay.
-func newRefusal(code, message string, retry time.Duration) *FailureError {
-	return &FailureError{status: http.StatusServiceUnavailable, code: code, message: message, retryMS: max(retry.Milliseconds(), 1)}
+// refuse returns a 503 for a call that has not run and may be retried after a delay, or a 502 if a send of it may have run.
+func (c *call) refuse(code, message string, retry time.Duration) *FailureError {
+	promise, err := c.ledger.Promise()
+	if err != nil {
+		return newFailure(http.StatusBadGateway, "broken", "an earlier attempt may have run: "+message)
+	}
+	return &FailureError{status: http.StatusServiceUnavailable, promise: promise, code: code, message: message, retryMS: max(retry.Milliseconds(), 1)}
+}
+
+// withoutFalsePromise returns the failure, or a 502 in place of a status that promises what no ledger has shown.
+func (e *FailureError) withoutFalsePromise() *FailureError {
+	if !prover.Promises(e.status) || e.promise.Given() {
+		return e
+	}
+	return newFailure(http.StatusBadGateway, e.code, e.message)
 }
 
 // Delays after which refused callers may retry.
@@ -71,7 +86,7 @@
 // fail sends the error response to a failed request, or closes the connection if a response has begun or the caller left.
 func (f *Forwarder) fail(w http.ResponseWriter, r *http.Request, c *call, err error) {
 	var aborted *abortError
-	failure := asFailure(err)
+	failure := asFailure(err).withoutFalsePromise()
 	// A read of the body that fails at its deadline ends the context too.
 	callerLeft := r.Context().Err() != nil && failure.status != http.StatusRequestTimeout
 	f.logFailure(c, failure, callerLeft)
@@ -81,7 +96,7 @@
 	}
 	if outcome := carriedOutcome(r); outcome != nil {
 		// Without a route, this node's configuration may be older than that of the node that passed the request on.
-		outcome.refused = failure.status == http.StatusServiceUnavailable || failure.status == http.StatusNotFound
+		outcome.refused = failure.promise.Given() || failure.status == http.StatusNotFound
 		outcome.untried = !c.reached
 	}
 	if c.Request != nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -179,9 +179,9 @@
 	arrived time.Time
 	// deadline is the earlier of the caller's deadline and the route's timeout.
 	deadline time.Time
-	// runs counts the sends that a worker may have run.
-	runs int
-	// sends counts all sends, including those that certainly did not run.
+	// ledger is the account of the sends, also of those by a node that the call was passed to.
+	ledger prover.Ledger
+	// sends counts the sends of this node to workers, including those that certainly did not run.
 	sends int
 	// reached is set once a send may have reached a worker, also one of another node that the call was passed to. From then on, retryAllowed is
 	// set before each send, by the retry budget, and unset when that send has reached a worker.
@@ -267,10 +267,10 @@
 	f.logResponse(c)
 }
 
-// logResponse logs a request that got a worker's response, with the worker and the load by which it was chosen.
+// logResponse logs a request that got a worker's response, with the worker and the load by which it was chosen. Runs are the sends before it that may have run.
 func (f *Forwarder) logResponse(c *call) {
 	logger.Info("request answered").Str("request", c.ID).Str("route", c.route.Name).Str("model", c.Model).Str("adapter", c.Adapter).Str("worker", c.worker).Str("software", c.software).Str("resumes", c.Resumes).Str("resumes_after", c.LastEventID).Strs("parts", c.sharedParts).
-		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Int("sends", c.sends).Int("runs", c.runs).Float64("limit", c.limitPerSecond).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstByteMS).Int("load", c.workerLoad).Int64("age_ms", c.stateAgeMS).
+		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Int("sends", c.sends).Int("runs", c.ledger.MayHaveRun()-1).Float64("limit", c.limitPerSecond).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstByteMS).Int("load", c.workerLoad).Int64("age_ms", c.stateAgeMS).
 		Int64("after_ms", time.Since(c.arrived).Milliseconds()).Msg("request answered")
 }
 
@@ -283,10 +283,10 @@
 		return c, err
 	}
 	if c.catalog == nil {
-		return c, newRefusal("no_configuration", "no configuration is known yet", configurationRetry)
+		return c, c.refuse("no_configuration", "no configuration is known yet", configurationRetry)
 	}
 	if !f.dependencies.CrashesKnown() {
-		return c, newRefusal("no_crashes", "it is not known yet which requests crash workers", configurationRetry)
+		return c, c.refuse("no_crashes", "it is not known yet which requests crash workers", configurationRetry)
 	}
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	route, found := c.catalog.Find(r.Host, path)
@@ -299,9 +299,9 @@
 		c.deadline = c.Deadline
 	}
 	if c.service, found = c.catalog.Service(route.Service(hashFraction(c.ID))); !found {
-		return c, newRefusal("no_service", "the route's service is not configured", configurationRetry)
+		return c, c.refuse("no_service", "the route's service is not configured", configurationRetry)
 	}
-	if c.Body, err = readBody(w, r, c.catalog.Limits().BodyBytes, c.deadline); err != nil {
+	if c.Body, err = readBody(w, r, c.catalog.Limits().BodyBytes, c); err != nil {
 		return c, err
 	}
 	if err := f.checkDrain(time.Now(), c); err != nil {
@@ -315,8 +315,8 @@
 // defaultBodyBytes limits bodies when the configuration sets no limit.
 const defaultBodyBytes = 8 << 20
 
-// readBody reads a body of at most limit bytes that arrives by the deadline; a limit of 0 or less stands for defaultBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int, deadline time.Time) ([]byte, error) {
+// readBody reads a call's body of at most limit bytes, which arrives by the call's deadline; a limit of 0 or less stands for defaultBodyBytes.
+func readBody(w http.ResponseWriter, r *http.Request, limit int, c *call) ([]byte, error) {
 	if limit <= 0 {
 		limit = defaultBodyBytes
 	}
@@ -328,12 +328,14 @@
 		return []byte{}, nil
 	}
 	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(deadline); err != nil {
+	if err := controller.SetReadDeadline(c.deadline); err != nil {
 		return nil, newFailure(http.StatusBadRequest, "body_broken", "the connection failed before the request's body arrived: "+err.Error())
 	}
 	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
 	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return nil, newFailure(http.StatusRequestTimeout, "body_late", "the request's body did not arrive by its deadline")
+		failure := c.refuse("body_late", "the request's body did not arrive by its deadline", 0)
+		failure.status, failure.retryMS = http.StatusRequestTimeout, 0
+		return nil, failure
 	}
 	if err == nil {
 		err = controller.SetReadDeadline(time.Time{})
@@ -371,7 +373,7 @@
 	if c.Request != nil && c.Model != "" {
 		entry = entry.Str("model", c.Model).Str("adapter", c.Adapter)
 	}
-	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Int("sends", c.sends).Int("runs", c.runs).Bool("promised", prover.Promises(failure.status)).Str("why", failure.message).Msg("request not answered")
+	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Int("sends", c.sends).Int("runs", c.ledger.MayHaveRun()).Bool("promised", prover.Promises(failure.status)).Str("why", failure.message).Msg("request not answered")
 }
 
 func requestID(c *call) string {
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -205,6 +205,17 @@
 // Unwrap returns the cause.
 func (e *BrokenError) Unwrap() error { return e.cause }
 
+// UnprovedRefusalError reports a response of a worker whose status promises that the request has not run, which nothing else in the response says.
+type UnprovedRefusalError struct {
+	// status is the HTTP status of the response.
+	status int
+}
+
+// Error names the status.
+func (e *UnprovedRefusalError) Error() string {
+	return fmt.Sprintf("response of the worker with status %d does not say that the request has not run", e.status)
+}
+
 // evidenceOf returns what is known of a failed send.
 func evidenceOf(err error) prover.Evidence {
 	var holder interface{ Evidence() prover.Evidence }
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -61,10 +61,10 @@
 	model, known := c.service.Models[c.Model]
 	if !known {
 		// Not a 404, since a newer configuration may have the model.
-		return newRefusal("no_model", "the service has no such model", configurationRetry)
+		return c.refuse("no_model", "the service has no such model", configurationRetry)
 	}
 	if needed := model.MemoryMB + lo.Ternary(c.Adapter == "", 0, model.AdapterMB); c.service.MemoryMB > 0 && needed > c.service.MemoryMB {
-		return newRefusal("too_large", fmt.Sprintf("the model and the adapter need %.0f MB; a worker of the service has %.0f MB", needed, c.service.MemoryMB), configurationRetry)
+		return c.refuse("too_large", fmt.Sprintf("the model and the adapter need %.0f MB; a worker of the service has %.0f MB", needed, c.service.MemoryMB), configurationRetry)
 	}
 	if err := f.findOrigin(ctx, c); err != nil {
 		return err
@@ -108,14 +108,9 @@
 	send.Urgency = urgency(c)
 	send.ResumeAfter = c.lastEventID
 	sentAt := time.Now()
-	response, err := f.dependencies.Send(sendCtx, c.Request, send)
+	response, err := f.send(sendCtx, c, send)
 	if err == nil {
 		c.slot.Accept()
-		f.reportLoad(worker, response.Load)
-		f.observeLimit(c, worker, response.PerSecond)
-		f.observePause(c, worker, response.PauseS)
-		f.dependencies.Limiter.ObserveBrittle(time.Now(), worker.Service, worker.ID, response.Brittle)
-		f.reach.succeed(time.Now())
 		c.firstByteMS = time.Since(sentAt).Milliseconds()
 		f.dependencies.Recorder.Observe(recorder.MeasureFirstToken, c.service.Name, c.route.Name, time.Since(sentAt))
 		err = relay.relayResponse(response, worker)
@@ -215,7 +210,7 @@
 	latest := f.latestStart(c)
 	if !now.Before(latest) {
 		f.dependencies.DemandCounter.CountRefusal(c.modelKey())
-		return f.refuse(c, newRefusal("not_loaded", "the model was not loaded in time", notLoadedRetry))
+		return c.refuse("not_loaded", "the model was not loaded in time", notLoadedRetry)
 	}
 	expected, estimated := f.estimateReady(now, c, holders)
 	if estimated && c.expectedReadyAt.IsZero() {
@@ -223,20 +218,20 @@
 	}
 	if first, blocked := f.blockedUntil(now, holders); blocked && first.retryAt.After(latest) && !estimated {
 		f.dependencies.DemandCounter.CountRefusal(c.modelKey())
-		return f.refuse(c, newRefusal(first.code, refusalMessages[first.code], first.retryAt.Sub(now)))
+		return c.refuse(first.code, refusalMessages[first.code], first.retryAt.Sub(now))
 	}
 	if estimated && expected.After(latest) {
 		f.dependencies.DemandCounter.CountRefusal(c.modelKey())
-		return f.refuse(c, newRefusal("loads_late", "the model will not be loaded in time", expected.Sub(now)))
+		return c.refuse("loads_late", "the model will not be loaded in time", expected.Sub(now))
 	}
 	if estimated || len(f.dependencies.Tracker.LiveZones(now)) > 0 {
 		return nil
 	}
 	if f.dependencies.Isolated() {
-		return f.refuse(c, newRefusal("isolated", "this node is cut off; another may load the model", isolatedRetry))
+		return c.refuse("isolated", "this node is cut off; another may load the model", isolatedRetry)
 	}
 	if now.Sub(began) > noLeaderWait {
-		return f.refuse(c, newRefusal("no_leader", "no leader is known that could load the model", notLoadedRetry))
+		return c.refuse("no_leader", "no leader is known that could load the model", notLoadedRetry)
 	}
 	return nil
 }
@@ -306,13 +301,10 @@
 	}
 	select {
 	case <-ctx.Done():
-		if f.life.Err() != nil {
-			return f.refuse(c, newStopping())
-		}
 		if errors.Is(ctx.Err(), context.Canceled) {
-			return newFailure(http.StatusServiceUnavailable, "caller_left", "the caller left while its request waited for the model")
+			return f.endWait(c)
 		}
-		return f.refuse(c, newRefusal("not_loaded", "the model was not loaded in time", notLoadedRetry))
+		return c.refuse("not_loaded", "the model was not loaded in time", notLoadedRetry)
 	case <-viewChanged:
 	case <-draining:
 	case <-time.After(viewPollInterval):
@@ -320,6 +312,14 @@
 	return nil
 }
 
+// endWait returns the error with which a call ends that was waiting when its context was canceled: this node stops, or the caller has left.
+func (f *Forwarder) endWait(c *call) error {
+	if f.life.Err() != nil {
+		return newStopping(c)
+	}
+	return c.refuse("caller_left", "the caller left while its request waited", busyRetry)
+}
+
 // chooseModelWorker returns the worker with the least cost among those that have model and adapter loaded, or nil.
 func (f *Forwarder) chooseModelWorker(now time.Time, c *call, holders []fleettracker.Holder) *registrar.Worker {
 	var best *registrar.Worker
--- a/forwarder/origins.go
+++ b/forwarder/origins.go
@@ -102,7 +102,7 @@
 		Str("software", found.version.Software).Strs("versions", found.versions).Bool("versions_known", found.versionsKnown).Bool("leaders_answered", found.leadersAnswered).Msg("origin of stream looked up")
 	if !found.known {
 		f.dependencies.Recorder.Count("streams of unknown origin")
-		return newRefusal("origin_unknown", "it is not known at which software version the stream began", originRetry)
+		return c.refuse("origin_unknown", "it is not known at which software version the stream began", originRetry)
 	}
 	version := found.version
 	c.origin = &origin{version: version}
@@ -159,5 +159,5 @@
 // refuseVersion returns the error with which a call ends whose stream can go on nowhere: no worker of its version has the model or is loading it.
 func (f *Forwarder) refuseVersion(c *call) error {
 	f.dependencies.DemandCounter.CountRefusal(c.modelKey())
-	return f.refuse(c, newRefusal("version_not_loaded", "no worker of the software version that began the stream has the model", notLoadedRetry))
+	return c.refuse("version_not_loaded", "no worker of the software version that began the stream has the model", notLoadedRetry)
 }
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -13,6 +13,7 @@
 	"github.com/acaciaproxy/acaciaproxy/assessor"
 	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/logger"
+	"github.com/acaciaproxy/acaciaproxy/prover"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
@@ -93,12 +94,11 @@
 func (f *Forwarder) sendPlain(ctx context.Context, c *call, worker *registrar.Worker, held *heldBytes) (*Response, []byte, error) {
 	send := f.newSend(c, worker)
 	endSend := f.beginSend(c, worker)
-	response, err := f.dependencies.Send(ctx, c.Request, send)
+	response, err := f.send(ctx, c, send)
 	if err != nil {
 		endSend(err)
 		return nil, nil, err
 	}
-	f.reach.succeed(time.Now())
 	body, err := readAll(response.Body, held)
 	_ = response.Body.Close() // Read to its end or failed.
 	if err == nil {
@@ -109,10 +109,6 @@
 		endSend(err)
 		return nil, nil, err
 	}
-	f.reportLoad(worker, response.Load)
-	f.observeLimit(c, worker, response.PerSecond)
-	f.observePause(c, worker, response.PauseS)
-	f.dependencies.Limiter.ObserveBrittle(time.Now(), worker.Service, worker.ID, response.Brittle)
 	if response.Succeeded() {
 		f.recordAnswer(c)
 		if hasEventStream(response.Header) {
@@ -123,6 +119,26 @@
 	return response, body, nil
 }
 
+// send sends a request to a worker and records what the head of its response tells of the worker. A status that promises that the request has not run becomes a
+// *BrokenError: a worker that says so of a request is reported as a *NotRunError.
+func (f *Forwarder) send(ctx context.Context, c *call, send Send) (*Response, error) {
+	response, err := f.dependencies.Send(ctx, c.Request, send)
+	if err != nil {
+		return nil, err
+	}
+	worker := send.Worker
+	f.reach.succeed(time.Now())
+	f.reportLoad(worker, response.Load)
+	f.observeLimit(c, worker, response.PerSecond)
+	f.observePause(c, worker, response.PauseS)
+	f.dependencies.Limiter.ObserveBrittle(time.Now(), worker.Service, worker.ID, response.Brittle)
+	if prover.Promises(response.Status) {
+		_ = response.Body.Close() // Unread bytes are discarded.
+		return nil, NewBrokenError(worker.ID, &UnprovedRefusalError{status: response.Status})
+	}
+	return response, nil
+}
+
 // newSend returns the parameters of a send of a call to a worker, without urgency.
 func (f *Forwarder) newSend(c *call, worker *registrar.Worker) Send {
 	return Send{Worker: worker, Deadline: c.deadline.Add(-returnReserve), Urgency: -1, NotRetryable: !c.route.Retryable(), Again: c.sentTo[worker.ID]}
@@ -134,6 +150,7 @@
 // beginSend counts a send and returns the function that records its end.
 func (f *Forwarder) beginSend(c *call, worker *registrar.Worker) (endSend func(error)) {
 	c.sends++
+	c.ledger.Begin()
 	c.sentTo[worker.ID] = true
 	c.sentAt, c.events = time.Now(), 0
 	c.worker, c.software, c.stateAgeMS = worker.ID, worker.Software, f.stateAge(worker).Milliseconds()
@@ -153,6 +170,9 @@
 		endSilence()
 		var notRun *NotRunError
 		isNotRun := errors.As(err, &notRun)
+		if isNotRun {
+			c.ledger.Prove(notRun.proof)
+		}
 		slot.End(isNotRun && notRun.reason == ReasonFull)
 		if !isNotRun || notRun.reason != ReasonUnreachable {
 			c.reached, c.retryAllowed = true, false
@@ -227,9 +247,9 @@
 		return best, nil
 	}
 	if !blocked.retryAt.IsZero() {
-		return nil, f.refuse(c, newRefusal(blocked.code, refusalMessages[blocked.code], blocked.retryAt.Sub(now)))
+		return nil, c.refuse(blocked.code, refusalMessages[blocked.code], blocked.retryAt.Sub(now))
 	}
-	return nil, f.refuse(c, newRefusal("no_worker", "no worker of the service takes requests now", busyRetry))
+	return nil, c.refuse("no_worker", "no worker of the service takes requests now", busyRetry)
 }
 
 // plainCost returns the cost of a worker from its load, zone and penalty. A
@@ -253,15 +273,6 @@
 	return cost
 }
 
-// refuse returns the refusal, or a 502 failure instead if an earlier send of the
-// call may have run: a refusal guarantees that the request has not run.
-func (f *Forwarder) refuse(c *call, refusal *FailureError) error {
-	if c.runs > 0 {
-		return newFailure(http.StatusBadGateway, "broken", "an earlier attempt may have run: "+refusal.message)
-	}
-	return refusal
-}
-
 // Limits of the retries of one call.
 const (
 	// avoidFull, avoidUnreachable and avoidBroken are how long a call avoids a worker that was full, was unreachable, or failed otherwise.
@@ -286,7 +297,6 @@
 	if errors.As(err, &notRun) {
 		return f.handleNotRun(ctx, c, worker, notRun)
 	}
-	c.runs++
 	c.avoidUntil[worker.ID] = now.Add(avoidBroken)
 	if ctx.Err() != nil {
 		f.endTrial(c, now.Add(crashNewsTime))
@@ -303,7 +313,7 @@
 	if c.origin != nil && !crashed {
 		c.avoidUntil[worker.ID] = now.Add(avoidOrigin)
 	}
-	if !c.route.Retryable() || c.runs >= c.route.MaxAttempts || c.deadline.Sub(now) < minResendTime {
+	if !c.route.Retryable() || c.ledger.MayHaveRun() >= c.route.MaxAttempts || c.deadline.Sub(now) < minResendTime {
 		return newFailure(http.StatusBadGateway, "broken", err.Error())
 	}
 	if err := f.checkCrashes(c); err != nil {
@@ -313,7 +323,7 @@
 		return newFailure(http.StatusBadGateway, "no_budget", "the budget for repeated sends is spent: "+err.Error())
 	}
 	f.dependencies.Recorder.Count("sends repeated")
-	logger.Info("send repeated").Str("request", c.ID).Int("sends", c.sends).Int("runs", c.runs).Str("after_event", c.lastEventID).
+	logger.Info("send repeated").Str("request", c.ID).Int("sends", c.sends).Int("runs", c.ledger.MayHaveRun()).Str("after_event", c.lastEventID).
 		Int64("left_ms", c.deadline.Sub(now).Milliseconds()).Msg("send repeated")
 	return nil
 }
@@ -326,7 +336,7 @@
 	}
 	allowed, left := f.dependencies.Budget.AllowRetry(now, c.service.Name)
 	f.dependencies.Recorder.Count(lo.Ternary(allowed, "retries allowed ", "retries denied ") + c.service.Name)
-	logger.Info("retry decided").Str("request", c.ID).Str("service", c.service.Name).Bool("allowed", allowed).Float64("left", left).Int("sends", c.sends).Int("runs", c.runs).
+	logger.Info("retry decided").Str("request", c.ID).Str("service", c.service.Name).Bool("allowed", allowed).Float64("left", left).Int("sends", c.sends).Int("runs", c.ledger.MayHaveRun()).
 		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Msg("retry decided")
 	c.retryAllowed = allowed
 	return allowed
@@ -367,12 +377,12 @@
 	if notRun.reason != ReasonUnreachable {
 		f.reach.succeed(now)
 	}
-	refusal := newRefusal("full", notRun.Error(), busyRetry)
+	refusal := c.refuse("full", notRun.Error(), busyRetry)
 	if ctx.Err() != nil || c.deadline.Sub(now) < minResendTime || c.sends >= maxSends {
-		return f.refuse(c, refusal)
+		return refusal
 	}
 	if !f.allowRetry(now, c) {
-		return f.refuse(c, refusal)
+		return refusal
 	}
 	time.Sleep(resendPause)
 	return nil
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -45,10 +45,10 @@
 		return nil
 	}
 	const message = "this request or a part of its prompt was running at workers that crashed"
-	if c.runs > 0 {
+	if c.ledger.MayHaveRun() > 0 {
 		return newFailure(http.StatusBadGateway, "crashes_workers", message)
 	}
-	return newRefusal("crashes_workers", message, crashkeeper.Lifetime)
+	return c.refuse("crashes_workers", message, crashkeeper.Lifetime)
 }
 
 // recordEvents counts events of the response to a call. Once the worker has gone on after the first, it speaks for the shared parts of the prompt.
--- a/forwarder/trials.go
+++ b/forwarder/trials.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/acaciaproxy/acaciaproxy/logger"
@@ -36,7 +35,7 @@
 // awaitTrial waits for a moment before a call asks for its trial again. It returns the error with which the call ends if it has waited until latest.
 func (f *Forwarder) awaitTrial(ctx context.Context, c *call, latest time.Time) error {
 	if !time.Now().Before(latest) {
-		return f.refuse(c, newRefusal("suspected", "requests like this one may crash workers and are sent one at a time", suspectedRetry))
+		return c.refuse("suspected", "requests like this one may crash workers and are sent one at a time", suspectedRetry)
 	}
 	if !c.suspected {
 		c.suspected = true
@@ -46,7 +45,7 @@
 	select {
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.Canceled) {
-			return newFailure(http.StatusServiceUnavailable, "caller_left", "the caller left while its request waited for its trial")
+			return f.endWait(c)
 		}
 	case <-time.After(trialPollInterval):
 	}
--- a/soaker/faulty_workers_test.go
+++ b/soaker/faulty_workers_test.go
@@ -30,7 +30,7 @@
 var faultsByName = map[string]fleetstandin.Faults{
 	"named":    faultyWorkers[0],
 	"nameless": faultyWorkers[1],
-	"unmarked": {Repeat: 3, Early: 2, Detach: 3, Unmarked: 20},
+	"unmarked": faultyWorkers[2],
 	"sound":    {},
 }
 
