Repeat a request only if every configuration that decides on it allows that

A request that must run once by the newer version of the configuration could run twice (TWICE): the version with which it arrived decided on its repeat for all its time, and a node that serves it for another decided anew by its own version.

Cause: two nodes, or two versions, answer the same question apart.

Change: before each send that may repeat a run, the newest version and the node that passed the request on are asked too: CarryRequest.once, one byte for each request that must run once and is passed on. Nodes of the landing before neither send nor read it; they decide as before.

--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -136,24 +136,33 @@
 // Untried reports whether the request was refused before any send of it reached a worker.
 func (o *CarriedOutcome) Untried() bool { return o.refused && o.untried }
 
-// carriedKey is the key of the *CarriedOutcome in the context of a request that another node passed on.
+// carriedKey is the key of the carriedRequest in the context of a request that another node passed on.
 type carriedKey struct{}
 
-// ServeCarried serves a request that another node passed on; it is not passed on again. The outcome is set before the head of the response is written.
-func (f *Forwarder) ServeCarried(w http.ResponseWriter, r *http.Request, outcome *CarriedOutcome) {
+// carriedRequest is what a request that another node passed on has beside its own content.
+type carriedRequest struct {
+	// outcome is set at the end of the request; nil for a request that no node passed on.
+	outcome *CarriedOutcome
+	// once is set if the request must run once by the configuration of that node.
+	once bool
+}
+
+// ServeCarried serves a request that another node passed on, by whose configuration it must run once if once is set; it is not passed on again. The outcome is
+// set before the head of the response is written.
+func (f *Forwarder) ServeCarried(w http.ResponseWriter, r *http.Request, once bool, outcome *CarriedOutcome) {
 	defer f.carried.Add(-1)
 	if f.carried.Add(1) > maxCarried {
 		outcome.refused, outcome.untried = true, true
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	f.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), carriedKey{}, outcome)))
+	f.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), carriedKey{}, carriedRequest{outcome: outcome, once: once})))
 }
 
-// carriedOutcome returns the outcome of a request that another node passed on, or nil for others.
-func carriedOutcome(r *http.Request) *CarriedOutcome {
-	outcome, _ := r.Context().Value(carriedKey{}).(*CarriedOutcome)
-	return outcome
+// carried returns what another node told of a request that it passed on; the zero value for others.
+func carried(r *http.Request) carriedRequest {
+	passedOn, _ := r.Context().Value(carriedKey{}).(carriedRequest)
+	return passedOn
 }
 
 // mayCarry reports whether a call may be passed to another node: nothing of it can have run, and it has not been passed on before.
@@ -166,7 +175,7 @@
 	c.carryTried = true
 	f.endTrial(c, time.Now())
 	c.ledger.Begin()
-	response, err := f.dependencies.Carry(ctx, c.Request, c.deadline, func(untried bool) bool {
+	response, err := f.dependencies.Carry(ctx, c.Request, !f.mayRepeat(c), c.deadline, func(untried bool) bool {
 		if !untried {
 			c.reached, c.retryAllowed = true, false
 		}
--- a/forwarder/carry_test.go
+++ b/forwarder/carry_test.go
@@ -19,9 +19,10 @@
 )
 
 // carry takes a request as other nodes do, of which there are three if they refuse it.
-func (f *fixture) carry(_ context.Context, request *forwarder.Request, _ time.Time, refused func(untried bool) bool) (*forwarder.Carried, error) {
+func (f *fixture) carry(_ context.Context, request *forwarder.Request, once bool, _ time.Time, refused func(untried bool) bool) (*forwarder.Carried, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.carriedOnce = once
 	if strings.HasPrefix(f.carrier, "refuse") {
 		for asked := 0; asked < 3; asked++ {
 			f.carriedCount++
@@ -80,7 +81,7 @@
 				request := f.request(script.Route, script.Model)
 				request.RequestURI = script.Route
 				outcome := &forwarder.CarriedOutcome{}
-				f.forwarder.ServeCarried(&carriedRecorder{recorded}, request, outcome)
+				f.forwarder.ServeCarried(&carriedRecorder{recorded}, request, false, outcome)
 				status, refused, untried = recorded.Code, outcome.Refused(), outcome.Untried()
 			} else if response, err := http.DefaultTransport.RoundTrip(f.request(script.Route, script.Model)); err == nil {
 				if _, err := io.ReadAll(response.Body); err == nil {
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -94,7 +94,7 @@
 	if errors.As(err, &aborted) || callerLeft {
 		panic(http.ErrAbortHandler) // Closes the connection, so that the caller does not take the response as complete.
 	}
-	if outcome := carriedOutcome(r); outcome != nil {
+	if outcome := carried(r).outcome; outcome != nil {
 		// Without a route, this node's configuration may be older than that of the node that passed the request on.
 		outcome.refused = failure.promise.Given() || failure.status == http.StatusNotFound
 		outcome.untried = !c.reached
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -66,9 +66,9 @@
 	Trier *trier.Trier
 	// Crashed reports, by probing a worker's address, whether its process seems to have ended.
 	Crashed func(worker *registrar.Worker) bool
-	// Carry passes a request to another node, which serves it until the deadline. Each node that refuses it is reported to refused, which says whether the next
+	// Carry passes a request to another node, which serves it until the deadline, and at most once if once is set. Each node that refuses it is reported to refused, which says whether the next
 	// one may be asked; untried is set if the request has reached no worker there. The error is a *NotRunError if no node has taken it, else it may have run.
-	Carry func(ctx context.Context, request *Request, deadline time.Time, refused func(untried bool) (askNext bool)) (*Carried, error)
+	Carry func(ctx context.Context, request *Request, once bool, deadline time.Time, refused func(untried bool) (askNext bool)) (*Carried, error)
 	// Streams holds the software versions at which streams began. FindStream asks the leaders; FindArchived looks in the store, and read is set if that could
 	// be read. ConfirmList reports whether the list of workers is known to have been up to date at some time after since.
 	Streams      *streamkeeper.Keeper
@@ -220,6 +220,8 @@
 	origin *origin
 	// lastEventID is the id of the last event that was relayed.
 	lastEventID string
+	// once is set if another node passed the call on and it must run once by the configuration there.
+	once bool
 	// isCarried is set if another node passed the call on, carryTried once this node has tried to. Unreachable are the workers that sends did not reach.
 	isCarried, carryTried bool
 	unreachable           []string
@@ -277,7 +279,7 @@
 // admit decodes a request, reads its body and finds its route. When it fails, the
 // call that it returns has only the fields set that were reached before the error.
 func (f *Forwarder) admit(w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, error) {
-	c := &call{catalog: f.dependencies.Catalog(), arrived: arrived, avoidUntil: map[string]time.Time{}, sentTo: map[string]bool{}, isCarried: carriedOutcome(r) != nil}
+	c := &call{catalog: f.dependencies.Catalog(), arrived: arrived, avoidUntil: map[string]time.Time{}, sentTo: map[string]bool{}, isCarried: carried(r).outcome != nil, once: carried(r).once}
 	var err error
 	if c.Request, err = f.dependencies.Decode(r, arrived); err != nil {
 		return c, err
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -110,6 +110,10 @@
 	// carrier says how another node takes a request: "answer", "break" or "break off"; "refuse" and "refuse untried" if all refuse it after a send that
 	// reached a worker, or without one; else there is none. carriedCount counts the nodes that were asked.
 	carrier string
+	// carriedOnce is set if the last request that was passed on must run once.
+	carriedOnce bool
+	// newKind is the kind, "once" or "idempotent", that all routes of plain services have in a newer version, which is in force from the first send on; empty for none.
+	newKind string
 	// retries is the number of retries that the budget still allows, -1 for any number.
 	retries      int
 	carriedCount int
@@ -163,7 +167,7 @@
 		{Name: "plain"}, {Name: "models", MemoryMB: 1000, Models: map[string]cataloger.Model{"m": {Name: "m"}, "cold": {Name: "cold"}, "huge": {Name: "huge", MemoryMB: 990, AdapterMB: 20}}},
 	}, cataloger.Limits{BodyBytes: 100})
 	f.forwarder = forwarder.New(forwarder.Dependencies{
-		Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, Workers: f.list, Tracker: f.tracker, DemandCounter: demandcounter.New(),
+		Zone: "z", Catalog: func() *cataloger.Catalog { return f.newest(catalog) }, Workers: f.list, Tracker: f.tracker, DemandCounter: demandcounter.New(),
 		Assessor: assessor.New(), Limiter: f.limiter, Recorder: f.recorder, Ready: func() bool { return true }, Isolated: func() bool { return f.isolated },
 		Decode: decode, Send: f.send, SetAttemptID: func(http.Header, string) {}, Crashed: f.hasCrashed,
 		Streams: f.streams, FindStream: f.findStream, FindArchived: f.findArchived, ConfirmList: f.confirmList,
@@ -729,7 +733,7 @@
 			request := httptest.NewRequest(http.MethodPost, path, http.NoBody)
 			request.Host = "h"
 			recorded, outcome := httptest.NewRecorder(), &forwarder.CarriedOutcome{}
-			f.forwarder.ServeCarried(recorded, request, outcome)
+			f.forwarder.ServeCarried(recorded, request, false, outcome)
 			return recorded.Code, outcome.Untried()
 		}
 		status, untried := carried("/lasting/x")
--- /dev/null
+++ b/forwarder/kinds_test.go
@@ -0,0 +1,71 @@
+package forwarder_test
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/acaciaproxy/acaciaproxy/casereader"
+	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/forwarder"
+)
+
+// newest returns the catalog or, once a request was sent, a newer one in which the routes of plain services have the fixture's kind.
+func (f *fixture) newest(catalog *cataloger.Catalog) *cataloger.Catalog {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.newKind == "" || f.sent == 0 {
+		return catalog
+	}
+	var routes []cataloger.Route
+	for _, name := range []string{"once", "idempotent"} {
+		route, _ := catalog.Find("h", "/"+name+"/")
+		changed := *route
+		changed.Kind = map[string]cataloger.Kind{"once": cataloger.KindOnce, "idempotent": cataloger.KindIdempotent}[f.newKind]
+		routes = append(routes, changed)
+	}
+	return cataloger.New(2, routes, []cataloger.Service{{Name: "plain"}}, cataloger.Limits{BodyBytes: 100})
+}
+
+// Guards against a request that runs twice (TWICE) because two versions of the configuration, or two nodes, do not agree on whether it may be repeated.
+var _ = ginkgo.Describe("a request whose route changes its kind", func() {
+	var scripts []struct {
+		Name, Route string
+		// NewKind is the kind in the newer version, empty without one. Once is set if another node passes the request on as one that must run once.
+		NewKind string
+		Once    bool
+		Sends   []scriptedSend
+		// Status is the response's, Sent the number of sends. PassedOnce is set if the request is passed on as one that must run once.
+		Status, Sent int
+		PassedOnce   bool
+	}
+	gomega.Expect(casereader.Read("testdata/kinds.json", &scripts)).To(gomega.Succeed())
+	for _, script := range scripts {
+		ginkgo.It(script.Name, func() {
+			f := newFixture(script.Sends, false)
+			defer f.server.Close()
+			f.carrier, f.newKind = "answer", script.NewKind
+			status := 0
+			if script.Once {
+				recorded := httptest.NewRecorder()
+				request := f.request(script.Route, "")
+				request.RequestURI = script.Route
+				f.forwarder.ServeCarried(&carriedRecorder{recorded}, request, true, &forwarder.CarriedOutcome{})
+				status = recorded.Code
+			} else {
+				response, err := http.DefaultTransport.RoundTrip(f.request(script.Route, ""))
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				_, err = io.ReadAll(response.Body)
+				gomega.Expect(err).NotTo(gomega.HaveOccurred())
+				status = response.StatusCode
+			}
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			gomega.Expect(fmt.Sprint(status, f.sent, f.carriedOnce)).To(gomega.Equal(fmt.Sprint(script.Status, script.Sent, script.PassedOnce)), "status, sent, passed on once")
+		})
+	}
+})
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/phuslu/log"
@@ -141,7 +142,22 @@
 
 // newSend returns the parameters of a send of a call to a worker, without urgency.
 func (f *Forwarder) newSend(c *call, worker *registrar.Worker) Send {
-	return Send{Worker: worker, Deadline: c.deadline.Add(-returnReserve), Urgency: -1, NotRetryable: !c.route.Retryable(), Again: c.sentTo[worker.ID]}
+	return Send{Worker: worker, Deadline: c.deadline.Add(-returnReserve), Urgency: -1, NotRetryable: !f.mayRepeat(c), Again: c.sentTo[worker.ID]}
+}
+
+// mayRepeat reports whether a call may be sent again although a send of it may have run: its route allows that, by the configuration with which the call
+// arrived, by the newest one, and at the node that passed it on.
+func (f *Forwarder) mayRepeat(c *call) bool {
+	if c.once || !c.route.Retryable() {
+		return false
+	}
+	newest := f.dependencies.Catalog()
+	if newest.Version() == c.catalog.Version() {
+		return true
+	}
+	path, _, _ := strings.Cut(c.Target, "?")
+	route, found := newest.Find(c.Host, path)
+	return found && route.Retryable()
 }
 
 // returnReserve is how long before the call's deadline the worker's deadline is, so that its response reaches the caller in time.
@@ -313,7 +329,7 @@
 	if c.origin != nil && !crashed {
 		c.avoidUntil[worker.ID] = now.Add(avoidOrigin)
 	}
-	if !c.route.Retryable() || c.ledger.MayHaveRun() >= c.route.MaxAttempts || c.deadline.Sub(now) < minResendTime {
+	if !f.mayRepeat(c) || c.ledger.MayHaveRun() >= c.route.MaxAttempts || c.deadline.Sub(now) < minResendTime {
 		return newFailure(http.StatusBadGateway, "broken", err.Error())
 	}
 	if err := f.checkCrashes(c); err != nil {
--- a/server/carry.go
+++ b/server/carry.go
@@ -30,9 +30,9 @@
 const maxPartBytes = 64 << 10
 
 // carry passes a request to another node, as forwarder.Dependencies describes. Requests are spread over the nodes that the leaders name.
-func (f *FleetNode) carry(ctx context.Context, request *forwarder.Request, deadline time.Time, refused func(untried bool) (askNext bool)) (*forwarder.Carried, error) {
+func (f *FleetNode) carry(ctx context.Context, request *forwarder.Request, once bool, deadline time.Time, refused func(untried bool) (askNext bool)) (*forwarder.Carried, error) {
 	message := &nodewire.CarryRequest{
-		Node: f.settings.Name(), Method: request.Method, Target: request.Target, Host: request.Host, Headers: newHeaders(platform.CarriedHeader(request, deadline)), Body: request.Body,
+		Node: f.settings.Name(), Method: request.Method, Target: request.Target, Host: request.Host, Headers: newHeaders(platform.CarriedHeader(request, deadline)), Body: request.Body, Once: once,
 	}
 	carriers := f.carriers.all(f.settings.Nodes())
 	first := int(xxhash.Sum64String(request.ID) % uint64(max(len(carriers), 1)))
@@ -211,6 +211,6 @@
 			err = status.Error(codes.Aborted, io.ErrUnexpectedEOF.Error())
 		}
 	}()
-	f.forwarder.ServeCarried(w, r, w.outcome)
+	f.forwarder.ServeCarried(w, r, message.GetOnce(), w.outcome)
 	return w.sendHead(http.StatusOK)
 }
