Count refusals without a proof and responses to other sends

On-call engineers see by these two counters that a worker answers a second time or ends runs in a status that promises what it does not say; the lines send failed name the requests.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -135,6 +135,7 @@
 	f.dependencies.Limiter.ObserveBrittle(time.Now(), worker.Service, worker.ID, response.Brittle)
 	if prover.Promises(response.Status) {
 		_ = response.Body.Close() // Unread bytes are discarded.
+		f.dependencies.Recorder.Count("refusals without a proof")
 		return nil, NewBrokenError(worker.ID, &UnprovedRefusalError{status: response.Status})
 	}
 	return response, nil
@@ -307,6 +308,10 @@
 func (f *Forwarder) retry(ctx context.Context, c *call, worker *registrar.Worker, err error) error {
 	now := time.Now()
 	var notRun *NotRunError
+	var foreign *prover.ForeignError
+	if errors.As(err, &foreign) {
+		f.dependencies.Recorder.Count("responses to other sends")
+	}
 	evidence := evidenceOf(err)
 	logger.Info("send failed").Str("request", c.ID).Str("worker", worker.ID).Str("software", worker.Software).Int("send", c.sends).Str("after_event", c.lastEventID).Int64("age_ms", c.stateAgeMS).
 		Bool("not_run", errors.As(err, &notRun)).Str("connection", string(evidence.Connection())).Str("answered_request", evidence.ReceivedID()).Err(err).Msg("send failed")
