--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -199,7 +199,8 @@
 		return true, newFailure(http.StatusBadGateway, "broken", "the node that serves the request broke off: "+err.Error())
 	}
 	defer func() { _ = response.Body.Close() }() // Unread bytes are discarded.
-	if prover.Promises(response.Status) {        // The other node has refused nothing, so the status is a worker's.
+	if prover.Promises(response.Status) {
+		// The other node has refused nothing, so the status is a worker's.
 		return true, newFailure(http.StatusBadGateway, "unproved", (&UnprovedRefusalError{status: response.Status}).Error())
 	}
 	copyHeader(w.Header(), response.Header)
