Let signed failures strike by themselves in the soak, and notice a script without them

Found when the script passed with the mend taken out.

Change: other steps; a script with signed failures is void with fewer than 20.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -192,7 +192,7 @@
 var faultyWorkers = []fleetstandin.Faults{
 	{Repeat: 2, Lose: 33, Early: 4, Detach: 5},
 	{Repeat: 2, Nameless: true, Lose: 33, Early: 4, Detach: 5},
-	{Repeat: 3, Early: 2, Detach: 3, Lose: 20, Unmarked: 20},
+	{Repeat: 3, Early: 2, Detach: 3, Lose: 33, Unmarked: 20},
 }
 
 // makeFaulty makes random workers faulty until the load is stopped.
--- a/soaker/faulty_workers_test.go
+++ b/soaker/faulty_workers_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/platform/fleetstandin"
 )
@@ -15,8 +16,12 @@
 var _ = ginkgo.Describe("requests that must run once while workers are faulty", func() {
 	ginkgo.It("run once, and never after a refusal", func() {
 		playScripts("testdata/faulty_workers.json", func(e *environment) []string {
-			if e.record.Refusals() < minScriptRefusals {
-				return []string{fmt.Sprintf("the script is void: workers refused %d requests", e.record.Refusals())}
+			refusals, failures := e.record.Refusals()
+			if refusals < minScriptRefusals {
+				return []string{fmt.Sprintf("the script is void: workers refused %d requests", refusals)}
+			}
+			if lo.SomeBy(e.endpoints, func(target *endpoint) bool { return target.faults.Unmarked > 0 }) && failures < minScriptFailures {
+				return []string{fmt.Sprintf("the script is void: workers ended %d runs in a signed failure", failures)}
 			}
 			return nil
 		})
@@ -26,6 +31,9 @@
 // minScriptRefusals is the number of refusals by workers below which a script proves nothing.
 const minScriptRefusals = 200
 
+// minScriptFailures is the same for runs that end in a signed failure, in scripts that have them.
+const minScriptFailures = 20
+
 // faultsByName are the faults that a "faulty" step names.
 var faultsByName = map[string]fleetstandin.Faults{
 	"named":    faultyWorkers[0],
