Let faulty workers of the soak turn nothing away once its faults have ended

So half of the workers refused half of all requests while the share was counted, which is the soak's own fault, and the retry budget bounds what nodes may do about it. Other faults of workers go on to the end; the bound stays.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -181,7 +181,8 @@
 	}
 }
 
-// Half of the workers are faulty for faultyTime, and turn all requests away but one in faultyRunsEvery; others follow after faultyPause.
+// Half of the workers are faulty for faultyTime, and turn all requests away but one in faultyRunsEvery; others follow after faultyPause. Once the last fault
+// has ended, they turn no more away: the share that must be answered then is that of workers with room.
 const (
 	faultyTime      = 5 * time.Second
 	faultyPause     = 500 * time.Millisecond
@@ -203,7 +204,9 @@
 		order := random.Perm(len(endpoints))[:len(endpoints)/2]
 		for _, i := range order {
 			endpoints[i].setFaults(faultyWorkers[random.IntN(len(faultyWorkers))])
-			endpoints[i].shed(faultyRunsEvery)
+			if !c.faultsEnded() {
+				endpoints[i].shed(faultyRunsEvery)
+			}
 		}
 		running := c.sleep(faultyTime)
 		for _, i := range order {
@@ -216,6 +219,13 @@
 	}
 }
 
+// faultsEnded reports whether the last fault has ended.
+func (c *callers) faultsEnded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.faultsEndedAt.IsZero()
+}
+
 // A request in longBodyEvery has a body of longBodyBytes, which arrives after its head.
 const (
 	longBodyEvery = 4
