Soak: workers leave by their entry alone, one node's path to the store is cut (failing)

The soak did not play this: its workers said "draining" or said so in their responses, and served on for 4 s; one fault anywhere excused all nodes; no fault cut one node's path to the store while others kept theirs; no entry lapsed. Now workers leave by their entry alone and serve on for 5 to 15 s, nodes lose the store (connections hang, are refused, bring no responses), entries lapse in outages and are back within two seconds. A late request is counted from the store's acknowledgement and excuses only a node that a fault affects itself. The old check stays as it is.

--- a/faultinjector/faultinjector.go
+++ b/faultinjector/faultinjector.go
@@ -23,7 +23,7 @@
 	ModeDelay
 	// ModeDropResponses drops the bytes that the target sends.
 	ModeDropResponses
-	// ModeDropAll drops all bytes. New connections are still accepted.
+	// ModeDropAll drops all bytes. New connections are still accepted, unless Silence was called.
 	ModeDropAll
 )
 
@@ -68,8 +68,11 @@
 	p.Reset()
 }
 
-// Accept listens again after Refuse. It fails if the address is in use until the deadline.
+// Accept listens again after Refuse or Silence. It fails if the address is in use until the deadline.
 func (p *Proxy) Accept(deadline time.Time) error {
+	p.mu.Lock()
+	_ = p.listener.Close() // Fails only if it is closed already.
+	p.mu.Unlock()
 	for {
 		listener, err := net.Listen("tcp", p.address)
 		if err == nil {
--- a/faultinjector/faultinjector_test.go
+++ b/faultinjector/faultinjector_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"io"
 	"net"
 	"testing"
@@ -71,3 +72,29 @@
 	received, err = exchange(newConn, timeout)
 	gomega.Expect([]any{received, err}).To(gomega.Equal([]any{"x\n", nil}))
 }
+
+// TestSilence checks that connections hang from Silence to Accept, and that no one is refused.
+func TestSilence(t *testing.T) {
+	gomega.RegisterTestingT(t)
+	proxy, err := faultinjector.New(startEchoServer())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	defer proxy.Close()
+	conn, err := net.Dial("tcp", proxy.Address())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	const timeout = 400 * time.Millisecond
+
+	gomega.Expect(proxy.Silence()).To(gomega.Succeed())
+	_, err = exchange(conn, timeout)
+	gomega.Expect(err).To(gomega.HaveOccurred())
+	_, err = net.DialTimeout("tcp", proxy.Address(), timeout)
+	var failure net.Error
+	gomega.Expect(errors.As(err, &failure)).To(gomega.BeTrue())
+	gomega.Expect(failure.Timeout()).To(gomega.BeTrue(), "%v", err)
+
+	proxy.SetMode(faultinjector.ModePass)
+	gomega.Expect(proxy.Accept(time.Now().Add(time.Second))).To(gomega.Succeed())
+	newConn, err := net.Dial("tcp", proxy.Address())
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	received, err := exchange(newConn, timeout)
+	gomega.Expect([]any{received, err}).To(gomega.Equal([]any{"x\n", nil}))
+}
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -39,6 +39,7 @@
 	breaches = append(breaches, checkCrashingRequests(e.record, fleetstandin.CauseBody, e.hadNoFault)...)
 	breaches = append(breaches, checkCrashingRequests(e.record, fleetstandin.CausePart, e.hadNoFault)...)
 	breaches = append(breaches, checkRetries(e.record, c.sentAt())...)
+	breaches = append(breaches, e.checkDepartures()...)
 	breaches = append(breaches, e.parts.blamed(e.record.Crashes(fleetstandin.CausePart))...)
 	return append(breaches, e.streams.check()...)
 }
--- a/soaker/cut_nodes_test.go
+++ b/soaker/cut_nodes_test.go
@@ -2,13 +2,12 @@
 
 import (
 	"fmt"
-	"net"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/samber/lo"
-	"golang.org/x/sys/unix"
 
+	"github.com/acaciaproxy/acaciaproxy/faultinjector"
 	"github.com/acaciaproxy/acaciaproxy/platform/fleetstandin"
 )
 
@@ -49,10 +48,11 @@
 func (p *player) cutNodes(nodes []*node, how string) error {
 	address := "127.0.0.1:1"
 	if how == "hang" {
-		var err error
-		if address, err = listenSilently(); err != nil {
+		silent, err := faultinjector.ListenSilently("127.0.0.1:0") // Stays open until this process ends.
+		if err != nil {
 			return err
 		}
+		address = silent.Addr().String()
 	}
 	view, err := p.environment.listen(fleetstandin.CutView(p.environment.store, address))
 	if err != nil {
@@ -66,31 +66,6 @@
 	return nil
 }
 
-// listenSilently returns an address at which new connections are neither accepted nor refused: its queue is full.
-func listenSilently() (address string, err error) {
-	socket, err := unix.Socket(unix.AF_INET, unix.SOCK_STREAM|unix.SOCK_CLOEXEC, 0)
-	if err != nil {
-		return "", err
-	}
-	if err := unix.Bind(socket, &unix.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}); err != nil {
-		return "", err
-	}
-	if err := unix.Listen(socket, 0); err != nil {
-		return "", err
-	}
-	bound, err := unix.Getsockname(socket)
-	if err != nil {
-		return "", err
-	}
-	address = fmt.Sprint("127.0.0.1:", bound.(*unix.SockaddrInet4).Port)
-	for range 8 { // The connections stay open until this process ends.
-		if _, err := net.DialTimeout("tcp", address, 200*time.Millisecond); err != nil {
-			return address, nil
-		}
-	}
-	return "", fmt.Errorf("address %s accepts all connections", address)
-}
-
 // checkCut returns the breach of the guarantee that callers of cut nodes are served about as often as those of others.
 func (p *player) checkCut() []string {
 	if len(p.cut) == 0 {
--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -52,6 +52,21 @@
 	e.worker.Depart()
 }
 
+// leaveUnlisted makes the current worker leave by its entry alone: it serves on.
+func (e *endpoint) leaveUnlisted(store *fleetstandin.Store) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.worker.LeaveUnlisted(store)
+}
+
+// lapse deletes the current worker's entry; it is written again from a time on.
+func (e *endpoint) lapse(store *fleetstandin.Store, until time.Time) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.lapsedUntil = until
+	e.worker.DeleteEntry(store)
+}
+
 // pause makes the current worker refuse all requests until a time, and ask for none until then.
 func (e *endpoint) pause(until time.Time, nodes int) {
 	e.mu.Lock()
--- a/soaker/environment.go
+++ b/soaker/environment.go
@@ -54,6 +54,8 @@
 	faults fleetstandin.Faults
 	// silent is set from the stop of a worker to the start of the next one; no heartbeats are written meanwhile.
 	silent bool
+	// lapsedUntil is when heartbeats are written again after the entry has lapsed in an outage of the store.
+	lapsedUntil time.Time
 }
 
 // environment holds the nodes and the stand-ins of the platform, and records the faults injected into them.
@@ -227,7 +229,7 @@
 func (e *environment) writeHeartbeats(target *endpoint) {
 	for {
 		target.mu.Lock()
-		if !target.silent && !e.store.Unavailable() {
+		if !target.silent && !e.store.Unavailable() && time.Now().After(target.lapsedUntil) {
 			target.worker.WriteHeartbeat(e.store, target.proxy.Address())
 		}
 		target.mu.Unlock()
@@ -285,13 +287,14 @@
 	return nil
 }
 
-// beginFault records the start of a fault; the returned function records its end.
-func (e *environment) beginFault() (end func()) {
+// beginFault records the start of a fault; the returned function records its end. The owner is the node or the endpoint that it affects, the
+// store, or nil if it affects all.
+func (e *environment) beginFault(owner any) (end func()) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.activeFaults++
 	e.lastFaultChange = time.Now()
-	span := &faultSpan{startedAt: e.lastFaultChange}
+	span := &faultSpan{owner: owner, startedAt: e.lastFaultChange}
 	e.faultSpans = append(e.faultSpans, span)
 	return func() {
 		e.mu.Lock()
@@ -327,6 +330,8 @@
 
 // faultSpan is the time from the start to the end of one fault.
 type faultSpan struct {
+	// owner is what the fault affects, as beginFault describes it.
+	owner any
 	// endedAt is zero until the fault ends.
 	startedAt, endedAt time.Time
 }
--- a/soaker/schedule.go
+++ b/soaker/schedule.go
@@ -19,6 +19,8 @@
 	name string
 	// planned is set for operations that are not faults. All guarantees must hold while they run.
 	planned bool
+	// owner is what the action affects, as beginFault describes it.
+	owner any
 	// run performs the action and returns when it has ended, for a killed node after the restart.
 	run func()
 }
@@ -27,11 +29,12 @@
 type schedule struct {
 	environment *environment
 	random      *rand.Rand
-	// additions draws the actions of startAddition; it is separate, so that they do not change which other actions a seed draws.
-	additions  *rand.Rand
-	namePrefix string
-	startedAt  time.Time
-	performed  []string
+	// additions draws the actions of startAddition, departures those of startDeparture; they are separate, so that they do not change which other actions
+	// a seed draws.
+	additions, departures *rand.Rand
+	namePrefix            string
+	startedAt             time.Time
+	performed             []string
 	// running counts the actions that have not ended.
 	running sync.WaitGroup
 	// mu guards reserved, which holds the nodes, the endpoints and the store that an action is running on.
@@ -39,8 +42,8 @@
 	reserved map[any]bool
 }
 
-func newSchedule(e *environment, random, additions *rand.Rand, namePrefix string) *schedule {
-	return &schedule{environment: e, random: random, additions: additions, namePrefix: namePrefix, startedAt: time.Now(), reserved: map[any]bool{}}
+func newSchedule(e *environment, random, additions, departures *rand.Rand, namePrefix string) *schedule {
+	return &schedule{environment: e, random: random, additions: additions, departures: departures, namePrefix: namePrefix, startedAt: time.Now(), reserved: map[any]bool{}}
 }
 
 // Pauses between two actions are uniformly distributed. On average, one action in immediateShare follows the previous one without a pause.
@@ -48,8 +51,9 @@
 	shortestPause  = 200 * time.Millisecond
 	longestPause   = 1800 * time.Millisecond
 	immediateShare = 4
-	// additionShare is the average number of draws of an action between two additions.
-	additionShare = 3
+	// additionShare is the average number of draws of an action between two additions, departureShare between two departures.
+	additionShare  = 3
+	departureShare = 3
 )
 
 // A run alternates between faultPhase, in which all actions may start, and plannedPhase, in which only planned ones may.
@@ -74,6 +78,9 @@
 		if s.additions.IntN(additionShare) == 0 {
 			s.startAddition()
 		}
+		if s.departures.IntN(departureShare) == 0 {
+			s.startDeparture(deadline)
+		}
 		if s.random.IntN(immediateShare) > 0 {
 			time.Sleep(shortestPause + time.Duration(s.random.Int64N(int64(longestPause-shortestPause))))
 		}
@@ -85,7 +92,7 @@
 func (s *schedule) start(next action) {
 	end := func() {}
 	if !next.planned {
-		end = s.environment.beginFault()
+		end = s.environment.beginFault(next.owner)
 	}
 	s.running.Add(1)
 	go func() {
@@ -140,7 +147,7 @@
 		return action{}, false
 	}
 	run := next.run
-	next.run = func() { defer release(); run() }
+	next.owner, next.run = resource, func() { defer release(); run() }
 	return next, true
 }
 
@@ -204,11 +211,16 @@
 	if !strings.HasPrefix(next.name, s.namePrefix) {
 		return
 	}
-	var resource any = target
+	next.owner = target
 	if strings.HasPrefix(next.name, "store") {
-		resource = s.environment.store
+		next.owner = s.environment.store
 	}
-	release, free := s.reserve(resource)
+	s.startReserved(next)
+}
+
+// startReserved starts an action unless another one runs on its owner.
+func (s *schedule) startReserved(next action) {
+	release, free := s.reserve(next.owner)
 	if !free {
 		return
 	}
@@ -268,7 +280,7 @@
 	target.worker.WriteHeartbeat(s.environment.store, target.proxy.Address())
 	time.Sleep(workerLeaveTime)
 	if !target.worker.AwaitIdle(time.Now().Add(workerLeaveTime)) {
-		defer s.environment.beginFault()() // Stopping the worker breaks off the requests that still run.
+		defer s.environment.beginFault(target)() // Stopping the worker breaks off the requests that still run.
 	}
 	target.stopWorker()
 	target.worker.DeleteEntry(s.environment.store)
--- a/soaker/script_test.go
+++ b/soaker/script_test.go
@@ -82,7 +82,10 @@
 	found := append(append(e.breaches(), player.breaches...), player.checkCut()...)
 	found = append(found, player.checkPromises()...)
 	found = append(found, checkRetries(e.record, player.sentAt())...)
-	return append(append(found, player.checkServed()...), check(e)...)
+	found = append(found, e.checkDepartures()...)
+	found = append(append(found, player.checkServed()...), player.checkLapsed()...)
+	found = append(found, player.checkStrictly()...)
+	return append(found, check(e)...)
 }
 
 // player plays the steps of one script.
@@ -102,6 +105,11 @@
 	cutAt time.Time
 	// copied is the copy of the store that "restore" brings back.
 	copied *fleetstandin.Copy
+	// endCuts end the cuts of nodes from the store. Strict is set once a "strict" step was played.
+	endCuts []func() error
+	strict  bool
+	// lapsedAt is when the last "lapse" step began; zero before.
+	lapsedAt time.Time
 }
 
 // play plays one step; the data files say what each does.
@@ -155,6 +163,14 @@
 		return e.forWorkers(words, func(target *endpoint, _ float64) { e.crashByRequest(target, fleetstandin.CauseBody, e.models) })
 	case "streams":
 		return p.startStreams(rest)
+	case "isolate":
+		return p.isolate(nodes, cut(words[0]))
+	case "reunite":
+		return p.reunite()
+	case "strict":
+		p.strict = true
+	case "unlist":
+		return e.forWorkers(words, func(target *endpoint, _ float64) { target.leaveUnlisted(e.store) })
 	case "limit":
 		return e.forWorkers(words, (*endpoint).setLimit)
 	case "faulty":
@@ -169,6 +185,8 @@
 		return e.forWorkers(words, func(target *endpoint, seconds float64) {
 			target.pause(time.Now().Add(time.Duration(seconds*float64(time.Second))), len(e.nodes))
 		})
+	case "lapse":
+		return p.lapse(words)
 	case "load", "overload", "once", "wait":
 		seconds, err := strconv.Atoi(rest)
 		if err != nil {
--- a/soaker/starvation.go
+++ b/soaker/starvation.go
@@ -49,7 +49,7 @@
 
 // addStarvation records the starvation of a process as a fault that starts and ends now, and as a note in the report.
 func (e *environment) addStarvation(detail string) {
-	e.beginFault()()
+	e.beginFault(nil)()
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	e.notes = append(e.notes, fmt.Sprintf("%.1fs %s", time.Since(e.startedAt).Seconds(), detail))
