A node's own trouble is no outage of the store (DRAIN)

Callers: a request reached a worker 12.1 s after its entry had been removed.

Cause: each failed call of a node, whatever had failed, kept removed workers listed for two seconds from the moment at which this node learned of the removal. A node whose path to the store was cut for nine seconds learns of it when the path is back, and sends for two seconds longer. Class: "this node could not ask" taken for "it is down".

Evidence: in the record the node logs the removal 1.7 s before the request and drops the worker 2.014 s after it knew, with the line that blames an outage, while the store answered all others.

Change: package attester holds the times in which the store answered, by the answers of all nodes. Whether a missing entry may have lapsed is judged by them: two seconds from the store's first answer to anybody after a gap in which entries can lapse. Nodes that cannot tell say so with their demand (one field) and get the leaders' evidence with their views (one message of two numbers). Workers are dropped by a timer, after one more read.

--- a/fleetleader/fleetleader.go
+++ b/fleetleader/fleetleader.go
@@ -103,9 +103,11 @@
 	Workers    *registrar.Registrar
 	// ListFreshness returns how up to date this node's own reads of the store keep Workers.
 	ListFreshness func(now time.Time) Freshness
-	Tracker       *fleettracker.Tracker
-	Lease         Lease
-	Recorder      *recorder.Recorder
+	// Availability returns the times since the first and the last answer of the store, to this node or another one, without a gap in which entries can lapse.
+	Availability func() (sinceFirst, sinceLast time.Duration)
+	Tracker      *fleettracker.Tracker
+	Lease        Lease
+	Recorder     *recorder.Recorder
 	// SendOrder sends an order; it calls check just before and sends nothing if that fails.
 	SendOrder func(ctx context.Context, worker *registrar.Worker, order Order, check func() error) (Outcome, error)
 	// ReadReport requests a worker's state from the worker.
--- a/fleetleader/follow.go
+++ b/fleetleader/follow.go
@@ -22,6 +22,8 @@
 	node string
 	// sendAll is set if the next view must contain all workers.
 	sendAll bool
+	// unsure is set while the node cannot tell by itself whether the store was available lately.
+	unsure bool
 	// changedWorkers are the IDs of the workers that the next view must contain.
 	changedWorkers map[string]bool
 	// wake holds a value if the next view should be sent immediately.
@@ -128,6 +130,10 @@
 	s.leader.mu.Lock()
 	s.follower.node = message.GetNode()
 	s.follower.listVersion = max(s.follower.listVersion, message.GetListVersion())
+	if message.GetUnsure() && !s.follower.unsure {
+		s.follower.notify()
+	}
+	s.follower.unsure = message.GetUnsure()
 	s.leader.mu.Unlock()
 	s.leader.ReceiveDemand(message)
 }
@@ -174,6 +180,9 @@
 		Zone: l.dependencies.Zone, Epoch: l.epoch, Config: l.configVersion(), Whole: f.sendAll, Nodes: int32(len(l.demand.nodes)),
 		Carriers: l.unsentCarriers(f), Leases: l.unsentLeases(f), Relay: l.buildForwardedReads(now, f), Waits: l.waitViews(f),
 	}
+	if f.unsure {
+		message.Availability = l.availability()
+	}
 	if f.sendAll {
 		for id := range l.workers {
 			f.changedWorkers[id] = true
@@ -208,6 +217,12 @@
 	return views
 }
 
+// availability returns when the store was available, as this node knows it.
+func (l *Leader) availability() *nodewire.Availability {
+	sinceFirst, sinceLast := l.dependencies.Availability()
+	return &nodewire.Availability{FirstMs: sinceFirst.Milliseconds(), LastMs: sinceLast.Milliseconds()}
+}
+
 // unsentLeases returns the leases that changed since they were sent to a follower of this zone, and marks them as sent;
 // the caller holds mu.
 func (l *Leader) unsentLeases(f *follower) []*nodewire.LeaseView {
--- a/fleetleader/follow_test.go
+++ b/fleetleader/follow_test.go
@@ -106,3 +106,32 @@
 		gomega.Expect(forwardTo(&nodewire.Demand{Node: "n", Zone: "z", ListVersion: 6, Leads: true})).To(gomega.BeNil())
 	})
 })
+
+// Guards against nodes that do not learn that the store was available while they were cut off from it.
+var _ = ginkgo.Describe("nodes that cannot tell whether the store was available", func() {
+	ginkgo.It("are told immediately when it was, also in other zones", func() {
+		z := newFakeZone(1, 0, 0)
+		z.leader.dependencies.Availability = func() (sinceFirst, sinceLast time.Duration) { return time.Minute, 300 * time.Millisecond }
+		z.leader.Run()
+		ginkgo.DeferCleanup(z.leader.Stop)
+		z.addNodes(manyNodes)
+		subscription := z.subscribe()
+		defer subscription.Close()
+		subscription.ReceiveDemand(&nodewire.Demand{Node: "n", Zone: "y"})
+		view, _ := viewAfterFirst(subscription)
+		gomega.Expect(view.GetAvailability()).To(gomega.BeNil())
+
+		began := time.Now()
+		subscription.ReceiveDemand(&nodewire.Demand{Node: "n", Zone: "y", Unsure: true})
+		view = subscription.Next(nil)
+		gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", pacer.MaxPause/2))
+		gomega.Expect(view.GetAvailability().GetFirstMs()).To(gomega.Equal(int64(60_000)))
+		gomega.Expect(view.GetAvailability().GetLastMs()).To(gomega.Equal(int64(300)))
+
+		view = subscription.Next(nil)
+		gomega.Expect(view.GetAvailability()).NotTo(gomega.BeNil())
+
+		subscription.ReceiveDemand(&nodewire.Demand{Node: "n", Zone: "y"})
+		gomega.Expect(subscription.Next(nil).GetAvailability()).To(gomega.BeNil())
+	})
+})
--- a/registrar/forwarded_reads_test.go
+++ b/registrar/forwarded_reads_test.go
@@ -28,22 +28,35 @@
 }
 
 // checkForwarding lets a source registrar read a random store, as complete lists or as changes, and forwards its
-// changes to a target registrar at random times. After the last forwarding both must list the same workers.
+// changes to a target registrar at random times, which reads complete lists itself now and then. After the last forwarding
+// both must list the same workers.
 func checkForwarding(t *rapid.T) {
 	now := time.Unix(1000, 0)
 	source, target := registrar.New(), registrar.New()
 	store := map[string]registrar.Worker{}
-	version, read, forwarded := int64(0), int64(0), int64(0)
+	version, read, known, base := int64(0), int64(0), int64(0), int64(0)
 	var unread []registrar.Change
+	readAll := func(list *registrar.Registrar) {
+		var all []registrar.Worker
+		for _, w := range store {
+			all = append(all, w)
+		}
+		list.Replace(now, all, version)
+	}
 	forward := func() {
-		for _, change := range source.ChangesSince(forwarded) {
+		if known < base {
+			readAll(target) // The source may not know all that the target has seen.
+			known = version
+			return
+		}
+		for _, change := range source.ChangesSince(known) {
 			target.Apply(now, []registrar.Change{change})
 		}
-		forwarded = read
+		known = max(known, read)
 	}
 	for range rapid.IntRange(1, 60).Draw(t, "steps") {
 		id := fmt.Sprint("w", rapid.IntRange(0, 4).Draw(t, "worker"))
-		switch rapid.IntRange(0, 5).Draw(t, "do") {
+		switch rapid.IntRange(0, 6).Draw(t, "do") {
 		case 0, 1:
 			version++
 			w := registrar.Worker{ID: id, Service: "s", Address: fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "address")), Leaving: rapid.Bool().Draw(t, "leaving"), RowVersion: version}
@@ -59,16 +72,23 @@
 			source.Apply(now, unread)
 			unread, read = nil, version
 		case 4:
-			var all []registrar.Worker
-			for _, w := range store {
-				all = append(all, w)
+			if len(unread) > 0 {
+				base = version
 			}
-			source.Replace(now, all, version)
+			readAll(source)
 			unread, read = nil, version
 		case 5:
 			forward()
+		case 6:
+			readAll(target)
+			known = version
 		}
 	}
+	readAll(source)
+	if len(unread) > 0 {
+		base = version
+	}
+	read = version
 	forward()
 	if fmt.Sprint(availabilities(target)) != fmt.Sprint(availabilities(source)) {
 		t.Fatalf("target lists %v, source lists %v", availabilities(target), availabilities(source))
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -92,11 +92,12 @@
 	workers map[string]*Worker
 	// removedVersions maps the IDs of removed entries to the version of the removal.
 	removedVersions map[string]int64
-	// missingUntil maps the IDs of workers whose entries went missing during or shortly after a store outage to the time at
-	// which they are removed from the list.
-	missingUntil map[string]time.Time
-	// outageGraceUntil is the time until which a missing entry may be a result of a store outage.
-	outageGraceUntil time.Time
+	// missing maps the IDs of listed workers whose entries are missing to the time until which the entry may be written again because the store has come back
+	// from an older copy; a past or zero time if it has not.
+	missing map[string]time.Time
+	// lapsedUntil is the time until which a missing entry may have lapsed in an outage. Entries that go missing before restoredUntil may be a result of the
+	// store's return from an older copy.
+	lapsedUntil, restoredUntil time.Time
 	// era is the store's era at the last call of Replace, or unknownEra before the first.
 	era int64
 	// restored maps the IDs of entries that came back with an older copy of the store, and were ignored because more was known, to the
@@ -111,16 +112,16 @@
 	softwareSince time.Time
 }
 
-// missingGrace is how long a worker whose entry expired during a store outage stays
-// listed: entries reappear within about two seconds of the store's return.
-const missingGrace = 2 * time.Second
+// restoreGrace is how long a worker stays listed whose entry is missing after the store's return from an older copy: entries are written again
+// within about two seconds.
+const restoreGrace = 2 * time.Second
 
 // unknownEra is the era of the store before the first call of Replace.
 const unknownEra = -1
 
 // New returns a registrar with an empty list.
 func New() *Registrar {
-	r := &Registrar{workers: map[string]*Worker{}, removedVersions: map[string]int64{}, missingUntil: map[string]time.Time{}, restored: map[string]int64{}, departures: map[string]departureRecord{}, era: unknownEra}
+	r := &Registrar{workers: map[string]*Worker{}, removedVersions: map[string]int64{}, missing: map[string]time.Time{}, restored: map[string]int64{}, departures: map[string]departureRecord{}, era: unknownEra}
 	r.publish()
 	return r
 }
@@ -128,11 +129,54 @@
 // Fleet returns the current list.
 func (r *Registrar) Fleet() *Fleet { return r.fleet.Load() }
 
-// MarkStoreOutage records that the store did not respond at the given time.
-func (r *Registrar) MarkStoreOutage(now time.Time) {
+// ExpectLapsed sets the time until which an entry that is missing may have lapsed in an outage of the store, and may be written again. Workers whose
+// entries are missing stay listed until then.
+func (r *Registrar) ExpectLapsed(until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.outageGraceUntil = now.Add(missingGrace)
+	r.lapsedUntil = until
+}
+
+// MarkRestored records that the store has come back from an older copy, in which entries may be missing.
+func (r *Registrar) MarkRestored(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.restoredUntil = now.Add(restoreGrace)
+}
+
+// NextExpiry returns when RemoveExpired will next remove a worker, and whether any worker is listed whose entry is missing.
+func (r *Registrar) NextExpiry() (at time.Time, missing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.missing) == 0 {
+		return time.Time{}, false
+	}
+	earliest := lo.MinBy(lo.Values(r.missing), func(a, b time.Time) bool { return a.Before(b) })
+	return laterOf(earliest, r.lapsedUntil), true
+}
+
+// MissingSince returns the lowest version at which the entry of a listed worker went missing, and whether any is missing.
+func (r *Registrar) MissingSince() (version int64, missing bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.missing) == 0 {
+		return 0, false
+	}
+	return lo.Min(lo.Map(lo.Keys(r.missing), func(id string, _ int) int64 { return r.removedVersions[id] })), true
+}
+
+// Missing returns the IDs of the workers that are listed although their entries are missing, in no particular order.
+func (r *Registrar) Missing() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return lo.Keys(r.missing)
+}
+
+func laterOf(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
 }
 
 // LatestVersion returns the version of the newest change that ChangesSince returns.
@@ -199,7 +243,7 @@
 // recordRestored records which entries of the first list after the store's return from an older copy must be ignored: those of workers and
 // removals that are known from before. Missing entries may be written again within the grace period. The caller holds mu.
 func (r *Registrar) recordRestored(now time.Time, workers []Worker) {
-	r.outageGraceUntil = now.Add(missingGrace)
+	r.restoredUntil = now.Add(restoreGrace)
 	clear(r.restored)
 	for i := range workers {
 		id, version := workers[i].ID, workers[i].RowVersion
@@ -228,15 +272,15 @@
 	r.publish()
 }
 
-// RemoveExpired removes the missing workers whose grace period is over and returns their IDs, sorted.
+// RemoveExpired removes the workers whose entries are missing once these cannot be written again any more, and returns their IDs, sorted.
 func (r *Registrar) RemoveExpired(now time.Time) []string {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var expired []string
-	for id, until := range r.missingUntil {
-		if !now.Before(until) {
+	for id, until := range r.missing {
+		if !now.Before(laterOf(until, r.lapsedUntil)) {
 			expired = append(expired, id)
-			delete(r.missingUntil, id)
+			delete(r.missing, id)
 			delete(r.workers, id)
 		}
 	}
@@ -267,13 +311,12 @@
 	}
 	r.newestChange = max(r.newestChange, w.ChangedVersion)
 	r.workers[w.ID] = w
-	delete(r.missingUntil, w.ID)
+	delete(r.missing, w.ID)
 	delete(r.removedVersions, w.ID)
 }
 
-// remove records the removal of an entry at a version. During a store outage and for missingGrace after it,
-// the worker stays listed for another missingGrace; otherwise it is removed from the list immediately. The
-// caller holds mu.
+// remove records the removal of an entry at a version. The worker stays listed while the entry may be written
+// again; otherwise it is removed from the list immediately. The caller holds mu.
 func (r *Registrar) remove(now time.Time, id string, version int64) {
 	listed, found := r.workers[id]
 	if !found || version < listed.RowVersion {
@@ -281,14 +324,14 @@
 	}
 	r.removedVersions[id] = version
 	r.newestChange = max(r.newestChange, version)
-	if now.Before(r.outageGraceUntil) {
-		if _, missing := r.missingUntil[id]; !missing {
-			r.missingUntil[id] = now.Add(missingGrace)
+	if now.Before(laterOf(r.restoredUntil, r.lapsedUntil)) {
+		if _, missing := r.missing[id]; !missing {
+			r.missing[id] = r.restoredUntil
 		}
 		return
 	}
 	delete(r.workers, id)
-	delete(r.missingUntil, id)
+	delete(r.missing, id)
 }
 
 // publish builds the list that Fleet returns; the caller holds mu.
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -22,12 +22,14 @@
 // step is one event of a script. At is in milliseconds.
 type step struct {
 	At int64
-	// Do is "replace", "apply", "disturbed" for a failed read of the store, "expire", or "depart" for the departure of Departing.
+	// Do is "replace", "apply", "lapse" for entries that may have lapsed until Until, "expire", or "depart" for the departure of Departing.
 	Do string
 	// Workers and Removed map IDs to row versions; Version is the list's version of a replace.
 	Workers map[string]int64
 	Removed map[string]int64
 	Version int64
+	// Until is a time like At.
+	Until int64
 	// Era is the store's era of all versions of the step.
 	Era int64
 	// Leaving are the IDs of Workers whose entries say that they leave.
@@ -52,7 +54,7 @@
 			list := registrar.New()
 			start := time.Unix(1000, 0)
 			for _, next := range s.Steps {
-				applyStep(list, start.Add(time.Duration(next.At)*time.Millisecond), next)
+				applyStep(list, start, next)
 				ids := lo.Map(list.Fleet().All(), func(w *registrar.Worker, _ int) string { return w.ID })
 				sort.Strings(ids)
 				gomega.Expect(ids).To(gomega.Equal(append([]string{}, next.Listed...)), "after %d ms", next.At)
@@ -65,7 +67,8 @@
 })
 
 // applyStep calls the method that a step names.
-func applyStep(list *registrar.Registrar, now time.Time, next step) {
+func applyStep(list *registrar.Registrar, start time.Time, next step) {
+	now := start.Add(time.Duration(next.At) * time.Millisecond)
 	inEra := func(rowVersion int64) int64 {
 		version, _ := platformclient.NewVersion(next.Era, rowVersion)
 		return version
@@ -76,8 +79,8 @@
 	switch next.Do {
 	case "replace":
 		list.Replace(now, workers, inEra(next.Version))
-	case "disturbed":
-		list.MarkStoreOutage(now)
+	case "lapse":
+		list.ExpectLapsed(start.Add(time.Duration(next.Until) * time.Millisecond))
 	case "depart":
 		list.RecordDeparture(registrar.Departure{Worker: next.Departing, Incarnation: next.Born[next.Departing]}, true)
 	case "expire":
@@ -89,7 +92,7 @@
 		}
 		list.Apply(now, changes)
 	default:
-		ginkgo.Fail("step " + next.Do + " is none of replace, apply, disturbed, expire and depart")
+		ginkgo.Fail("step " + next.Do + " is none of replace, apply, lapse, expire and depart")
 	}
 }
 
--- a/server/eras.go
+++ b/server/eras.go
@@ -21,7 +21,7 @@
 	log.Warn().Str("node", f.settings.Name()).Int64("era", current).Int64("previous", previous).Int64("list_version", f.watcher.ListVersion()).Int64("age_ms", readAge).
 		Msg("store has come back from an older copy")
 	f.recorder.Count("store restores")
-	f.workerList.MarkStoreOutage(now)
+	f.workerList.MarkRestored(now)
 	f.crashKeeper.NotifyRestored()
 	f.leaseholder.ReadNow()
 }
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -15,6 +15,7 @@
 	"github.com/acaciaproxy/acaciaproxy/adminserver"
 	"github.com/acaciaproxy/acaciaproxy/archiver"
 	"github.com/acaciaproxy/acaciaproxy/assessor"
+	"github.com/acaciaproxy/acaciaproxy/attester"
 	"github.com/acaciaproxy/acaciaproxy/budgeter"
 	"github.com/acaciaproxy/acaciaproxy/crashkeeper"
 	"github.com/acaciaproxy/acaciaproxy/demandcounter"
@@ -75,6 +76,7 @@
 	injector := do.New()
 	do.ProvideValue(injector, settings)
 	do.ProvideValue(injector, registrar.New())
+	do.ProvideValue(injector, attester.New(timekeeper.Now))
 	do.ProvideValue(injector, demandcounter.New())
 	do.ProvideValue(injector, assessor.New())
 	do.ProvideValue(injector, recorder.New())
@@ -97,7 +99,9 @@
 func provideStore(i do.Injector) (*platform.Store, error) {
 	metrics := do.MustInvoke[*recorder.Recorder](i)
 	countCall := func(path string, status int) { metrics.Count(fmt.Sprintf("store %s %d", path, status)) }
-	return platform.NewStore(do.MustInvoke[*settingsreader.Settings](i).Platform(), logMalformedEntry, countCall), nil
+	store := platform.NewStore(do.MustInvoke[*settingsreader.Settings](i).Platform(), logMalformedEntry, countCall)
+	store.OnAnswer(do.MustInvoke[*attester.Attester](i).RecordAnswer)
+	return store, nil
 }
 
 // logMalformedEntry logs an entry of the list of workers that cannot be used.
@@ -120,7 +124,7 @@
 		}
 		return version, err
 	}
-	return watcher.New(source, do.MustInvoke[*registrar.Registrar](i), do.MustInvoke[*fleettracker.Tracker](i).MarkWorkersChanged), nil
+	return watcher.New(source, do.MustInvoke[*registrar.Registrar](i), do.MustInvoke[*attester.Attester](i), do.MustInvoke[*fleettracker.Tracker](i).MarkWorkersChanged), nil
 }
 
 func provideCrashKeeper(i do.Injector) (*crashkeeper.Keeper, error) {
@@ -151,7 +155,8 @@
 	})
 	f.fleetLeader = fleetleader.New(fleetleader.Dependencies{
 		Node: settings.Name(), Zone: settings.Zone(), Catalog: f.watcher.Catalog, Workers: do.MustInvoke[*registrar.Registrar](i), ListFreshness: f.listFreshness,
-		Tracker: f.fleetTracker, Recorder: do.MustInvoke[*recorder.Recorder](i), SendOrder: f.workers.Order, ReadReport: f.workers.Report,
+		Availability: do.MustInvoke[*attester.Attester](i).Evidence,
+		Tracker:      f.fleetTracker, Recorder: do.MustInvoke[*recorder.Recorder](i), SendOrder: f.workers.Order, ReadReport: f.workers.Report,
 		CrashesSince:    func(first int64) ([]*nodewire.Suspicion, int64) { return f.crashesSince(first, false) },
 		LimitsSince:     func(first int64) ([]*nodewire.WorkerLimit, int64) { return f.limitsSince(first, false) },
 		BrittleSince:    func(first int64) ([]*nodewire.BrittleService, int64) { return f.brittleSince(first, false) },
@@ -237,7 +242,11 @@
 		Zones:         func() []string { return lo.Uniq(append(f.workerZones(), f.leaseholder.Zones()...)) },
 		DemandCounter: demandCounter, Tracker: f.fleetTracker, Config: f.configVersion, OnConfigVersion: f.watcher.NotifyVersion, OnLease: f.leaseholder.ApplyForwarded,
 		OnForwardedReads: f.applyForwardedReads, OnForwardedReadsEnd: f.watcher.EndForwardedReads, ListVersion: f.watcher.ListVersion, Cores: f.settings.Cores(),
-		Leads:         f.isLeading,
+		Leads:    f.isLeading,
+		IsUnsure: func() bool { return f.watcher.IsUnsure(time.Now()) },
+		OnAvailability: func(zone string, sinceFirst, sinceLast time.Duration) {
+			f.watcher.LearnAvailability(sinceFirst, sinceLast, "leader of "+zone)
+		},
 		CutOff:        func() bool { return f.forwarder.CutOff() },
 		OnCarriers:    f.carriers.set,
 		OwnStreams:    f.streamsSince,
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -2,7 +2,7 @@
 // sends the demand of the node's callers and applies the views that the leaders send.
 //
 // Every view updates the node's tracker. Only the leader of the local zone also
-// sends leases and changes of the list of workers.
+// sends changes of the list of workers, and leases unless this node is unsure.
 package subscriber
 
 import (
@@ -50,8 +50,12 @@
 	// DemandCounter holds the demand of the node's callers, Tracker the models that workers have loaded.
 	DemandCounter *demandcounter.Counter
 	Tracker       *fleettracker.Tracker
-	// OnLease is called with each zone's lease as the leader of the local zone knows it.
+	// OnLease is called with each zone's lease as a leader knows it.
 	OnLease func(lease *nodewire.LeaseView)
+	// IsUnsure reports whether this node cannot tell by itself whether the store was available lately. OnAvailability is called with the times since the first
+	// and the last answer of the store that the leader of a zone knows of.
+	IsUnsure       func() bool
+	OnAvailability func(zone string, sinceFirst, sinceLast time.Duration)
 	// OnForwardedReads is called with what the leader of the local zone read from the store, OnForwardedReadsEnd when the
 	// stream to that leader has ended.
 	OnForwardedReads    func(now time.Time, reads watcher.ForwardedReads)
@@ -236,8 +240,14 @@
 		s.dependencies.Tracker.SetEstimate(now, view.GetZone(), wait.GetService(), wait.GetModel(), now.Add(time.Duration(wait.GetEndsMs())*time.Millisecond))
 	}
 	s.dependencies.OnConfigVersion(view.GetConfig())
+	for _, lease := range view.GetLeases() {
+		s.dependencies.OnLease(lease)
+	}
+	if known := view.GetAvailability(); known != nil {
+		s.dependencies.OnAvailability(view.GetZone(), time.Duration(known.GetFirstMs())*time.Millisecond, time.Duration(known.GetLastMs())*time.Millisecond)
+	}
 	if view.GetZone() == s.dependencies.Zone {
-		s.applyLocalZoneView(now, view)
+		s.applyForwardedReads(now, view)
 	}
 	s.nodes.Store(int64(view.GetNodes()))
 	if carriers := view.GetCarriers(); carriers != nil {
@@ -257,11 +267,8 @@
 	}
 }
 
-// applyLocalZoneView applies the parts of a view that only the leader of the local zone sends.
-func (s *Subscriber) applyLocalZoneView(now time.Time, view *nodewire.View) {
-	for _, lease := range view.GetLeases() {
-		s.dependencies.OnLease(lease)
-	}
+// applyForwardedReads applies the changes of the list of workers that the leader of the local zone forwards.
+func (s *Subscriber) applyForwardedReads(now time.Time, view *nodewire.View) {
 	forwarded := view.GetRelay()
 	if forwarded == nil {
 		return
@@ -274,34 +281,6 @@
 	})
 }
 
-func newChange(now time.Time, heartbeat *nodewire.Heartbeat) registrar.Change {
-	loaded := map[string][]string{}
-	for _, unit := range heartbeat.GetUnits() {
-		loaded[unit.GetModel()] = unit.GetAdapters()
-	}
-	return registrar.Change{Removed: heartbeat.GetRemoved(), Worker: registrar.Worker{
-		ID: heartbeat.GetWorker(), Service: heartbeat.GetService(), Zone: heartbeat.GetZone(), Address: heartbeat.GetAddress(), Software: heartbeat.GetSoftware(), Slots: int(heartbeat.GetSlots()),
-		Leaving: heartbeat.GetLeaving(), Incarnation: heartbeat.GetBorn(), Loaded: loaded, RowVersion: heartbeat.GetRowVersion(), SeenAt: now,
-	}}
-}
-
-func newAnnouncement(now time.Time, zone string, worker *nodewire.WorkerView) fleettracker.Announcement {
-	announcement := fleettracker.Announcement{
-		Worker: worker.GetWorker(), Zone: zone, Incarnation: worker.GetBorn(), Running: int(worker.GetRunning()), ReceivedAt: now,
-	}
-	if worker.GetBusyMs() > 0 {
-		announcement.BusyUntil = now.Add(time.Duration(worker.GetBusyMs()) * time.Millisecond)
-	}
-	for _, unit := range worker.GetUnits() {
-		announced := fleettracker.Unit{Model: unit.GetModel(), Adapters: unit.GetAdapters(), LoadingAdapters: unit.GetComing(), Running: int(unit.GetRunning())}
-		if unit.GetReadyMs() > 0 {
-			announced.ReadyAt = now.Add(time.Duration(unit.GetReadyMs()) * time.Millisecond)
-		}
-		announcement.Units = append(announcement.Units, announced)
-	}
-	return announcement
-}
-
 // sendDemand sends the changes of the node's demand, and keepalives, until the stream ends.
 func (s *Subscriber) sendDemand(ctx context.Context, zone string, stream nodewire.Fleet_FollowClient) {
 	sent := newSentState(zone)
@@ -332,8 +311,8 @@
 type sentState struct {
 	demands map[demandcounter.Key]demandcounter.Demand
 	runs    map[demandcounter.RunKey]int
-	// whole is set until the first message is built, which contains the whole demand.
-	whole bool
+	// whole is set until the first message is built, which contains the whole demand. Unsure is that of the last message.
+	whole, unsure bool
 	// nextCrash, nextLimit, nextBrittle and nextDeparture are the numbers of the first crash, change of a limit, news of a brittle service and departure that
 	// were not sent.
 	nextCrash, nextLimit, nextBrittle, nextDeparture int64
@@ -350,7 +329,7 @@
 func (s *Subscriber) emptyMessage() *nodewire.Demand {
 	return &nodewire.Demand{
 		Node: s.dependencies.Self.Node, Zone: s.dependencies.Zone, Address: s.dependencies.Self.Address, Incarnation: s.dependencies.Self.Incarnation, Config: s.dependencies.Config(), AgeMs: time.Since(s.started).Milliseconds(),
-		Leads: s.dependencies.Leads(), Strength: s.dependencies.Cores, Cut: s.dependencies.CutOff(), ListVersion: s.dependencies.ListVersion(),
+		Leads: s.dependencies.Leads(), Strength: s.dependencies.Cores, Cut: s.dependencies.CutOff(), ListVersion: s.dependencies.ListVersion(), Unsure: s.dependencies.IsUnsure(),
 	}
 }
 
@@ -388,9 +367,10 @@
 	message.Brittle, sent.nextBrittle = s.dependencies.OwnBrittle(sent.nextBrittle)
 	message.Departures, sent.nextDeparture = s.dependencies.OwnDepartures(sent.nextDeparture)
 	message.Streams, sent.nextStream = s.dependencies.OwnStreams(sent.zone, sent.nextStream)
-	if !sent.whole && len(message.Streams)+len(message.Models)+len(message.Runs)+len(message.Suspicions)+len(message.Limits)+len(message.Brittle)+len(message.Departures) == 0 {
+	changed := sent.whole || sent.unsure != message.Unsure
+	if !changed && len(message.Streams)+len(message.Models)+len(message.Runs)+len(message.Suspicions)+len(message.Limits)+len(message.Brittle)+len(message.Departures) == 0 {
 		return nil
 	}
-	sent.whole = false
+	sent.whole, sent.unsure = false, message.Unsure
 	return message
 }
--- /dev/null
+++ b/watcher/changes.go
@@ -0,0 +1,37 @@
+package watcher
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/samber/lo"
+
+	"github.com/acaciaproxy/acaciaproxy/registrar"
+)
+
+// applyChanges logs changes of the list of workers and applies them.
+func (w *Watcher) applyChanges(now time.Time, changes []registrar.Change) {
+	w.logChanges(changes)
+	w.trackMissing(func() { w.registrar.Apply(now, changes) })
+}
+
+// logChanges logs the workers that are added, removed, restarted or leaving; it must be called before the changes are applied.
+func (w *Watcher) logChanges(changes []registrar.Change) {
+	fleet, missing := w.registrar.Fleet(), w.registrar.Missing()
+	for i := range changes {
+		entry := &changes[i].Worker
+		known, found := fleet.Worker(entry.ID)
+		switch {
+		case changes[i].Removed:
+			if found && !lo.Contains(missing, entry.ID) {
+				log.Info().Str("worker", entry.ID).Int64("version", entry.RowVersion).Msg("worker's entry removed")
+			}
+		case !found:
+			log.Info().Str("worker", entry.ID).Str("service", entry.Service).Str("zone", entry.Zone).Int64("version", entry.RowVersion).Msg("worker in")
+		case entry.Leaving && !known.Leaving:
+			log.Info().Str("worker", entry.ID).Int64("version", entry.RowVersion).Msg("worker leaving")
+		case entry.Incarnation != known.Incarnation:
+			log.Info().Str("worker", entry.ID).Int64("born", entry.Incarnation).Int64("version", entry.RowVersion).Msg("worker restarted")
+		}
+	}
+}
--- a/watcher/confirm.go
+++ b/watcher/confirm.go
@@ -39,8 +39,8 @@
 		log.Warn().Err(err).Int64("version", w.listVersion.Load()).Msg("list of workers not confirmed")
 		return false
 	}
-	w.logChanges(changes)
-	w.registrar.Apply(sentAt, changes)
+	w.attester.RecordAnswer()
+	w.applyChanges(sentAt, changes)
 	w.raiseListVersion(version)
 	w.confirmation.sentAt = sentAt
 	if len(changes) > 0 {
--- a/watcher/confirm_test.go
+++ b/watcher/confirm_test.go
@@ -6,6 +6,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/acaciaproxy/acaciaproxy/attester"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/watcher"
 )
@@ -18,7 +19,7 @@
 	confirm := func(since time.Time) bool { return w.Confirm(time.Now().Add(time.Second), since) }
 	ginkgo.BeforeEach(func() {
 		store, list = &fakeStore{version: 1, workers: []string{"a"}}, registrar.New()
-		w = watcher.New(store.source(), list, func() {})
+		w = watcher.New(store.source(), list, attester.New(time.Now), func() {})
 	})
 
 	ginkgo.It("finds a worker that was listed since the last read, without waiting for the next one", func() {
--- a/watcher/forwarded_reads.go
+++ b/watcher/forwarded_reads.go
@@ -35,12 +35,14 @@
 // ApplyForwardedReads applies what the leader of the local zone read. This node stops reading
 // the store until the leader's last read is older than maxForwardedAge or EndForwardedReads is called.
 func (w *Watcher) ApplyForwardedReads(now time.Time, read ForwardedReads) {
+	if age := max(now.Sub(read.ReadAt), 0); w.attester.Learn(age, age) {
+		w.expireWorkers()
+	}
 	if len(read.Changes) > 0 {
-		w.logChanges(read.Changes)
-		w.registrar.Apply(now, read.Changes)
+		w.applyChanges(now, read.Changes)
 	}
 	w.raiseListVersion(read.Version)
-	w.expireWorkers()
+	w.listKnownAt.Store(&read.ReadAt)
 	validUntil := read.ReadAt.Add(maxForwardedAge)
 	w.forwarding.mu.Lock()
 	begins := !now.Before(w.forwarding.validUntil) && now.Before(validUntil)
@@ -93,17 +95,21 @@
 // ListVersion returns the version up to which all changes of the list of workers are known, or -1 before the first.
 func (w *Watcher) ListVersion() int64 { return w.listVersion.Load() }
 
-// ListBase returns the version of the first whole list that this node read, or -1 before it.
+// ListBase returns the version from which on this node knows all changes of the list of workers, or -1 before the first whole list.
 func (w *Watcher) ListBase() int64 { return w.listBase.Load() }
 
 // ReadAt returns the time of this node's last successful read of the list; zero before the first and while the leader forwards its reads.
 func (w *Watcher) ReadAt(now time.Time) time.Time {
-	w.forwarding.mu.Lock()
-	forwarded := now.Before(w.forwarding.validUntil)
-	w.forwarding.mu.Unlock()
 	readAt := w.readAt.Load()
-	if forwarded || readAt == nil {
+	if w.isForwarded(now) || readAt == nil {
 		return time.Time{}
 	}
 	return *readAt
 }
+
+// isForwarded reports whether the list comes from the leader of the local zone.
+func (w *Watcher) isForwarded(now time.Time) bool {
+	w.forwarding.mu.Lock()
+	defer w.forwarding.mu.Unlock()
+	return now.Before(w.forwarding.validUntil)
+}
--- a/watcher/forwarded_reads_test.go
+++ b/watcher/forwarded_reads_test.go
@@ -6,6 +6,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/acaciaproxy/acaciaproxy/attester"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/watcher"
 )
@@ -22,7 +23,7 @@
 	ginkgo.BeforeEach(func() {
 		s = &fakeStore{version: 10, workers: []string{"a"}}
 		list = registrar.New()
-		w = watcher.New(s.source(), list, func() {})
+		w = watcher.New(s.source(), list, attester.New(time.Now), func() {})
 		w.Run()
 		ginkgo.DeferCleanup(w.Stop)
 		gomega.Eventually(w.Ready, time.Second).Should(gomega.BeTrue())
@@ -55,6 +56,19 @@
 		w.EndForwardedReads()
 		gomega.Eventually(func() int { return list.Fleet().Size() }, 300*time.Millisecond, 10*time.Millisecond).Should(gomega.BeZero())
 	})
+	// Guards against requests to a worker that has left, because a node takes a failed read of its own for an outage of the store (DRAIN).
+	ginkgo.It("removes a worker at once that leaves while only its own reads fail", func() {
+		s.update(func() { s.unavailable = true })
+		for range 20 {
+			applyReads()
+			w.NotifyVersion(15)
+			time.Sleep(50 * time.Millisecond)
+		}
+		_, failed := w.Calls()
+		gomega.Expect(failed).To(gomega.BeNumerically(">", 0))
+		applyReads(registrar.Change{Worker: registrar.Worker{ID: "a", RowVersion: 20}, Removed: true})
+		gomega.Expect(list.Fleet().Size()).To(gomega.BeZero())
+	})
 	ginkgo.It("reads the store itself when the leader's last read is too old", func() {
 		before := callCount()
 		readAt := time.Now().Add(-2 * time.Second)
--- a/watcher/lines_test.go
+++ b/watcher/lines_test.go
@@ -6,6 +6,7 @@
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
 
+	"github.com/acaciaproxy/acaciaproxy/attester"
 	"github.com/acaciaproxy/acaciaproxy/casereader"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/watcher"
@@ -23,8 +24,9 @@
 var _ = ginkgo.Describe("log lines about changes of the configuration and the workers", func() {
 	var cases []struct {
 		Name string
-		// Away is set when the store is unavailable for a while; Config is a new version of the configuration.
+		// Away is set when the store is unavailable for a while, of AwayMS milliseconds if that is not 0; Config is a new version of the configuration.
 		Away   bool
+		AwayMS int
 		Config int64
 		// Forwarded is set when the leader begins to forward its reads, Ended when it no longer does.
 		Forwarded  bool `json:"Relay"`
@@ -39,12 +41,12 @@
 			capture := casereader.NewCapture()
 			defer capture.Close()
 			s := &fakeStore{version: 10, workers: []string{"a"}}
-			w := watcher.New(s.source(), registrar.New(), func() {})
+			w := watcher.New(s.source(), registrar.New(), attester.New(time.Now), func() {})
 			w.Run()
 			defer w.Stop()
 			gomega.Eventually(w.Ready, time.Second).Should(gomega.BeTrue())
 			s.update(func() { s.unavailable = c.Away; s.version = max(c.Config, s.version) })
-			time.Sleep(400 * time.Millisecond)
+			time.Sleep(max(400*time.Millisecond, time.Duration(c.AwayMS)*time.Millisecond))
 			s.update(func() { s.unavailable = false })
 			for _, heartbeat := range c.Heartbeats {
 				change := registrar.Change{Removed: heartbeat.Removed, Worker: registrar.Worker{ID: heartbeat.ID, Service: "s", Leaving: heartbeat.Leaving, Incarnation: heartbeat.Born, RowVersion: heartbeat.Version}}
--- a/watcher/tables.go
+++ b/watcher/tables.go
@@ -47,18 +47,16 @@
 	return s.next
 }
 
-// awaitResponse waits for the next response to a read of the list of workers, at least retryPause and at most maxTablePause. It returns
-// false when the watcher is stopped.
-func (w *Watcher) awaitResponse() bool {
-	responded := w.responded.channel()
+// awaitSignal waits for retryPause, and then until a channel is closed or a time has come. It returns false when the watcher is stopped.
+func (w *Watcher) awaitSignal(signal <-chan struct{}, until time.Time) bool {
 	if !w.sleep(retryPause) {
 		return false
 	}
 	select {
 	case <-w.stopped:
 		return false
-	case <-responded:
-	case <-time.After(maxTablePause - retryPause):
+	case <-signal:
+	case <-time.After(time.Until(until)):
 	}
 	return true
 }
@@ -95,7 +93,7 @@
 		}
 		if err != nil {
 			known = false
-			if !w.awaitResponse() {
+			if !w.awaitSignal(w.responded.channel(), time.Now().Add(maxTablePause)) {
 				return
 			}
 			continue
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/phuslu/log"
+	"github.com/samber/lo"
 
+	"github.com/acaciaproxy/acaciaproxy/attester"
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
@@ -29,10 +31,12 @@
 	// maxReadTime bounds a read of a whole table or of a configuration while its bytes arrive: 8 MB take about that long over 10 Mbit/s. A connection that
 	// falls silent is given up by the source.
 	maxReadTime = 8 * time.Second
-	// retryPause is the pause after a failed call; it doubles up to maxRetryPause while calls fail, since refused
+	// retryPause is the pause after a failed call. The time from one to the next doubles up to maxRetryPause while calls fail, since refused
 	// calls cost as much as others.
 	retryPause    = 250 * time.Millisecond
 	maxRetryPause = 1 * time.Second // Half of the time in which entries that expired during an outage must reappear.
+	// unsureAfter is the time without a response after which this node asks others whether the store was available.
+	unsureAfter = attester.MaxGap
 	// unavailableAfter is how long a response must be overdue before the store counts as unavailable.
 	unavailableAfter = 1 * time.Second
 	// relistInterval is the time after which everything is read again, since a feed may have lost changes.
@@ -86,6 +90,10 @@
 type Watcher struct {
 	source    Source
 	registrar *registrar.Registrar
+	// attester tells whether a missing entry may have lapsed in an outage of the store.
+	attester *attester.Attester
+	// expiryScheduled is set while a call of confirmMissing is due.
+	expiryScheduled atomic.Bool
 	// changed is called after each change of the configuration and each read or forwarded change of the list of workers.
 	changed func()
 	// catalog is the newest configuration that was read; nil before the first read. It is in force unless outdated says otherwise.
@@ -110,8 +118,11 @@
 	forwarding forwardingState
 	// listVersion is the version up to which all changes of the list are known, or unknownVersion; it never decreases.
 	listVersion atomic.Int64
-	// listBase is the version of the first whole list, from which on all changes are known, or unknownVersion.
+	// listBase is the version from which on all changes of the list are known, or unknownVersion: that of the first whole list, or of the last one
+	// before which entries may have been removed and written again unseen.
 	listBase atomic.Int64
+	// listKnownAt is when the list was last known to be complete, by a read of this node or of the leader; nil before.
+	listKnownAt atomic.Pointer[time.Time]
 	// readAt is the time of this node's last successful read of the list, or nil.
 	readAt atomic.Pointer[time.Time]
 	// confirmation is the state of Confirm.
@@ -123,8 +134,8 @@
 }
 
 // New returns a watcher that reads nothing before Run. Changed must not block.
-func New(source Source, list *registrar.Registrar, changed func()) *Watcher {
-	w := &Watcher{source: source, registrar: list, changed: changed, stopped: make(chan struct{})}
+func New(source Source, list *registrar.Registrar, evidence *attester.Attester, changed func()) *Watcher {
+	w := &Watcher{source: source, registrar: list, attester: evidence, changed: changed, stopped: make(chan struct{})}
 	w.listVersion.Store(unknownVersion)
 	w.listBase.Store(unknownVersion)
 	w.forwarding.ended = make(chan struct{})
@@ -223,6 +234,7 @@
 	var compacted *CompactedError
 	if err == nil || errors.As(err, &compacted) {
 		w.markResponse()
+		w.attester.RecordAnswer()
 		if *failing {
 			log.Info().Str("dependency", "store").Str("read", read).Msg("dependency regained")
 		}
@@ -230,7 +242,6 @@
 		return
 	}
 	w.failures.Add(1)
-	w.registrar.MarkStoreOutage(time.Now())
 	if !*failing {
 		log.Warn().Str("dependency", "store").Str("read", read).Err(err).Msg("dependency lost")
 	}
@@ -283,24 +294,17 @@
 		if errors.As(err, &compacted) {
 			continue
 		}
-		w.expireWorkers()
-		pause := time.Until(startedAt.Add(workersPollInterval))
 		if known {
 			pauseAfterFailure = retryPause
-		} else {
-			pause = pauseAfterFailure
-			pauseAfterFailure = min(2*pauseAfterFailure, maxRetryPause)
+			if !w.sleep(time.Until(startedAt.Add(workersPollInterval))) {
+				return
+			}
+			continue
 		}
-		if !w.sleep(pause) {
+		if !w.awaitSignal(w.attester.Answered(), startedAt.Add(pauseAfterFailure)) {
 			return
 		}
-	}
-}
-
-// expireWorkers removes the workers whose entries did not reappear in time after an outage of the store.
-func (w *Watcher) expireWorkers() {
-	for _, id := range w.registrar.RemoveExpired(time.Now()) {
-		log.Info().Str("worker", id).Msg("worker removed: its entry did not reappear after the outage of the store")
+		pauseAfterFailure = min(2*pauseAfterFailure, maxRetryPause)
 	}
 }
 
@@ -316,10 +320,16 @@
 	for i := range changes {
 		workers[i] = changes[i].Worker
 	}
-	for _, id := range w.registrar.Replace(time.Now(), workers, version) {
-		log.Info().Str("worker", id).Int64("version", version).Msg("worker is missing from the list read from the store")
+	w.trackMissing(func() {
+		known := w.registrar.Missing()
+		gone, _ := lo.Difference(w.registrar.Replace(time.Now(), workers, version), known)
+		for _, id := range gone {
+			log.Info().Str("worker", id).Int64("version", version).Msg("worker is missing from the list read from the store")
+		}
+	})
+	if knownAt := w.listKnownAt.Load(); knownAt == nil || time.Since(*knownAt) > attester.MaxGap {
+		w.listBase.Store(version)
 	}
-	w.listBase.CompareAndSwap(unknownVersion, version)
 	w.listed.Store(true)
 	w.recordListRead(sentAt, version)
 	return nil
@@ -332,8 +342,7 @@
 	if err != nil {
 		return err
 	}
-	w.logChanges(changes)
-	w.registrar.Apply(time.Now(), changes)
+	w.applyChanges(time.Now(), changes)
 	w.recordListRead(time.Now(), version)
 	return nil
 }
@@ -342,6 +351,7 @@
 func (w *Watcher) recordListRead(at time.Time, version int64) {
 	w.raiseListVersion(version)
 	w.readAt.Store(&at)
+	w.listKnownAt.Store(&at)
 	w.responded.signal()
 	w.changed()
 }
@@ -354,24 +364,3 @@
 		}
 	}
 }
-
-// logChanges logs the workers that are added, removed, restarted or leaving; it must be called before the changes are applied.
-func (w *Watcher) logChanges(changes []registrar.Change) {
-	fleet := w.registrar.Fleet()
-	for i := range changes {
-		entry := &changes[i].Worker
-		known, found := fleet.Worker(entry.ID)
-		switch {
-		case changes[i].Removed:
-			if found {
-				log.Info().Str("worker", entry.ID).Int64("version", entry.RowVersion).Msg("worker's entry removed")
-			}
-		case !found:
-			log.Info().Str("worker", entry.ID).Str("service", entry.Service).Str("zone", entry.Zone).Int64("version", entry.RowVersion).Msg("worker in")
-		case entry.Leaving && !known.Leaving:
-			log.Info().Str("worker", entry.ID).Int64("version", entry.RowVersion).Msg("worker leaving")
-		case entry.Incarnation != known.Incarnation:
-			log.Info().Str("worker", entry.ID).Int64("born", entry.Incarnation).Int64("version", entry.RowVersion).Msg("worker restarted")
-		}
-	}
-}
--- a/watcher/watcher_test.go
+++ b/watcher/watcher_test.go
@@ -9,7 +9,9 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/samber/lo"
 
+	"github.com/acaciaproxy/acaciaproxy/attester"
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/watcher"
@@ -31,8 +33,8 @@
 	compacted, unavailable, stale bool
 	// silent makes feeds of the configuration block, crashesUnavailable makes reads of all crashes fail.
 	silent, crashesUnavailable bool
-	// workers are the IDs of the workers.
-	workers []string
+	// workers are the IDs of the workers that have entries, removed of those whose entries were removed, which only feeds tell.
+	workers, removed []string
 	// catalogReads counts the calls of ListCatalog.
 	catalogReads int
 }
@@ -90,7 +92,13 @@
 			return s.crashes()
 		},
 		ListWorkers: s.listWorkers,
-		FeedWorkers: func(time.Time, int64, int64) ([]registrar.Change, int64, error) { return s.listWorkers(time.Time{}) },
+		FeedWorkers: func(deadline time.Time, after, _ int64) ([]registrar.Change, int64, error) {
+			changes, version, err := s.listWorkers(deadline)
+			if err != nil || version <= after {
+				return nil, version, err
+			}
+			return append(changes, s.removals()...), version, nil
+		},
 	}
 }
 
@@ -116,6 +124,14 @@
 	return changes, s.version, nil
 }
 
+func (s *fakeStore) removals() []registrar.Change {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return lo.Map(s.removed, func(id string, _ int) registrar.Change {
+		return registrar.Change{Worker: registrar.Worker{ID: id, RowVersion: s.version}, Removed: true}
+	})
+}
+
 func (s *fakeStore) update(change func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -127,7 +143,7 @@
 	var w *watcher.Watcher
 	ginkgo.BeforeEach(func() {
 		s = &fakeStore{version: 10, workers: []string{"a"}}
-		w = watcher.New(s.source(), registrar.New(), func() {})
+		w = watcher.New(s.source(), registrar.New(), attester.New(time.Now), func() {})
 		w.Run()
 		ginkgo.DeferCleanup(w.Stop)
 		gomega.Eventually(w.Ready, time.Second).Should(gomega.BeTrue())
@@ -183,7 +199,7 @@
 // Guards against a starting node that puts in force what a store that came back from an older copy returns.
 var _ = ginkgo.Describe("the configuration that a starting node reads", func() {
 	start := func(s *fakeStore) *watcher.Watcher {
-		w := watcher.New(s.source(), registrar.New(), func() {})
+		w := watcher.New(s.source(), registrar.New(), attester.New(time.Now), func() {})
 		w.Run()
 		ginkgo.DeferCleanup(w.Stop)
 		gomega.Eventually(w.Ready, time.Second).Should(gomega.BeTrue())
@@ -234,7 +250,7 @@
 			reads.Add(1)
 			return watcher.Configuration{After: 1}, nil
 		}
-		w := watcher.New(source, registrar.New(), func() {})
+		w := watcher.New(source, registrar.New(), attester.New(time.Now), func() {})
 		w.Run()
 		defer w.Stop()
 		gomega.Consistently(func() int64 { w.NotifyVersion(0); return reads.Load() }, 500*time.Millisecond, 5*time.Millisecond).Should(gomega.BeNumerically("<=", 1), "reads of the whole configuration")
@@ -245,7 +261,7 @@
 var _ = ginkgo.Describe("a starting node whose reads of crashes fail", func() {
 	ginkgo.It("is ready once it has read the crashes, or after a bounded wait", func() {
 		s := &fakeStore{version: 10, workers: []string{"a"}, crashesUnavailable: true}
-		w := watcher.New(s.source(), registrar.New(), func() {})
+		w := watcher.New(s.source(), registrar.New(), attester.New(time.Now), func() {})
 		w.Run()
 		defer w.Stop()
 		gomega.Eventually(w.Catalog, time.Second).ShouldNot(gomega.BeNil())
@@ -254,7 +270,7 @@
 		gomega.Eventually(w.Ready, 1300*time.Millisecond).Should(gomega.BeTrue())
 
 		unread := &fakeStore{version: 10, workers: []string{"a"}, crashesUnavailable: true}
-		waiting := watcher.New(unread.source(), registrar.New(), func() {})
+		waiting := watcher.New(unread.source(), registrar.New(), attester.New(time.Now), func() {})
 		waiting.Run()
 		defer waiting.Stop()
 		gomega.Eventually(waiting.Ready, 3*time.Second).Should(gomega.BeTrue())
