Leaders tell nodes that cannot ask who leads all zones

Callers: requests reached workers that had left, from nodes that lost their leader and the store together.

Cause: a node hears of leases from the leader of its own zone only.

Change: leaders tell the leases of all zones, as they change, to nodes that say that they cannot tell whether the store was available, of any zone.

--- a/fleetleader/follow.go
+++ b/fleetleader/follow.go
@@ -223,10 +223,10 @@
 	return &nodewire.Availability{FirstMs: sinceFirst.Milliseconds(), LastMs: sinceLast.Milliseconds()}
 }
 
-// unsentLeases returns the leases that changed since they were sent to a follower of this zone, and marks them as sent;
-// the caller holds mu.
+// unsentLeases returns the leases that changed since they were sent to a follower of this zone, or to an unsure one, which may not know that its zone has
+// another leader; it marks them as sent. The caller holds mu.
 func (l *Leader) unsentLeases(f *follower) []*nodewire.LeaseView {
-	if node := l.demand.nodes[f.node]; node == nil || node.zone != l.dependencies.Zone {
+	if node := l.demand.nodes[f.node]; node == nil || node.zone != l.dependencies.Zone && !f.unsure {
 		return nil
 	}
 	unsent := lo.Filter(l.dependencies.Lease.Leases(), func(lease *nodewire.LeaseView, _ int) bool {
--- a/fleetleader/follow_test.go
+++ b/fleetleader/follow_test.go
@@ -107,11 +107,13 @@
 	})
 })
 
-// Guards against nodes that do not learn that the store was available while they were cut off from it.
+// Guards against nodes that lost the store together with the leader of their zone and learn neither who leads it now nor that the store was available.
 var _ = ginkgo.Describe("nodes that cannot tell whether the store was available", func() {
-	ginkgo.It("are told immediately when it was, also in other zones", func() {
+	ginkgo.It("are told immediately when it was and who leads the zones, also in other zones", func() {
 		z := newFakeZone(1, 0, 0)
 		z.leader.dependencies.Availability = func() (sinceFirst, sinceLast time.Duration) { return time.Minute, 300 * time.Millisecond }
+		leases := []*nodewire.LeaseView{{Zone: "y", Version: 3}, {Zone: "z", Version: 4}}
+		z.leader.dependencies.Lease.Leases = func() []*nodewire.LeaseView { return leases }
 		z.leader.Run()
 		ginkgo.DeferCleanup(z.leader.Stop)
 		z.addNodes(manyNodes)
@@ -120,6 +122,7 @@
 		subscription.ReceiveDemand(&nodewire.Demand{Node: "n", Zone: "y"})
 		view, _ := viewAfterFirst(subscription)
 		gomega.Expect(view.GetAvailability()).To(gomega.BeNil())
+		gomega.Expect(view.GetLeases()).To(gomega.BeEmpty())
 
 		began := time.Now()
 		subscription.ReceiveDemand(&nodewire.Demand{Node: "n", Zone: "y", Unsure: true})
@@ -127,9 +130,12 @@
 		gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", pacer.MaxPause/2))
 		gomega.Expect(view.GetAvailability().GetFirstMs()).To(gomega.Equal(int64(60_000)))
 		gomega.Expect(view.GetAvailability().GetLastMs()).To(gomega.Equal(int64(300)))
+		gomega.Expect(view.GetLeases()).To(gomega.HaveLen(2))
 
+		leases = []*nodewire.LeaseView{{Zone: "y", Version: 3}, {Zone: "z", Version: 5}}
 		view = subscription.Next(nil)
 		gomega.Expect(view.GetAvailability()).NotTo(gomega.BeNil())
+		gomega.Expect(view.GetLeases()).To(gomega.HaveLen(1), "only what has changed")
 
 		subscription.ReceiveDemand(&nodewire.Demand{Node: "n", Zone: "y"})
 		gomega.Expect(subscription.Next(nil).GetAvailability()).To(gomega.BeNil())
