Witnesses of a crash are of the worker's own zone

Callers: sound requests were suspected of crashing workers, and refused after two of them, while their node had lost the path to one zone.

Cause: the class of the incident ("this node could not ask" taken for "it is down"): a worker counted as crashed if any other worker answered a probe, those of zones included to which the path was fine; on the own interface none was asked.

Change: witnesses are of the worker's zone, and of all zones only if it has none there (the local zone on the own interface).

--- a/forwarder/broken_sends.go
+++ b/forwarder/broken_sends.go
@@ -119,15 +119,18 @@
 // maxWitnesses is the number of other workers of which one must answer a probe for a worker that does not to count as crashed.
 const maxWitnesses = 3
 
-// seemsCrashed reports whether a worker's address does not answer a probe while that of another worker does: else this node may have lost the path to all of
-// them. If they did crash, the list of workers shows it. Why says why the worker does not count as crashed.
+// seemsCrashed reports whether a worker's address does not answer a probe while that of another worker does, of its zone if there is one: else this node may
+// have lost the path to all of them. If they did crash, the list of workers shows it. Why says why the worker does not count as crashed.
 func (f *Forwarder) seemsCrashed(worker *registrar.Worker) (crashed bool, why string) {
 	if !f.dependencies.Crashed(worker) {
 		return false, "worker reachable"
 	}
-	others := lo.Samples(lo.Filter(f.dependencies.Workers.Fleet().All(), func(other *registrar.Worker, _ int) bool {
-		return other.ID != worker.ID && !other.Leaving
-	}), maxWitnesses)
+	others := lo.Filter(f.dependencies.Workers.Fleet().All(), func(other *registrar.Worker, _ int) bool { return other.ID != worker.ID && !other.Leaving })
+	near := lo.Filter(others, func(other *registrar.Worker, _ int) bool { return other.Zone == worker.Zone })
+	if len(near) > 0 {
+		others = near
+	}
+	others = lo.Samples(others, maxWitnesses)
 	if len(others) == 0 {
 		return true, ""
 	}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -102,11 +102,12 @@
 	named *float64
 	// permits is the number of permits that the leader grants; it denies more for a second.
 	permits int
-	// crashed makes the probes of the workers in sentTo fail, to which requests were sent; pathGone makes those of all fail.
-	crashed  bool
-	sentTo   map[string]bool
-	pathGone bool
-	isolated bool
+	// crashed makes the probes of the workers in sentTo fail, to which requests were sent; pathGone makes those of all fail, or of those in one zone.
+	crashed      bool
+	sentTo       map[string]bool
+	pathGone     bool
+	pathGoneZone string
+	isolated     bool
 	// carrier says how another node takes a request: "answer", "break" or "break off"; "refuse" and "refuse untried" if all refuse it after a send that
 	// reached a worker, or without one; else there is none. carriedCount counts the nodes that were asked.
 	carrier string
@@ -195,7 +196,7 @@
 func (f *fixture) hasCrashed(worker *registrar.Worker) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.pathGone || f.crashed && f.sentTo[worker.ID]
+	return f.pathGone || worker.Zone == f.pathGoneZone || f.crashed && f.sentTo[worker.ID]
 }
 
 // setCrashed makes the probes of workers fail.
@@ -642,6 +643,32 @@
 		send()
 		gomega.Consistently(crashes, 600*time.Millisecond).Should(gomega.BeZero())
 	})
+	// Guards against sound requests that count as crashing workers since their node has lost the path to the workers of one zone.
+	ginkgo.It("do not count while no other worker of the zone answers a probe, though those of other zones do", func() {
+		version++
+		sound := func(id, service, zone string) registrar.Worker {
+			return registrar.Worker{ID: id, Service: service, Zone: zone, Address: "127.0.0.1:1", Slots: 8, Loaded: map[string][]string{"m": nil}, SeenAt: time.Now(), Incarnation: 1, RowVersion: version}
+		}
+		f.list.Replace(time.Now(), []registrar.Worker{sound("m1", "models", "y"), sound("o1", "other", "y"), sound("o2", "other", "z"), sound("o3", "other", "z")}, version)
+		f.tracker.MarkWorkersChanged()
+		f.mu.Lock()
+		f.pathGoneZone = "y"
+		f.mu.Unlock()
+		send()
+		gomega.Consistently(crashes, 600*time.Millisecond).Should(gomega.BeZero())
+	})
+	// Guards against crashes that are not counted since no other worker of the zone could answer.
+	ginkgo.It("count if the worker is the only one of its zone and those of other zones answer a probe", func() {
+		version++
+		sound := func(id, service, zone string) registrar.Worker {
+			return registrar.Worker{ID: id, Service: service, Zone: zone, Address: "127.0.0.1:1", Slots: 8, Loaded: map[string][]string{"m": nil}, SeenAt: time.Now(), Incarnation: 1, RowVersion: version}
+		}
+		f.list.Replace(time.Now(), []registrar.Worker{sound("m1", "models", "y"), sound("o2", "other", "z")}, version)
+		f.tracker.MarkWorkersChanged()
+		f.setCrashed()
+		send()
+		gomega.Expect(crashes()).To(gomega.Equal(1))
+	})
 	// Guards against crashes that are not counted since the worker's connections break before its address refuses new ones, while the list shows nothing new.
 	ginkgo.It("count if the worker's address fails shortly after the send broke", func() {
 		send()
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -10,6 +10,7 @@
 
 	"github.com/gofiber/fiber/v3"
 	"github.com/phuslu/log"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/balancer"
 	"github.com/acaciaproxy/acaciaproxy/claimer"
@@ -304,10 +305,49 @@
 // crashProbeTimeout bounds the read of a worker's report after a connection to it failed.
 const crashProbeTimeout = 500 * time.Millisecond
 
-// hasCrashed reports whether the worker is unreachable or has restarted since the attempt began.
+// hasCrashed reports whether the worker has restarted since the attempt began, or is unreachable while another one is reachable: else this
+// node may have lost the path to all of them.
 func (g *Gateway) hasCrashed(m *modelRequest) bool {
-	report, err := g.engineClient(g.dependencies.Tracker.Address(m.worker)).Report(time.Now().Add(crashProbeTimeout))
-	return err != nil || m.incarnation != 0 && report.Incarnation != m.incarnation
+	report, err := g.readReport(m.worker)
+	if err == nil {
+		return m.incarnation != 0 && report.Incarnation != m.incarnation
+	}
+	others := g.witnesses(m.worker)
+	if len(others) == 0 {
+		return true
+	}
+	answers := make(chan bool, len(others))
+	for _, other := range others {
+		go func() {
+			_, err := g.readReport(other)
+			answers <- err == nil
+		}()
+	}
+	for range others {
+		if <-answers {
+			return true
+		}
+	}
+	log.Info().Str("request", m.request.id).Str("worker", m.worker).Strs("witnesses", others).Err(err).Msg("worker unreachable, but so are others: no crash")
+	return false
+}
+
+// readReport reads the report of a worker.
+func (g *Gateway) readReport(worker string) (engineclient.Report, error) {
+	return g.engineClient(g.dependencies.Tracker.Address(worker)).Report(time.Now().Add(crashProbeTimeout))
+}
+
+// maxWitnesses is the number of other workers of which one must be reachable for a worker that is not to count as crashed.
+const maxWitnesses = 3
+
+// witnesses returns other workers of the worker's zone, or of the local one if that has none, at most maxWitnesses in random order.
+func (g *Gateway) witnesses(worker string) []string {
+	tracked := g.dependencies.Tracker
+	others := lo.Without(tracked.Usable(tracked.Zone(worker)), worker)
+	if len(others) == 0 {
+		others = lo.Without(tracked.Usable(g.dependencies.Settings.Zone()), worker)
+	}
+	return lo.Samples(others, maxWitnesses)
 }
 
 // replayResponse sends the response recorded for a claimed key, or returns the
