Bound what responses of workers hold together

Callers (a report of other operators): a faulty worker sent bytes without end, the machine that had called it ran out of memory, and the requests of other clients on it ended with it.

It could happen here. All workers of one service answer without end, 260 callers wait, callers of another service go on: of eleven forms three (heads of many short lines, at once and then slowly) took a node to 365 to 488 MB; the smallest host has 184 MB. A head of 64 KB became 1.3 MB once parsed. On the own interface bodies were bounded one by one: 731 MB with 200 callers. A stream that broke off kept its part of an event while its request went on, after the space had been given back: 211 to 347 MB.

The drop of an event on the own interface is by reading, no run shows it.

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -43,7 +43,8 @@
 }
 
 // New returns a client for one address (host:port). A read fails when nothing
-// arrives for readTimeout. The client never retries a request by itself.
+// arrives for readTimeout, and connecting when it takes longer than that or than connectTimeout. The client never
+// retries a request by itself.
 func New(address string, readTimeout time.Duration) *fasthttp.HostClient {
 	return &fasthttp.HostClient{
 		Addr:                      address,
@@ -56,7 +57,7 @@
 		NoDefaultUserAgentHeader:  true,
 		DisablePathNormalizing:    true,
 		Dial: func(address string) (net.Conn, error) {
-			connection, err := net.DialTimeout("tcp", address, connectTimeout)
+			connection, err := net.DialTimeout("tcp", address, min(connectTimeout, readTimeout))
 			if err != nil {
 				return nil, &DialError{address: address, cause: err}
 			}
--- a/engineclient/engine.go
+++ b/engineclient/engine.go
@@ -108,9 +108,14 @@
 
 // New returns a client for the engine at an IP and port.
 func New(address string) *Client {
-	return &Client{address: address, completions: dialer.New(address, readTimeout), control: dialer.New(address, readTimeout)}
+	control := dialer.New(address, readTimeout)
+	control.MaxResponseBodySize = maxControlBytes
+	return &Client{address: address, completions: dialer.New(address, readTimeout), control: control}
 }
 
+// maxControlBytes bounds the body of a report or of the response to an order; a report of 1,000 units has less than a tenth of it.
+const maxControlBytes = 1 << 20
+
 // Address returns the engine's IP and port.
 func (c *Client) Address() string { return c.address }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -23,6 +23,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/acaciaproxy/acaciaproxy/assessor"
+	"github.com/acaciaproxy/acaciaproxy/bufferer"
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
 	"github.com/acaciaproxy/acaciaproxy/crashkeeper"
 	"github.com/acaciaproxy/acaciaproxy/demandcounter"
@@ -107,7 +108,7 @@
 	reach   reach
 	carried atomic.Int64
 	// space is shared by the responses that are held in memory.
-	space sharedSpace
+	space bufferer.Space
 }
 
 // Limits of callers' connections. The configuration's idle timeout is shorter
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -9,6 +9,7 @@
 
 	"github.com/samber/lo"
 
+	"github.com/acaciaproxy/acaciaproxy/bufferer"
 	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/prover"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
@@ -69,14 +70,14 @@
 			f.endTrial(c, time.Now())
 			continue // The worker is not chosen again before the time at which a permit may be had.
 		}
-		held := &heldBytes{space: &f.space}
+		held := f.space.Hold()
 		response, body, err := f.sendPlain(ctx, c, worker, held)
 		if err == nil {
 			copyHeader(w.Header(), response.Header)
 			f.writeHead(w, response.Status)
 			_, _ = w.Write(body) // A write fails only if the caller left; nothing remains to be done.
 		}
-		held.release()
+		held.Release()
 		if err == nil {
 			f.endTrial(c, time.Now())
 			return nil
@@ -88,7 +89,7 @@
 }
 
 // sendPlain sends a request to a worker and reads the complete response; held has the space for its body.
-func (f *Forwarder) sendPlain(ctx context.Context, c *call, worker *registrar.Worker, held *heldBytes) (*Response, []byte, error) {
+func (f *Forwarder) sendPlain(ctx context.Context, c *call, worker *registrar.Worker, held *bufferer.Holding) (*Response, []byte, error) {
 	send := f.newSend(c, worker)
 	endSend := f.beginSend(c, worker)
 	response, err := f.send(ctx, c, send)
@@ -96,7 +97,7 @@
 		endSend(err)
 		return nil, nil, err
 	}
-	body, err := readAll(response.Body, held)
+	body, err := held.ReadAll(response.Body, bufferer.MaxResponseBytes)
 	_ = response.Body.Close() // Read to its end or failed.
 	if err == nil {
 		err = f.checkEnd(c, worker, response, len(body) == 0)
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"strings"
 
+	"github.com/acaciaproxy/acaciaproxy/bufferer"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
@@ -48,7 +49,6 @@
 	if !response.Succeeded() || !hasEventStream(response.Header) {
 		return r.relayBuffered(response, worker)
 	}
-	r.pending = r.pending[:0]
 	r.continues = r.relayed
 	if !r.headSent {
 		r.headSent = true
@@ -68,9 +68,9 @@
 // relayBuffered reads a response that is not an event stream to its end before it writes it to the caller. It
 // fails if the head of an earlier response was already sent.
 func (r *relay) relayBuffered(response *Response, worker *registrar.Worker) error {
-	held := &heldBytes{space: &r.forwarder.space}
-	defer held.release()
-	body, err := readAll(response.Body, held)
+	held := r.forwarder.space.Hold()
+	defer held.Release()
+	body, err := held.ReadAll(response.Body, bufferer.MaxResponseBytes)
 	if err == nil {
 		err = r.forwarder.checkEnd(r.call, worker, response, len(body) == 0)
 	}
@@ -104,8 +104,11 @@
 // relayEvents writes complete events to the caller as they arrive.
 func (r *relay) relayEvents(response *Response, worker *registrar.Worker) error {
 	buffer := make([]byte, relayBufferBytes)
-	held := &heldBytes{space: &r.forwarder.space}
-	defer held.release()
+	held := r.forwarder.space.Hold()
+	defer func() {
+		r.pending = nil // The call may go on; what is released must not be kept.
+		held.Release()
+	}()
 	for {
 		n, err := response.Body.Read(buffer)
 		searched := max(len(r.pending)-len(eventEnd)+1, 0)
@@ -113,7 +116,7 @@
 		if flushErr := r.flushEvents(worker, searched); flushErr != nil {
 			return NewBrokenError(worker.ID, flushErr)
 		}
-		if growErr := held.grow(len(r.pending), maxEventBytes); growErr != nil {
+		if growErr := held.Grow(len(r.pending), bufferer.MaxEventBytes); growErr != nil {
 			return NewBrokenError(worker.ID, growErr)
 		}
 		if errors.Is(err, io.EOF) {
--- a/gateway/floods_test.go
+++ b/gateway/floods_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/onsi/gomega"
 
+	"github.com/acaciaproxy/acaciaproxy/bufferer"
 	"github.com/acaciaproxy/acaciaproxy/engineclient"
 	"github.com/acaciaproxy/acaciaproxy/rawpeer"
 )
@@ -17,11 +18,11 @@
 	const maxHeld = 64 << 20
 	read := map[string]func(*engineclient.Response) error{
 		"an event": func(response *engineclient.Response) error {
-			relay := &streamRelay{response: response}
+			relay := &streamRelay{response: response, held: new(bufferer.Space).Hold()}
 			return relay.readEvents()
 		},
 		"a whole response": func(response *engineclient.Response) error {
-			_, _, _, err := readResponse(&modelRequest{request: &callerRequest{id: "own"}}, response)
+			_, _, err := readResponse(&modelRequest{request: &callerRequest{id: "own"}}, response, &heldBody{holding: new(bufferer.Space).Hold()})
 			return err
 		},
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"github.com/samber/lo"
 	"github.com/valyala/fasthttp"
 
+	"github.com/acaciaproxy/acaciaproxy/bufferer"
 	"github.com/acaciaproxy/acaciaproxy/claimer"
 	"github.com/acaciaproxy/acaciaproxy/configfollower"
 	"github.com/acaciaproxy/acaciaproxy/configreader"
@@ -89,6 +90,8 @@
 	drain atomic.Pointer[drain]
 	// budget limits retries to a fraction of the requests.
 	budget retryBudget
+	// space is shared by the responses that are held in memory.
+	space bufferer.Space
 	// mu guards engines, services and tenants.
 	mu sync.Mutex
 	// engines and services map addresses to clients.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -10,6 +10,7 @@
 
 	"github.com/gofiber/fiber/v3"
 
+	"github.com/acaciaproxy/acaciaproxy/bufferer"
 	"github.com/acaciaproxy/acaciaproxy/claimer"
 	"github.com/acaciaproxy/acaciaproxy/engineclient"
 	"github.com/acaciaproxy/acaciaproxy/recorder"
@@ -19,13 +20,16 @@
 // response is incomplete or invalid, it makes further attempts.
 func (g *Gateway) relayBuffered(c fiber.Ctx, m *modelRequest, response *engineclient.Response) error {
 	for {
-		body, status, contentType, err := readResponse(m, response)
+		held := &heldBody{holding: g.space.Hold()}
+		status, contentType, err := readResponse(m, response, held)
 		g.endAttempt(m, err != nil)
 		if err == nil {
-			g.recordResponse(m.request, claimer.Response{Status: status, ContentType: contentType, Body: body})
+			g.recordResponse(m.request, claimer.Response{Status: status, ContentType: contentType, Body: held.body})
 			c.Set(fiber.HeaderContentType, contentType)
-			return c.Status(status).Send(body)
+			held.send(c, status)
+			return nil
 		}
+		held.holding.Release()
 		if err := g.handleAttemptFailure(m, err); err != nil {
 			return err
 		}
@@ -35,47 +39,26 @@
 	}
 }
 
-// Bounds of what is held of an engine's response: a whole one that is not a stream, and an event.
-const (
-	maxResponseBytes = 8 << 20
-	maxEventBytes    = 1 << 20
-)
-
-// OversizedError reports that an engine sent more than is held of a response.
-type OversizedError struct {
-	// limit is the largest size allowed.
-	limit int
-}
-
-// Error names the limit.
-func (e *OversizedError) Error() string {
-	return fmt.Sprintf("response or event of more than %d bytes", e.limit)
-}
-
 // readResponse reads a response to its end. If its status is 200, it checks that the
 // response carries the request's id. The error is an *engineclient.BrokenError.
-func readResponse(m *modelRequest, response *engineclient.Response) (body []byte, status int, contentType string, err error) {
+func readResponse(m *modelRequest, response *engineclient.Response, held *heldBody) (status int, contentType string, err error) {
 	defer response.Close()
-	body, err = io.ReadAll(io.LimitReader(response, maxResponseBytes+1))
-	if err == nil && len(body) > maxResponseBytes {
-		err = &OversizedError{limit: maxResponseBytes}
-	}
-	if err != nil {
-		return nil, 0, "", engineclient.NewBrokenError(err)
+	if err := held.read(response); err != nil {
+		return 0, "", engineclient.NewBrokenError(err)
 	}
 	if response.Status() != fiber.StatusOK {
-		return body, response.Status(), response.ContentType(), nil
+		return response.Status(), response.ContentType(), nil
 	}
 	var envelope struct {
 		ID string `json:"id"`
 	}
-	if err := json.Unmarshal(body, &envelope); err != nil {
-		return nil, 0, "", engineclient.NewBrokenError(err)
+	if err := json.Unmarshal(held.body, &envelope); err != nil {
+		return 0, "", engineclient.NewBrokenError(err)
 	}
 	if envelope.ID != m.request.id {
-		return nil, 0, "", engineclient.NewBrokenError(fmt.Errorf("answer has id %q, not %q", envelope.ID, m.request.id))
+		return 0, "", engineclient.NewBrokenError(fmt.Errorf("answer has id %q, not %q", envelope.ID, m.request.id))
 	}
-	return body, response.Status(), response.ContentType(), nil
+	return response.Status(), response.ContentType(), nil
 }
 
 // relayStream relays a response event by event. An interrupted stream is resumed on
@@ -85,7 +68,7 @@
 	c.Set(fiber.HeaderCacheControl, "no-cache")
 	c.Set(HeaderOutcome, OutcomeStreaming)
 	c.RequestCtx().Response.ImmediateHeaderFlush = true
-	c.RequestCtx().SetBodyStream(&streamRelay{gateway: g, modelRequest: m, response: response, release: release, lastTokenAt: time.Now()}, -1)
+	c.RequestCtx().SetBodyStream(&streamRelay{gateway: g, modelRequest: m, response: response, held: g.space.Hold(), claimed: g.space.Hold(), release: release, lastTokenAt: time.Now()}, -1)
 }
 
 // streamRelay is the body of one streamed response; Read returns events from the
@@ -101,6 +84,8 @@
 	// checked events to return from Read.
 	buffer     []byte
 	readyBytes int
+	// held is the space of buffer, claimed that of claimedBody.
+	held, claimed *bufferer.Holding
 	// relayedTokens counts the events with a token that were accepted from the engine.
 	relayedTokens int
 	// done is set once [DONE] was accepted.
@@ -166,6 +151,8 @@
 		r.gateway.endClaim(r.modelRequest.request, failure)
 	}
 	r.gateway.recordOutcome(r.modelRequest.request, outcome)
+	r.held.Release()
+	r.claimed.Release()
 	r.release()
 }
 
@@ -200,7 +187,8 @@
 
 // resume sends the request again, so that the response starts after the last relayed token.
 func (r *streamRelay) resume(cause error) (*engineclient.Response, error) {
-	r.buffer = r.buffer[:0]
+	r.buffer = nil
+	r.held.Release()
 	if err := r.gateway.handleAttemptFailure(r.modelRequest, cause); err != nil {
 		return nil, err
 	}
@@ -243,8 +231,8 @@
 			}
 			return nil
 		}
-		if err == nil && len(r.buffer) > maxEventBytes {
-			err = &OversizedError{limit: maxEventBytes}
+		if err == nil {
+			err = r.held.Grow(len(r.buffer), bufferer.MaxEventBytes)
 		}
 		if err != nil {
 			return engineclient.NewBrokenError(err)
@@ -253,14 +241,12 @@
 	return nil
 }
 
-// drainResponse reads a finished stream to its end, so that its connection can be reused.
+// maxDrainedBytes bounds what is read after the end of a stream.
+const maxDrainedBytes = 4 << 10
+
+// drainResponse reads a finished stream to its end, so that its connection can be reused; it is closed if more follows.
 func drainResponse(response *engineclient.Response) {
-	var rest [64]byte
-	for {
-		if _, err := response.Read(rest[:]); err != nil {
-			return
-		}
-	}
+	_, _ = io.CopyN(io.Discard, response, maxDrainedBytes) // If it fails, the connection is not reused; nothing else is lost.
 }
 
 // acceptEvents checks complete events and marks them ready to return from Read.
@@ -278,6 +264,9 @@
 		}
 	}
 	if r.modelRequest.request.claim != nil {
+		if err := r.claimed.Grow(len(r.claimedBody)+len(events), bufferer.MaxResponseBytes); err != nil {
+			return engineclient.NewBrokenError(err)
+		}
 		r.claimedBody = append(r.claimedBody, events...)
 	}
 	r.readyBytes = len(events)
--- a/gateway/service.go
+++ b/gateway/service.go
@@ -34,14 +34,15 @@
 	defer fasthttp.ReleaseRequest(outgoing)
 	defer fasthttp.ReleaseResponse(incoming)
 	buildServiceRequest(c, request, outgoing)
-	if err := g.sendToService(request, outgoing, incoming); err != nil {
+	held := &heldBody{holding: g.space.Hold()}
+	if err := g.sendToService(request, outgoing, incoming, held); err != nil {
+		held.holding.Release()
 		g.endClaim(request, err)
 		return err
 	}
-	g.recordResponse(request, claimer.Response{
-		Status: incoming.StatusCode(), ContentType: string(incoming.Header.ContentType()), Body: append([]byte(nil), incoming.Body()...),
-	})
-	copyResponse(c, incoming)
+	g.recordResponse(request, claimer.Response{Status: incoming.StatusCode(), ContentType: string(incoming.Header.ContentType()), Body: held.body})
+	copyHeaders(c, incoming)
+	held.send(c, incoming.StatusCode())
 	return nil
 }
 
@@ -62,8 +63,8 @@
 	outgoing.SetRequestURI(uri)
 }
 
-// copyResponse copies the service's response to the caller's, without hop-by-hop headers.
-func copyResponse(c fiber.Ctx, incoming *fasthttp.Response) {
+// copyHeaders copies the headers of the service's response to the caller's, without hop-by-hop headers.
+func copyHeaders(c fiber.Ctx, incoming *fasthttp.Response) {
 	for key, value := range incoming.Header.All() {
 		name := string(key)
 		if lo.Contains(hopByHopHeaders, name) || name == fiber.HeaderContentLength || name == HeaderRequestID {
@@ -72,13 +73,11 @@
 		c.Response().Header.AddBytesKV(key, value)
 	}
 	c.Response().Header.SetContentTypeBytes(incoming.Header.ContentType())
-	c.Status(incoming.StatusCode())
-	c.Response().SetBody(incoming.Body())
 }
 
 // sendToService sends the request to one endpoint after another until one responds
-// or no further attempt is allowed.
-func (g *Gateway) sendToService(request *callerRequest, outgoing *fasthttp.Request, incoming *fasthttp.Response) error {
+// or no further attempt is allowed, and reads the body of the response.
+func (g *Gateway) sendToService(request *callerRequest, outgoing *fasthttp.Request, incoming *fasthttp.Response, held *heldBody) error {
 	g.budget.deposit()
 	excluded := map[string]bool{}
 	atMostOnce := !request.route.Idempotent() || request.claim != nil
@@ -87,7 +86,7 @@
 		if err != nil {
 			return err
 		}
-		err = g.sendToEndpoint(request, endpoint, atMostOnce, outgoing, incoming)
+		err = g.sendToEndpoint(request, endpoint, atMostOnce, outgoing, incoming, held)
 		if err == nil {
 			return nil
 		}
@@ -105,7 +104,7 @@
 
 // sendToEndpoint sends the request to one endpoint. atMostOnce is set when the
 // request must not run twice.
-func (g *Gateway) sendToEndpoint(request *callerRequest, endpoint string, atMostOnce bool, outgoing *fasthttp.Request, incoming *fasthttp.Response) error {
+func (g *Gateway) sendToEndpoint(request *callerRequest, endpoint string, atMostOnce bool, outgoing *fasthttp.Request, incoming *fasthttp.Response, held *heldBody) error {
 	address, _ := g.dependencies.Tracker.Begin(endpoint)
 	outgoing.SetHost(address)
 	client := g.serviceClient(address)
@@ -113,9 +112,9 @@
 	var err error
 	if atMostOnce {
 		service, _ := request.versioned.Configuration().Service(request.route.Service())
-		err = client.SendOnce(outgoing, incoming, service.ProbePath(), request.deadline)
+		err = client.SendOnce(outgoing, incoming, service.ProbePath(), request.deadline, held.read)
 	} else {
-		err = client.SendIdempotent(outgoing, incoming, request.deadline)
+		err = client.SendIdempotent(outgoing, incoming, request.deadline, held.read)
 	}
 	var notRun *serviceclient.NotRunError
 	if errors.As(err, &notRun) {
--- a/launcher/process.go
+++ b/launcher/process.go
@@ -9,6 +9,8 @@
 	"net/http"
 	"os"
 	"os/exec"
+	"regexp"
+	"strconv"
 	"sync"
 	"syscall"
 	"time"
@@ -103,6 +105,27 @@
 // Signal sends a signal to the process. It returns an error if the process has ended.
 func (p *Process) Signal(signal syscall.Signal) error { return p.command.Process.Signal(signal) }
 
+// peakPattern finds the most memory that a process has taken, in KB.
+var peakPattern = regexp.MustCompile(`VmHWM:\s+(\d+) kB`)
+
+// PeakBytes returns the most memory in bytes that a running process of this machine has taken since its start.
+func PeakBytes(pid int) (int64, error) {
+	path := fmt.Sprintf("/proc/%d/status", pid)
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return 0, fmt.Errorf("read the peak of the memory: %w", err)
+	}
+	match := peakPattern.FindSubmatch(text)
+	if match == nil {
+		return 0, fmt.Errorf("%s does not tell the peak of the memory", path)
+	}
+	kilobytes, err := strconv.ParseInt(string(match[1]), 10, 64)
+	return kilobytes << 10, err
+}
+
+// PeakBytes returns the most memory in bytes that the process has taken.
+func (p *Process) PeakBytes() (int64, error) { return PeakBytes(p.command.Process.Pid) }
+
 // AwaitEnd waits until the process has ended, at most until the deadline, and reports whether it has.
 func (p *Process) AwaitEnd(deadline time.Time) bool {
 	select {
--- a/rawpeer/flood.go
+++ b/rawpeer/flood.go
@@ -1,6 +1,7 @@
 package rawpeer
 
 import (
+	"bytes"
 	"net"
 	"regexp"
 	"strings"
@@ -23,6 +24,10 @@
 
 // NewFloodingWorker starts a worker on a free loopback port that answers every request with a flood until the client closes the connection.
 func NewFloodingWorker(flood Flood) (*Worker, error) {
+	filler := []byte(flood.Filler)
+	if flood.Pause == 0 {
+		filler = bytes.Repeat(filler, floodBytes/len(filler))
+	}
 	return newWorker(func(connection net.Conn) {
 		request := make([]byte, floodBytes)
 		count, err := connection.Read(request)
@@ -33,12 +38,9 @@
 		if match := attemptPattern.FindSubmatch(request[:count]); match != nil {
 			head = strings.ReplaceAll(head, "ID", string(match[1]))
 		}
-		filler := flood.Filler
-		if flood.Pause == 0 {
-			filler = strings.Repeat(filler, floodBytes/len(filler))
-		}
-		for text := head + filler; err == nil; text = filler {
-			_, err = connection.Write([]byte(text))
+		_, err = connection.Write([]byte(head))
+		for err == nil {
+			_, err = connection.Write(filler)
 			time.Sleep(flood.Pause)
 		}
 	})
--- a/serviceclient/service.go
+++ b/serviceclient/service.go
@@ -3,6 +3,7 @@
 
 import (
 	"fmt"
+	"io"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -55,36 +56,48 @@
 	return &Client{address: address, pooled: dialer.New(address, readTimeout)}
 }
 
-// SendIdempotent sends a request that may run twice, over a pooled connection. The
-// error is a *NotRunError or a *BrokenError.
-func (c *Client) SendIdempotent(request *fasthttp.Request, response *fasthttp.Response, deadline time.Time) error {
-	err := c.pooled.DoDeadline(request, response, deadline)
-	if err == nil {
-		return nil
-	}
-	c.pooled.CloseIdleConnections()
-	if dialer.NothingSent(err) {
-		return &NotRunError{cause: err}
+// SendIdempotent sends a request that may run twice, over a pooled connection, and reads the body of the response with
+// readBody. The error is a *NotRunError or a *BrokenError.
+func (c *Client) SendIdempotent(request *fasthttp.Request, response *fasthttp.Response, deadline time.Time, readBody func(io.Reader) error) error {
+	err := send(c.pooled, request, response, deadline, readBody)
+	if err != nil {
+		c.pooled.CloseIdleConnections()
 	}
-	return &BrokenError{cause: err}
+	return err
 }
 
 // SendOnce sends a request that must not run twice. It first probes the endpoint at the
 // URL path probe over a dedicated connection, so that the request is sent neither over
-// an unresponsive connection nor to a frozen endpoint. The error is a *NotRunError or a
-// *BrokenError.
-func (c *Client) SendOnce(request *fasthttp.Request, response *fasthttp.Response, probe string, deadline time.Time) error {
+// an unresponsive connection nor to a frozen endpoint. It reads the body of the response with readBody. The error is a
+// *NotRunError or a *BrokenError.
+func (c *Client) SendOnce(request *fasthttp.Request, response *fasthttp.Response, probe string, deadline time.Time, readBody func(io.Reader) error) error {
 	dedicated, err := dialer.NewProbed(c.address, probe, readTimeout, deadline)
 	if err != nil {
 		return &NotRunError{cause: err}
 	}
 	defer dedicated.CloseIdleConnections()
-	err = dedicated.DoDeadline(request, response, deadline)
-	if err == nil {
+	return send(dedicated, request, response, deadline, readBody)
+}
+
+// send sends a request and reads the body of the response, if it has one, with readBody. The rest of a body that readBody does not read to its end is not read,
+// and the connection is closed.
+func send(client *fasthttp.HostClient, request *fasthttp.Request, response *fasthttp.Response, deadline time.Time, readBody func(io.Reader) error) error {
+	response.StreamBody = true
+	if err := client.DoDeadline(request, response, deadline); err != nil {
+		if dialer.NothingSent(err) {
+			return &NotRunError{cause: err}
+		}
+		return &BrokenError{cause: err}
+	}
+	if response.BodyStream() == nil {
 		return nil
 	}
-	if dialer.NothingSent(err) {
-		return &NotRunError{cause: err}
+	err := readBody(response.BodyStream())
+	if closeErr := response.CloseBodyStream(); err == nil {
+		err = closeErr
+	}
+	if err != nil {
+		return &BrokenError{cause: err}
 	}
-	return &BrokenError{cause: err}
+	return nil
 }
