--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build quickstart up test unit race process soak format lint generate cases
+.PHONY: build quickstart up test unit race process process-scenarios process-others soak format lint generate cases
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -36,7 +36,7 @@
 	$(GO) test $(OTHER_PACKAGES)
 
 # Runs the race detector on the packages in which goroutines share state.
-RACE_PACKAGES = $(shell $(GO) list ./claimer ./queuer ./publisher ./fleetleader ./forwarder ./leaseholder ./fleettracker ./watcher ./assessor \
+RACE_PACKAGES = $(shell $(GO) list ./attester ./bufferer ./claimer ./queuer ./publisher ./fleetleader ./forwarder ./leaseholder ./fleettracker ./watcher ./assessor \
 	./budgeter ./crashkeeper ./demandcounter ./limiter ./registrar ./streamkeeper ./trier ./logger ./platform)
 # Name in KNOWN-RED.txt of the race detector's run over the tests with a fake clock.
 RACE_SERVER = race detector on ./server
@@ -52,9 +52,16 @@
 # Runs the tests that start real processes and inject kills, pauses, network cuts and outages.
 process: build
 	@echo "passed over as known red: $(KNOWN_RED)"
-	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 8m ./launcher $(SKIP_SPECS)
+	$(MAKE) -j2 process-scenarios process-others
 	ACACIA_PROCESS_TESTS=$(CURDIR)/bin ACACIA_KNOWN_RED="$(KNOWN_RED)" $(GO) test -v -count=1 -timeout 7m ./soaker $(SKIP_SPECS)
 
+# The two halves of the tests of ./launcher, which process runs at the same time: the scenarios, and all others.
+process-scenarios:
+	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 8m ./launcher -ginkgo.focus scenario $(SKIP_SPECS)
+
+process-others:
+	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 8m ./launcher -ginkgo.skip scenario $(SKIP_SPECS)
+
 # Runs one seed of the soak test, which injects faults (docs/SOAK.md).
 SEED ?= 1
 soak: build
--- a/soaker/crashing_request_test.go
+++ b/soaker/crashing_request_test.go
@@ -15,16 +15,29 @@
 // Guards against a request that crashes workers being sent on because the nodes that counted its crashes were killed.
 var _ = ginkgo.Describe("a request that crashes workers", func() {
 	ginkgo.It("is not sent to more workers after the nodes that counted its crashes were killed", func() {
-		playScripts("testdata/crashing_requests.json", func(e *environment) []string {
-			breaches := checkCrashingRequests(e.record, fleetstandin.CauseBody, func(time.Time) bool { return true })
-			if crashes := len(e.record.Crashes(fleetstandin.CauseBody)); crashes < minCrashes {
-				breaches = append(breaches, fmt.Sprintf("the script is void: only %d workers were crashed", crashes))
-			}
-			return breaches
-		})
+		crashingRequests.expectKept("testdata/crashing_requests.json")
 	})
 })
 
+// checkCrashes returns the breaches of the guarantee on a request that crashes workers in a script.
+func checkCrashes(e *environment) []string {
+	return checkCauses(e, fleetstandin.CauseBody)
+}
+
+// checkCauses returns the breaches of the guarantees on requests that crash workers for the causes.
+func checkCauses(e *environment, causes ...fleetstandin.CrashCause) []string {
+	var breaches []string
+	crashes := 0
+	for _, cause := range causes {
+		breaches = append(breaches, checkCrashingRequests(e.record, cause, func(time.Time) bool { return true })...)
+		crashes += len(e.record.Crashes(cause))
+	}
+	if crashes < minCrashes {
+		breaches = append(breaches, fmt.Sprintf("the script is void: only %d workers were crashed", crashes))
+	}
+	return breaches
+}
+
 // minCrashes is how many workers a script must crash at least; with fewer it shows nothing.
 const minCrashes = 2
 
@@ -32,21 +45,15 @@
 // them crashed the worker.
 var _ = ginkgo.Describe("requests that crash workers and come together", func() {
 	ginkgo.It("are tried one at a time once one of them has crashed a worker", func() {
-		playScripts("testdata/crashing_bursts.json", func(e *environment) []string {
-			var breaches []string
-			crashes := 0
-			for _, cause := range []fleetstandin.CrashCause{fleetstandin.CauseBody, fleetstandin.CausePart} {
-				breaches = append(breaches, checkCrashingRequests(e.record, cause, func(time.Time) bool { return true })...)
-				crashes += len(e.record.Crashes(cause))
-			}
-			if crashes < minCrashes {
-				breaches = append(breaches, fmt.Sprintf("the script is void: only %d workers were crashed", crashes))
-			}
-			return breaches
-		})
+		crashingRequests.expectKept("testdata/crashing_bursts.json")
 	})
 })
 
+// checkBursts is checkCrashes for requests that come together, with either cause.
+func checkBursts(e *environment) []string {
+	return checkCauses(e, fleetstandin.CauseBody, fleetstandin.CausePart)
+}
+
 // sendTogether sends crashing requests to all nodes at the same moment, and returns when all have ended. Those with a part differ in all else.
 func (e *environment) sendTogether(count int, cause fleetstandin.CrashCause) {
 	var sending sync.WaitGroup
--- a/soaker/cut_nodes_test.go
+++ b/soaker/cut_nodes_test.go
@@ -14,14 +14,14 @@
 // Guards against callers of nodes that have lost the path to all workers being refused while the other nodes reach them.
 var _ = ginkgo.Describe("nodes that are cut off from all workers", func() {
 	ginkgo.It("serve their callers by way of the others", func() {
-		playScripts("testdata/cut_nodes.json", func(*environment) []string { return nil })
+		passedOnRequests.expectKept("testdata/cut_nodes.json")
 	})
 })
 
 // Guards against retries that no node counts: a request that is passed to another node is new there.
 var _ = ginkgo.Describe("requests that are passed on", func() {
 	ginkgo.It("stay within the retry budget of all nodes while workers turn them away", func() {
-		playScripts("testdata/passed_on.json", func(*environment) []string { return nil })
+		passedOnRequests.expectKept("testdata/passed_on.json")
 	})
 })
 
--- a/soaker/leaving_worker_test.go
+++ b/soaker/leaving_worker_test.go
@@ -7,6 +7,6 @@
 // Guards against nodes that go on sending to a worker that leaves because only its responses say so.
 var _ = ginkgo.Describe("workers whose responses say that they leave", func() {
 	ginkgo.It("get no requests soon after the first such response, whatever the list of workers says", func() {
-		playScripts("testdata/leaving_workers.json", func(*environment) []string { return nil })
+		entriesAndPauses.expectKept("testdata/leaving_workers.json")
 	})
 })
--- a/soaker/odd_entries_test.go
+++ b/soaker/odd_entries_test.go
@@ -13,7 +13,7 @@
 // Guards against nodes that end, or stop following the list of workers, because of one entry that no worker wrote.
 var _ = ginkgo.Describe("nodes that read odd entries of other writers among those of the workers", func() {
 	ginkgo.It("go on and follow the list, also when they start", func() {
-		playScripts("testdata/odd_entries.json", func(*environment) []string { return nil })
+		limitsAndEntries.expectKept("testdata/odd_entries.json")
 	})
 })
 
--- a/soaker/script_test.go
+++ b/soaker/script_test.go
@@ -41,23 +41,67 @@
 // playScripts plays the scripts of a data file beside each other, each in an environment of its own. It expects that none breaches a guarantee,
 // and that check, which is called at the end of each, returns nothing.
 func playScripts(file string, check func(*environment) []string) {
+	(&companions{files: map[string]func(*environment) []string{file: check}}).expectKept(file)
+}
+
+// companions are data files whose scripts are all played at the same time, when the first spec of one of them runs.
+type companions struct {
+	// files hold the check of each file, which is called at the end of each of its scripts.
+	files map[string]func(*environment) []string
+	// playing is done once the scripts were played.
+	playing sync.Once
+	// breaches are those of each file; a file that could not be played has none of them, not even an empty one.
+	breaches map[string][]string
+}
+
+// checkNothing is the check of scripts of which the environment checks all.
+func checkNothing(*environment) []string { return nil }
+
+// Companions are chosen so that few scripts that load the processor are played at the same time, and none beside those that measure memory.
+var (
+	crashingRequests = &companions{files: map[string]func(*environment) []string{"testdata/crashing_requests.json": checkCrashes, "testdata/crashing_bursts.json": checkBursts}}
+	leavesAndStreams = &companions{files: map[string]func(*environment) []string{"testdata/unlisted_workers.json": checkNothing, "testdata/versions.json": checkStreams}}
+	entriesAndPauses = &companions{files: map[string]func(*environment) []string{
+		"testdata/lapsed_entries.json": checkNothing, "testdata/leaving_workers.json": checkNothing, "testdata/pausing_workers.json": checkNothing,
+	}}
+	limitsAndEntries = &companions{files: map[string]func(*environment) []string{"testdata/worker_limits.json": checkUse, "testdata/odd_entries.json": checkNothing}}
+	passedOnRequests = &companions{files: map[string]func(*environment) []string{"testdata/cut_nodes.json": checkNothing, "testdata/passed_on.json": checkNothing}}
+)
+
+// expectKept expects that no script of the file breached a guarantee, after all scripts were played.
+func (c *companions) expectKept(file string) {
 	programs := os.Getenv("ACACIA_PROCESS_TESTS")
 	if programs == "" {
 		ginkgo.Skip("ACACIA_PROCESS_TESTS does not name the folder with the programs")
 	}
-	var scripts []script
-	gomega.Expect(casereader.Read(file, &scripts)).To(gomega.Succeed())
-	breaches := make([][]string, len(scripts))
-	folder := ginkgo.GinkgoT().TempDir()
+	c.playing.Do(func() { c.play(filepath.Join(programs, "acaciaproxy"), ginkgo.GinkgoT().TempDir()) })
+	gomega.Expect(c.breaches).To(gomega.HaveKey(file))
+	gomega.Expect(c.breaches[file]).To(gomega.BeEmpty())
+}
+
+// play plays the scripts of all files.
+func (c *companions) play(program, folder string) {
+	scripts := map[string][]script{}
+	for file := range c.files {
+		var read []script
+		gomega.Expect(casereader.Read(file, &read)).To(gomega.Succeed())
+		scripts[file] = read
+	}
+	var mu sync.Mutex // Guards breaches.
+	breaches := lo.MapValues(c.files, func(func(*environment) []string, string) []string { return []string{} })
 	var running sync.WaitGroup
-	for i, s := range scripts {
-		running.Go(func() {
-			found := s.play(Spec{Program: filepath.Join(programs, "acaciaproxy"), Nodes: 2, Versions: s.Versions, SameModels: s.SameModels}, filepath.Join(folder, fmt.Sprint(i)), check)
-			breaches[i] = lo.Map(found, func(breach string, _ int) string { return s.Name + ": " + breach })
-		})
+	for file, check := range c.files {
+		for i, s := range scripts[file] {
+			running.Go(func() {
+				found := s.play(Spec{Program: program, Nodes: 2, Versions: s.Versions, SameModels: s.SameModels}, filepath.Join(folder, filepath.Base(file), fmt.Sprint(i)), check)
+				mu.Lock()
+				defer mu.Unlock()
+				breaches[file] = append(breaches[file], lo.Map(found, func(breach string, _ int) string { return s.Name + ": " + breach })...)
+			})
+		}
 	}
 	running.Wait()
-	gomega.Expect(lo.Flatten(breaches)).To(gomega.BeEmpty())
+	c.breaches = breaches
 }
 
 // play plays the script and returns what was breached.
--- a/soaker/unlisted_worker_test.go
+++ b/soaker/unlisted_worker_test.go
@@ -15,7 +15,7 @@
 // Guards against a worker whose entry was removed getting requests from a node whose own path to the store had been cut (DRAIN).
 var _ = ginkgo.Describe("workers that leave by their entry alone while nodes are cut off from the store", func() {
 	ginkgo.It("get no requests from any node that is back", func() {
-		playScripts("testdata/unlisted_workers.json", func(*environment) []string { return nil })
+		leavesAndStreams.expectKept("testdata/unlisted_workers.json")
 	})
 })
 
@@ -56,7 +56,7 @@
 // Guards against callers being refused because nodes drop workers whose entries lapsed in an outage of the store.
 var _ = ginkgo.Describe("workers whose entries lapse in an outage of the store", func() {
 	ginkgo.It("get requests throughout", func() {
-		playScripts("testdata/lapsed_entries.json", func(*environment) []string { return nil })
+		entriesAndPauses.expectKept("testdata/lapsed_entries.json")
 	})
 })
 
--- a/soaker/versions_test.go
+++ b/soaker/versions_test.go
@@ -10,7 +10,7 @@
 // them up at another node.
 var _ = ginkgo.Describe("streams while workers of two software versions serve", func() {
 	ginkgo.It("go on at the version that began them, also at other nodes and after kills", func() {
-		playScripts("testdata/versions.json", checkStreams)
+		leavesAndStreams.expectKept("testdata/versions.json")
 	})
 	ginkgo.It("go on at their version while all nodes are killed in turn", func() {
 		playScripts("testdata/versions_kills.json", checkStreams)
