A leader gives nodes that cannot read the store its whole list

Callers: requests reached workers that had left, for as long as the node that sent them was cut off from the store, although it heard the leader of its zone, which knew.

Cause: a leader forwards changes only to nodes whose list is not older than the version from which on it knows all changes; others "must read the store themselves".

Ruled out: load by itself (the script needs none); the cut node not hearing its leader ("leader heard" 0.4 s after the lease was taken); the leader not knowing of the removal (it logs it within 20 ms).

Change: a node says whether the store has answered it lately, itself or by its leader (one field of the demand). Such a node gets the leader's whole list where changes would not do (one field of the forwarded reads), and drops what is missing from it, with the same grace as after a read of its own. It is sent once; from then on changes do. Nodes that can read the store are told nothing more than before. Builds without the fields go on as before.

Case of package fleetleader: no whole list before. The random sequences of package registrar now also take the whole list.

--- a/fleetleader/follow.go
+++ b/fleetleader/follow.go
@@ -24,6 +24,8 @@
 	sendAll bool
 	// unsure is set while the node cannot tell by itself whether the store was available lately.
 	unsure bool
+	// unanswered is set while the node cannot read the store itself.
+	unanswered bool
 	// changedWorkers are the IDs of the workers that the next view must contain.
 	changedWorkers map[string]bool
 	// wake holds a value if the next view should be sent immediately.
@@ -133,7 +135,7 @@
 	if message.GetUnsure() && !s.follower.unsure {
 		s.follower.notify()
 	}
-	s.follower.unsure = message.GetUnsure()
+	s.follower.unsure, s.follower.unanswered = message.GetUnsure(), message.GetUnanswered()
 	s.leader.mu.Unlock()
 	s.leader.ReceiveDemand(message)
 }
--- a/fleetleader/follow_test.go
+++ b/fleetleader/follow_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/nodewire"
 	"github.com/acaciaproxy/acaciaproxy/pacer"
@@ -101,6 +102,21 @@
 	ginkgo.It("do not go to nodes behind the base version, which may know workers removed since", func() {
 		gomega.Expect(forwardTo(&nodewire.Demand{Node: "n", Zone: "z", ListVersion: 4})).To(gomega.BeNil())
 	})
+	// Guards against requests to workers that have left from a node which cannot read the store, while its leader does not know all changes since the node's list (DRAIN).
+	ginkgo.It("are the whole list for nodes behind the base version that cannot read the store", func() {
+		z.leader.dependencies.Workers.Apply(time.Now(), []registrar.Change{
+			{Worker: registrar.Worker{ID: "gone", Service: "s", Zone: "z", RowVersion: 3}},
+			{Worker: registrar.Worker{ID: "new", Service: "s", Zone: "y", RowVersion: 3}},
+			{Worker: registrar.Worker{ID: "gone", RowVersion: 7}, Removed: true},
+		})
+		relay := forwardTo(&nodewire.Demand{Node: "n", Zone: "z", ListVersion: 4, Unanswered: true})
+		gomega.Expect(relay.GetWhole()).To(gomega.BeTrue())
+		ids := lo.Map(relay.GetChanges(), func(heartbeat *nodewire.Heartbeat, _ int) string { return heartbeat.GetWorker() })
+		gomega.Expect(ids).To(gomega.ContainElement("new"))
+		gomega.Expect(ids).NotTo(gomega.ContainElement("gone"))
+		gomega.Expect(forwardTo(&nodewire.Demand{Node: "n", Zone: "z", ListVersion: 6, Unanswered: true}).GetWhole()).To(gomega.BeFalse())
+		gomega.Expect(forwardTo(&nodewire.Demand{Node: "n", Zone: "y", ListVersion: 4, Unanswered: true})).To(gomega.BeNil())
+	})
 	ginkgo.It("do not go to other zones, nor to leaders", func() {
 		gomega.Expect(forwardTo(&nodewire.Demand{Node: "n", Zone: "y", ListVersion: 6})).To(gomega.BeNil())
 		gomega.Expect(forwardTo(&nodewire.Demand{Node: "n", Zone: "z", ListVersion: 6, Leads: true})).To(gomega.BeNil())
--- a/fleetleader/forwarded_reads.go
+++ b/fleetleader/forwarded_reads.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/phuslu/log"
 	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/nodewire"
@@ -13,7 +14,8 @@
 const unknownListVersion = -1
 
 // buildForwardedReads returns the changes of the list of workers that a follower of this
-// zone lacks, so that it need not read the store. It returns nil for leaders, for
+// zone lacks, so that it need not read the store, or the whole list if they are not all known
+// and the follower cannot read it. It returns nil for leaders, for
 // followers of other zones and for followers that must read the store themselves.
 // Failed reads of this node are not reported: other nodes may still reach the
 // store, and a node that reads the store notices its failures. The caller holds mu.
@@ -23,12 +25,18 @@
 		return nil
 	}
 	freshness := l.dependencies.ListFreshness(now)
-	if freshness.ReadAt.IsZero() || f.listVersion < freshness.BaseVersion {
+	whole := f.listVersion < freshness.BaseVersion
+	if freshness.ReadAt.IsZero() || whole && !f.unanswered {
 		return nil // The follower must read the store itself.
 	}
 	changes := l.dependencies.Workers.ChangesSince(f.listVersion)
+	if whole {
+		changes = l.dependencies.Workers.Entries()
+		log.Info().Str("node", f.node).Int64("version", freshness.Version).Int64("base", freshness.BaseVersion).Int64("known", f.listVersion).Int("workers", len(changes)).
+			Msg("whole list of workers forwarded")
+	}
 	message := &nodewire.Relay{
-		Version: freshness.Version, AgeMs: now.Sub(freshness.ReadAt).Milliseconds(),
+		Version: freshness.Version, AgeMs: now.Sub(freshness.ReadAt).Milliseconds(), Whole: whole,
 		Changes: lo.Map(changes, func(change registrar.Change, _ int) *nodewire.Heartbeat { return heartbeatOf(&change) }),
 	}
 	f.listVersion = max(f.listVersion, freshness.Version)
--- a/registrar/forwarded_reads_test.go
+++ b/registrar/forwarded_reads_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
 	"github.com/acaciaproxy/acaciaproxy/registrar"
@@ -44,9 +45,14 @@
 		list.Replace(now, all, version)
 	}
 	forward := func() {
-		if known < base {
-			readAll(target) // The source may not know all that the target has seen.
-			known = version
+		if known < base { // The source may not know all that the target has seen.
+			if rapid.Bool().Draw(t, "target reads") {
+				readAll(target)
+				known = version
+				return
+			}
+			target.ReplaceForwarded(now, lo.Map(source.Entries(), func(change registrar.Change, _ int) registrar.Worker { return change.Worker }), read)
+			known = read
 			return
 		}
 		for _, change := range source.ChangesSince(known) {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -209,6 +209,11 @@
 	return changes
 }
 
+// Entries returns all workers whose entries are not missing, in the order of their IDs.
+func (r *Registrar) Entries() []Change {
+	return lo.Reject(r.ChangesSince(unknownEra), func(change Change, _ int) bool { return change.Removed })
+}
+
 // Replace applies the complete list of workers as of a version of the store. It
 // returns the IDs of the known workers that are missing from it. After the store has come
 // back from an older copy, entries of known workers count only once they are written again.
@@ -224,6 +229,19 @@
 		}
 		r.era = era
 	}
+	return r.replace(now, workers, version)
+}
+
+// ReplaceForwarded applies the complete list of workers that another node knows as of a version of the store, which takes account of returns of the
+// store from an older copy. It returns what Replace returns.
+func (r *Registrar) ReplaceForwarded(now time.Time, workers []Worker, version int64) []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replace(now, workers, version)
+}
+
+// replace lists the workers as of a version and removes all others; the caller holds mu.
+func (r *Registrar) replace(now time.Time, workers []Worker, version int64) []string {
 	listed := map[string]bool{}
 	for i := range workers {
 		listed[workers[i].ID] = true
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -243,7 +243,7 @@
 		DemandCounter: demandCounter, Tracker: f.fleetTracker, Config: f.configVersion, OnConfigVersion: f.watcher.NotifyVersion, OnLease: f.leaseholder.ApplyForwarded,
 		OnForwardedReads: f.applyForwardedReads, OnForwardedReadsEnd: f.watcher.EndForwardedReads, ListVersion: f.watcher.ListVersion, Cores: f.settings.Cores(),
 		Leads:    f.isLeading,
-		IsUnsure: func() bool { return f.watcher.IsUnsure(time.Now()) },
+		IsUnsure: func() bool { return f.watcher.IsUnsure(time.Now()) }, IsUnanswered: func() bool { return f.watcher.IsUnanswered(time.Now()) },
 		OnAvailability: func(zone string, sinceFirst, sinceLast time.Duration) {
 			f.watcher.LearnAvailability(sinceFirst, sinceLast, "leader of "+zone)
 		},
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -54,7 +54,9 @@
 	OnLease func(lease *nodewire.LeaseView)
 	// IsUnsure reports whether this node cannot tell by itself whether the store was available lately. OnAvailability is called with the times since the first
 	// and the last answer of the store that the leader of a zone knows of.
-	IsUnsure       func() bool
+	IsUnsure func() bool
+	// IsUnanswered reports whether the store has answered neither this node nor the leader that forwards its reads lately.
+	IsUnanswered   func() bool
 	OnAvailability func(zone string, sinceFirst, sinceLast time.Duration)
 	// OnForwardedReads is called with what the leader of the local zone read from the store, OnForwardedReadsEnd when the
 	// stream to that leader has ended.
@@ -274,7 +276,7 @@
 		return
 	}
 	s.dependencies.OnForwardedReads(now, watcher.ForwardedReads{
-		Version: forwarded.GetVersion(), ReadAt: now.Add(-time.Duration(forwarded.GetAgeMs()) * time.Millisecond),
+		Version: forwarded.GetVersion(), ReadAt: now.Add(-time.Duration(forwarded.GetAgeMs()) * time.Millisecond), Whole: forwarded.GetWhole(),
 		Changes: lo.Map(forwarded.GetChanges(), func(heartbeat *nodewire.Heartbeat, _ int) registrar.Change {
 			return newChange(now, heartbeat)
 		}),
@@ -311,8 +313,8 @@
 type sentState struct {
 	demands map[demandcounter.Key]demandcounter.Demand
 	runs    map[demandcounter.RunKey]int
-	// whole is set until the first message is built, which contains the whole demand. Unsure is that of the last message.
-	whole, unsure bool
+	// whole is set until the first message is built, which contains the whole demand. Unsure and unanswered are those of the last message.
+	whole, unsure, unanswered bool
 	// nextCrash, nextLimit, nextBrittle and nextDeparture are the numbers of the first crash, change of a limit, news of a brittle service and departure that
 	// were not sent.
 	nextCrash, nextLimit, nextBrittle, nextDeparture int64
@@ -330,6 +332,7 @@
 	return &nodewire.Demand{
 		Node: s.dependencies.Self.Node, Zone: s.dependencies.Zone, Address: s.dependencies.Self.Address, Incarnation: s.dependencies.Self.Incarnation, Config: s.dependencies.Config(), AgeMs: time.Since(s.started).Milliseconds(),
 		Leads: s.dependencies.Leads(), Strength: s.dependencies.Cores, Cut: s.dependencies.CutOff(), ListVersion: s.dependencies.ListVersion(), Unsure: s.dependencies.IsUnsure(),
+		Unanswered: s.dependencies.IsUnanswered(),
 	}
 }
 
@@ -367,10 +370,10 @@
 	message.Brittle, sent.nextBrittle = s.dependencies.OwnBrittle(sent.nextBrittle)
 	message.Departures, sent.nextDeparture = s.dependencies.OwnDepartures(sent.nextDeparture)
 	message.Streams, sent.nextStream = s.dependencies.OwnStreams(sent.zone, sent.nextStream)
-	changed := sent.whole || sent.unsure != message.Unsure
+	changed := sent.whole || sent.unsure != message.Unsure || sent.unanswered != message.Unanswered
 	if !changed && len(message.Streams)+len(message.Models)+len(message.Runs)+len(message.Suspicions)+len(message.Limits)+len(message.Brittle)+len(message.Departures) == 0 {
 		return nil
 	}
-	sent.whole, sent.unsure = false, message.Unsure
+	sent.whole, sent.unsure, sent.unanswered = false, message.Unsure, message.Unanswered
 	return message
 }
--- a/watcher/changes.go
+++ b/watcher/changes.go
@@ -35,3 +35,22 @@
 		}
 	}
 }
+
+// replaceList applies a whole list with one of the registrar's functions, and logs which workers are missing from it.
+func (w *Watcher) replaceList(now time.Time, changes []registrar.Change, version int64, replace func(time.Time, []registrar.Worker, int64) []string, message string) {
+	workers := lo.Map(changes, func(change registrar.Change, _ int) registrar.Worker { return change.Worker })
+	w.trackMissing(func() {
+		known := w.registrar.Missing()
+		gone, _ := lo.Difference(replace(now, workers, version), known)
+		for _, id := range gone {
+			log.Info().Str("worker", id).Int64("version", version).Msg(message)
+		}
+	})
+}
+
+// replaceForwarded applies the whole list of the leader.
+func (w *Watcher) replaceForwarded(now time.Time, read ForwardedReads) {
+	log.Info().Int64("version", read.Version).Int64("known", w.listVersion.Load()).Int("workers", len(read.Changes)).Msg("whole list of workers comes from the leader")
+	w.replaceList(now, read.Changes, read.Version, w.registrar.ReplaceForwarded, "worker is missing from the leader's list")
+	w.listBase.Store(max(w.listBase.Load(), read.Version))
+}
--- a/watcher/expiry.go
+++ b/watcher/expiry.go
@@ -16,9 +16,12 @@
 // IsUnsure reports whether this node cannot tell by itself whether a worker whose entry is missing has left: the store, or the
 // leader that forwards its reads, has not answered lately, or only for a short time.
 func (w *Watcher) IsUnsure(now time.Time) bool {
-	return now.Sub(w.LastResponseAt()) > unsureAfter || w.attester.Remaining() > 0
+	return w.IsUnanswered(now) || w.attester.Remaining() > 0
 }
 
+// IsUnanswered reports whether the store has answered neither this node nor the leader that forwards its reads lately.
+func (w *Watcher) IsUnanswered(now time.Time) bool { return now.Sub(w.LastResponseAt()) > unsureAfter }
+
 // LearnAvailability records that the store answered another node without a long gap, as attester.Learn describes it. Source names
 // the node that says so.
 func (w *Watcher) LearnAvailability(sinceFirst, sinceLast time.Duration, source string) {
--- a/watcher/forwarded_reads.go
+++ b/watcher/forwarded_reads.go
@@ -18,8 +18,9 @@
 	Version int64
 	// ReadAt is when the store last responded to the leader.
 	ReadAt time.Time
-	// Changes are those after the version that this node last sent to the leader.
+	// Changes are those after the version that this node last sent to the leader; if Whole is set, they are all workers that the leader lists.
 	Changes []registrar.Change
+	Whole   bool
 }
 
 // forwardingState records whether the leader of the local zone reads the list for this node.
@@ -38,7 +39,9 @@
 	if age := max(now.Sub(read.ReadAt), 0); w.attester.Learn(age, age) {
 		w.expireWorkers()
 	}
-	if len(read.Changes) > 0 {
+	if read.Whole {
+		w.replaceForwarded(now, read)
+	} else if len(read.Changes) > 0 {
 		w.applyChanges(now, read.Changes)
 	}
 	w.raiseListVersion(read.Version)
@@ -54,7 +57,7 @@
 	if begins {
 		log.Info().Int64("version", read.Version).Int64("age_ms", now.Sub(read.ReadAt).Milliseconds()).Msg("list of workers comes from the leader")
 	}
-	if begins || len(read.Changes) > 0 {
+	if begins || read.Whole || len(read.Changes) > 0 {
 		w.changed()
 	}
 }
--- a/watcher/forwarded_reads_test.go
+++ b/watcher/forwarded_reads_test.go
@@ -44,6 +44,15 @@
 		gomega.Expect(found).To(gomega.BeFalse())
 		gomega.Expect(w.ListVersion()).To(gomega.Equal(int64(20)))
 	})
+	// Guards against requests to workers that have left although the leader's list, which is whole, does not hold them (DRAIN).
+	ginkgo.It("removes the workers that are missing from a whole list of the leader", func() {
+		now := time.Now()
+		w.ApplyForwardedReads(now, watcher.ForwardedReads{Version: 20, ReadAt: now, Whole: true, Changes: []registrar.Change{{Worker: registrar.Worker{ID: "b", Service: "s", RowVersion: 19}}}})
+		gomega.Expect(list.Fleet().Size()).To(gomega.Equal(1))
+		_, found := list.Fleet().Worker("b")
+		gomega.Expect(found).To(gomega.BeTrue())
+		gomega.Expect(w.ListBase()).To(gomega.Equal(int64(20)))
+	})
 	ginkgo.It("reads the store itself immediately when its leader is lost", func() {
 		applyReads()
 		before := callCount()
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/phuslu/log"
-	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/attester"
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
@@ -316,17 +315,7 @@
 	if err != nil {
 		return err
 	}
-	workers := make([]registrar.Worker, len(changes))
-	for i := range changes {
-		workers[i] = changes[i].Worker
-	}
-	w.trackMissing(func() {
-		known := w.registrar.Missing()
-		gone, _ := lo.Difference(w.registrar.Replace(time.Now(), workers, version), known)
-		for _, id := range gone {
-			log.Info().Str("worker", id).Int64("version", version).Msg("worker is missing from the list read from the store")
-		}
-	})
+	w.replaceList(time.Now(), changes, version, w.registrar.Replace, "worker is missing from the list read from the store")
 	if knownAt := w.listKnownAt.Load(); knownAt == nil || time.Since(*knownAt) > attester.MaxGap {
 		w.listBase.Store(version)
 	}
