Log why a zone's lease is not taken

Two outcomes of the leaseholder were silent: reads of the lease rows that fail, and a write that the store refuses because the row has another version. Both are logged now, the first only when calls begin to fail or succeed again, as the watcher's reads are; the second once an attempt, five a second at most by the elector's pause.

--- a/leaseholder/row.go
+++ b/leaseholder/row.go
@@ -56,6 +56,10 @@
 func (l *Leaseholder) recordStoreResult(err error) {
 	if err == nil && l.storeFailing {
 		l.storeRecoveredAt = l.dependencies.Now()
+		log.Info().Str("dependency", "store").Str("read", "leases").Msg("dependency regained")
+	}
+	if err != nil && !l.storeFailing {
+		log.Warn().Str("dependency", "store").Str("read", "leases").Err(err).Msg("dependency lost")
 	}
 	l.storeFailing = err != nil
 }
@@ -108,7 +112,7 @@
 	l.readAt = l.dependencies.Now()
 	l.recordStoreResult(err)
 	if err != nil {
-		return // The watcher logs that the store is unavailable.
+		return
 	}
 	l.successfulReadSentAt = sentAt
 	if l.firstReadAt.IsZero() {
@@ -192,6 +196,8 @@
 		return
 	}
 	if !result.Done {
+		log.Info().Str("zone", l.dependencies.Zone).Int64("epoch", proposal.Lease.Epoch).Int64("row_version", platformclient.RowVersion(proposal.Version)).
+			Msg("lease not written: its row has another version")
 		l.elector.RecordWrite(false, 0)
 		l.readAt = time.Time{}
 		return
