A lease whose version was named too high can be renewed

Cause: the response to a write names the store's newest version, by the platform's page, which may be later than that of the row just written. The node took it for the row's: each renewal was then refused, and each read of its own row ignored as older, for good; the nodes that heard of the lease with that version did the same, so nobody could take it.

Ruled out: locks (the node answered and followed the list), a lost row (epoch 2 was proposed), a store that came back.

Change: a row that was read and is of the same write (holder, epoch and renewal) sets the version, also to a lower one. An earlier write is ignored as before.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -191,10 +191,19 @@
 
 func (e *Elector) isHolder() bool { return e.row.Lease.Holder.Incarnation == e.self.Incarnation }
 
+// isSameWrite reports whether both rows are of the same write of a lease.
+func (r Row) isSameWrite(other Row) bool {
+	lease, known := r.Lease, other.Lease
+	return r.Exists() && lease.Holder.Incarnation != "" && lease.Holder.Incarnation == known.Holder.Incarnation && lease.Epoch == known.Epoch && lease.Renewal == known.Renewal
+}
+
 // Observe records a row that was read by a call sent at the time now or later. A version
-// older than the last one is ignored.
+// older than the last one is ignored, unless it is that of the same write.
 func (e *Elector) Observe(now time.Time, row Row) {
 	if e.rowKnown && row.Version < e.row.Version {
+		if row.isSameWrite(e.row) {
+			e.row.Version = row.Version // The response to the write named a version that the store had given out since.
+		}
 		return
 	}
 	e.resolveInFlight(row)
--- a/elector/elector_test.go
+++ b/elector/elector_test.go
@@ -174,3 +174,33 @@
 		t.Fatal("the first node proposed to take the lease again after it resigned")
 	}
 }
+
+// TestVersionOfTheSameWrite guards against zones without a leader for good, since the response to the write of a lease named the store's newest version, which is
+// higher than the row's.
+func TestVersionOfTheSameWrite(t *testing.T) {
+	now := time.Unix(1000, 0)
+	holder, other := New(Member{Node: "1", Incarnation: "1@1"}), New(Member{Node: "2", Incarnation: "2@1"})
+	holder.Observe(now, Row{})
+	written := holder.Propose(now, []Member{other.Self()})
+	holder.RecordWrite(true, 9)
+	row := Row{Lease: written.Lease, Version: 7}
+	other.Observe(now, Row{Lease: written.Lease, Version: 9})
+
+	now = now.Add(RenewAfter)
+	holder.Observe(now, row)
+	if renewal := holder.Propose(now, []Member{other.Self()}); renewal == nil || renewal.Version != 7 || renewal.Lease.Epoch != written.Lease.Epoch {
+		t.Errorf("renewal is %+v, want one of the row with version 7", renewal)
+	}
+	now = now.Add(Term)
+	other.Observe(now, row)
+	if taken := other.Propose(now, nil); taken == nil || taken.Version != 7 {
+		t.Errorf("lease taken over is %+v, want one of the row with version 7", taken)
+	}
+
+	late := Row{Lease: written.Lease, Version: 3}
+	late.Lease.Renewal--
+	other.Observe(now, late)
+	if other.Version() != 7 {
+		t.Errorf("version is %d after a read of an earlier write, want 7", other.Version())
+	}
+}
