--- a/prover/prover.go
+++ b/prover/prover.go
@@ -38,8 +38,29 @@
 	sentID, receivedID string
 	// again is set if the request was sent to the same address before, so that its ID does not tell the two sends apart.
 	again bool
+	// route is what the send went over.
+	route Route
 }
 
+// Route is what a send went over.
+type Route struct {
+	// Address is that of the worker. Number is that of the connection in this process, 0 without one.
+	Address string
+	Number  int64
+	// Earlier is the number of requests that the connection had carried before, Carried is set if this request was one of the last of them.
+	Earlier int
+	Carried bool
+}
+
+// Over sets what the send went over and returns the evidence.
+func (e Evidence) Over(route Route) Evidence {
+	e.route = route
+	return e
+}
+
+// Route returns what the send went over.
+func (e Evidence) Route() Route { return e.route }
+
 // NewEvidence returns the evidence of a send of the request with an ID; receivedID is the one in the response, or empty. Again is set if the request was sent to
 // the same address before.
 func NewEvidence(connection Connection, sentID, receivedID string, again bool) Evidence {
