A test of workers that are replaced at their address, known red

What callers saw: requests that must run once were refused and ran, or ran twice.

Cause: a worker refuses, with 421 and the request's ID, a request that was meant for the worker which had its address before. A copy of that refusal may come once more on the same connection. A node asks by worker ID whether it has sent a request to a worker before, and keeps connections by address: when it sends the same request over that connection under the new ID, the copy passes for the response.

The stand-in could not show it: its 421 for another worker bore no attempt ID, was not counted and never repeated, and each worker had connections of its own. Its 421 is now a refusal like the others, also to orders and reports, and a worker can hand its connections over to a successor with another ID (or the same one).

--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -90,12 +90,38 @@
 	_ = e.server.Close() // Breaks off the running requests.
 }
 
-// startWorker starts a worker under a new ID and directs the endpoint's proxy to it.
-func (e *environment) startWorker(target *endpoint, loaded, onDisk []string) {
+// succeed makes a new worker take over the address and all connections of the current one at once, under a new ID or the same one. The entry of the old ID is
+// listed until it lapses. It does nothing while the worker is being replaced for another reason.
+func (e *environment) succeed(target *endpoint, keepsID bool) {
+	if !target.replacing.TryLock() {
+		return
+	}
+	defer target.replacing.Unlock()
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	replaced, id := target.worker, target.worker.ID()
+	if !keepsID {
+		id = e.newWorkerID(target.service)
+		time.AfterFunc(entryExpiry, func() { replaced.DeleteEntry(e.store) })
+	}
+	target.worker = replaced.Succeed(id)
+	if !e.store.Unavailable() {
+		target.worker.WriteHeartbeat(e.store, target.proxy.Address())
+	}
+	target.successions++
+}
+
+// newWorkerID returns an ID that no worker has had.
+func (e *environment) newWorkerID(service string) string {
 	e.mu.Lock()
+	defer e.mu.Unlock()
 	e.workerStarts++
-	id := fmt.Sprintf("i-%s-%d", target.service, e.workerStarts)
-	e.mu.Unlock()
+	return fmt.Sprintf("i-%s-%d", service, e.workerStarts)
+}
+
+// startWorker starts a worker under a new ID and directs the endpoint's proxy to it.
+func (e *environment) startWorker(target *endpoint, loaded, onDisk []string) {
+	id := e.newWorkerID(target.service)
 	capacity := 0
 	if target.service == "models" {
 		capacity = modelCapacity
--- a/soaker/environment.go
+++ b/soaker/environment.go
@@ -52,6 +52,8 @@
 	brittle int
 	// faults are those of its workers.
 	faults fleetstandin.Faults
+	// successions counts the workers that took over the connections of the one before.
+	successions int
 	// silent is set from the stop of a worker to the start of the next one; no heartbeats are written meanwhile.
 	silent bool
 	// lapsedUntil is when heartbeats are written again after the entry has lapsed in an outage of the store.
--- a/soaker/script_test.go
+++ b/soaker/script_test.go
@@ -219,6 +219,8 @@
 		return e.forWorkers(words, (*endpoint).setLimit)
 	case "faulty":
 		return p.setFaulty(rest)
+	case "rename", "restart":
+		return p.startSuccessions(words, verb == "restart")
 	case "brittle":
 		return e.forWorkers(words, func(target *endpoint, perSecond float64) { target.setBrittle(int(perSecond)) })
 	case "odd":
