Workers that write responses twice get no kept connection for a while

What callers saw: a request that meets a copy of another request's response on a kept connection ends in 502, though its own response is on its way.

Cause: the connections of a worker that has just shown that it writes responses twice went on being kept.

Change: a response that belongs to another exchange puts its address under suspicion for 10 s; meanwhile requests go there over connections that are used once. At most 1,024 addresses are suspected; an ID in a response cannot make the table grow.

Sound workers are not affected.

--- a/prover/connection.go
+++ b/prover/connection.go
@@ -18,6 +18,8 @@
 	// address is the server's. Number is unique in the process.
 	address string
 	number  int64
+	// onForeign is called as OnForeign describes.
+	onForeign func()
 	// mu guards everything below.
 	mu sync.Mutex
 	// begun counts the exchanges.
@@ -42,9 +44,13 @@
 
 // NewConnection returns the account of a connection to an address that was just opened.
 func NewConnection(address string) *Connection {
-	return &Connection{address: address, number: connections.Add(1)}
+	return &Connection{address: address, number: connections.Add(1), onForeign: func() {}}
 }
 
+// OnForeign sets a function that is called with each response that may belong to another exchange. It must not block, and OnForeign must be called before the
+// first exchange.
+func (c *Connection) OnForeign(onForeign func()) { c.onForeign = onForeign }
+
 // Begin records that the request with an ID is about to be sent over the connection. The error is a *CarriedError if it must not be: no byte of it may be written,
 // and it is sent over another connection. A request without an ID may be the first on its connection only.
 func (c *Connection) Begin(id string) (*Exchange, error) {
@@ -111,6 +117,7 @@
 		e.connection.mu.Unlock()
 	}
 	if !e.evidence.Belongs() {
+		e.connection.onForeign()
 		return &ForeignError{evidence: e.evidence}
 	}
 	return nil
--- a/prover/prover_test.go
+++ b/prover/prover_test.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/onsi/gomega"
 
@@ -69,6 +70,29 @@
 	return nil
 }
 
+// TestSuspects guards against servers that write responses more than once getting requests over kept connections, and against a table that grows without end.
+func TestSuspects(t *testing.T) {
+	var cases []struct {
+		Name string
+		// Added and Asked are the seconds at which the address is added and asked for. Others is the number of addresses that were added at second 0 before.
+		Added, Asked, Others int
+		Suspected            bool
+	}
+	g := gomega.NewWithT(t)
+	g.Expect(casereader.Read("testdata/suspects.json", &cases)).To(gomega.Succeed())
+	for _, test := range cases {
+		var suspects prover.Suspects
+		at := func(second int) time.Time { return time.Unix(int64(second), 0) }
+		for i := range test.Others {
+			suspects.Add(at(0), fmt.Sprintf("10.0.%d.%d:80", i/256, i%256))
+		}
+		added := suspects.Add(at(test.Added), "a:1")
+		g.Expect(suspects.Suspected(at(test.Asked), "a:1")).To(gomega.Equal(test.Suspected), test.Name)
+		g.Expect(suspects.Suspected(at(test.Asked), "b:1")).To(gomega.BeFalse(), test.Name)
+		g.Expect(added).To(gomega.Equal(test.Suspected || test.Asked > test.Added), test.Name)
+	}
+}
+
 // TestLedger guards against a promise for a request of which a send has no proof.
 func TestLedger(t *testing.T) {
 	var cases []struct {
