Connections decide themselves which requests they carry

Seen by callers: a request that an engine runs is answered 503 (by a copy of its own refusal), or 502 where 503 would be true.

Cause: whether a request went to an engine before was set by hand (Call.Again, from the gateway's set of addresses); whoever forgot it believed the copy. The probe of a request that must run once shared its connection.

Change: dialer.NewNamed gives clients whose connections find a request's ID in its first bytes and begin the exchange on their account before one is written. A request that the connection has carried, or any after a response that named none, goes over another one. After a response that does not name its request, every request to the address has a connection of its own for 30 s, closed by the server. A probe has a connection of its own. Call.Again and the gateway's sentTo are gone. A connection on which a response belonged to another request is closed.

Tests: kept_refusals.json sets nothing by hand any more; its second case (a refusal that names none, then another request) now ends "answered" and not "broken", as the connection is not used again.

Not mended: the first refusal without a name on a connection on which the engine named its answers still costs that caller a 502; those after it are believed (a test says so).

--- a/dialer/dialer.go
+++ b/dialer/dialer.go
@@ -20,8 +20,8 @@
 	idleTimeout    = 30 * time.Second
 	maxConnections = 4096
 	bufferBytes    = 16 << 10
-	// maxBodyBytes bounds the body of a response that is not read as a stream; the largest one needed is a snapshot of the configuration, 2.3 MB at 19,000 adapters.
-	maxBodyBytes = 16 << 20
+	// MaxBodyBytes bounds the body of a response that is not read as a stream; the largest one needed is a snapshot of the configuration, 2.3 MB at 19,000 adapters.
+	MaxBodyBytes = 16 << 20
 )
 
 // DialError says that no connection could be opened, so that the request was not sent.
@@ -41,7 +41,8 @@
 // NothingSent reports whether err proves that no part of the request was sent.
 func NothingSent(err error) bool {
 	var dialError *DialError
-	return errors.As(err, &dialError) || errors.Is(err, fasthttp.ErrNoFreeConns)
+	var carried *prover.CarriedError
+	return errors.As(err, &dialError) || errors.As(err, &carried) || errors.Is(err, fasthttp.ErrNoFreeConns)
 }
 
 // New returns a client for one address (host:port). A read fails when nothing
@@ -54,7 +55,7 @@
 		MaxIdleConnDuration:       idleTimeout,
 		MaxIdemponentCallAttempts: 1,
 		ReadBufferSize:            bufferBytes,
-		MaxResponseBodySize:       maxBodyBytes,
+		MaxResponseBodySize:       MaxBodyBytes,
 		WriteBufferSize:           bufferBytes,
 		NoDefaultUserAgentHeader:  true,
 		DisablePathNormalizing:    true,
@@ -63,7 +64,7 @@
 			if err != nil {
 				return nil, &DialError{address: address, cause: err}
 			}
-			return &timeoutConn{Conn: ReadAfterReset(connection), readTimeout: readTimeout, account: prover.NewConnection(address)}, nil
+			return &timeoutConn{Conn: ReadAfterReset(connection), readTimeout: readTimeout}, nil
 		},
 	}
 }
@@ -71,28 +72,29 @@
 // probeTimeout limits the probe before a request that must not run twice.
 const probeTimeout = 1 * time.Second
 
-// NewProbed returns a client with a single connection, on which the address has
-// just responded to a GET request for path with status 200. Requests that must not run
-// twice use it, so that they are not sent on a dead connection or to a frozen
-// process. The caller closes the client's idle connections.
+// NewProbed returns a client like that of NewNamed, for one request that must not run twice, after the address has responded to a GET request for
+// path with status 200. The request goes over a new connection, so that it is neither sent on a dead one nor to a frozen process, and a second
+// response to the probe, which has a connection of its own, cannot be taken for the request's. The caller closes the client's idle connections.
 func NewProbed(address, path string, readTimeout time.Duration, deadline time.Time) (*fasthttp.HostClient, error) {
-	client := New(address, readTimeout)
-	client.MaxConns = 1
+	prober := New(address, readTimeout)
+	defer prober.CloseIdleConnections()
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + address + path)
+	request.SetConnectionClose()
 	if probeDeadline := time.Now().Add(probeTimeout); probeDeadline.Before(deadline) {
 		deadline = probeDeadline
 	}
-	err := client.DoDeadline(request, response, deadline)
+	err := prober.DoDeadline(request, response, deadline)
 	if err == nil && response.StatusCode() != fasthttp.StatusOK {
 		err = fmt.Errorf("status %d, want 200", response.StatusCode())
 	}
 	if err != nil {
-		client.CloseIdleConnections()
 		return nil, fmt.Errorf("probe %s%s: %w", address, path, err)
 	}
+	client := NewNamed(address, readTimeout, MaxBodyBytes)
+	client.MaxConns = 1
 	return client, nil
 }
 
@@ -105,8 +107,6 @@
 	readTimeout time.Duration
 	// callerDeadline is the deadline given to SetReadDeadline, in Unix nanoseconds; 0 means none.
 	callerDeadline atomic.Int64
-	// account is that of the requests that the connection carries.
-	account *prover.Connection
 	// appliedDeadline is the deadline last set on Conn, in Unix nanoseconds; 0 makes the next read set it again.
 	appliedDeadline atomic.Int64
 }
@@ -123,26 +123,6 @@
 	return nil
 }
 
-// accountAddr is the local address of a connection, with its account.
-type accountAddr struct {
-	net.Addr
-	account *prover.Connection
-}
-
-// LocalAddr returns an *accountAddr; a response keeps the local address of its connection.
-func (c *timeoutConn) LocalAddr() net.Addr {
-	return &accountAddr{Addr: c.Conn.LocalAddr(), account: c.account}
-}
-
-// Account returns the account of the connection that a response came over; known is unset if it did not come over one of this package's.
-func Account(response *fasthttp.Response) (account *prover.Connection, known bool) {
-	address, known := response.LocalAddr().(*accountAddr)
-	if !known {
-		return nil, false
-	}
-	return address.account, true
-}
-
 // toleranceDivisor is the divisor of readTimeout that gives the time by which the
 // applied deadline may be too early.
 const toleranceDivisor = 10
--- a/engineclient/engine.go
+++ b/engineclient/engine.go
@@ -89,7 +89,7 @@
 
 // HTTP headers of requests to an engine and of its responses.
 const (
-	headerRequestID = "X-Request-Id"
+	headerRequestID = dialer.HeaderRequestID
 	headerNotRun    = "X-Not-Run"
 )
 
@@ -110,7 +110,7 @@
 func New(address string) *Client {
 	control := dialer.New(address, readTimeout)
 	control.MaxResponseBodySize = maxControlBytes
-	return &Client{address: address, completions: dialer.New(address, readTimeout), control: control}
+	return &Client{address: address, completions: dialer.NewNamed(address, readTimeout, dialer.MaxBodyBytes), control: control}
 }
 
 // maxControlBytes bounds the body of a report or of the response to an order; a report of 1,000 units has less than a tenth of it.
@@ -139,11 +139,8 @@
 	// Priority is the request's class, by which the engine orders its queue.
 	Priority string
 	// Once is set for a request that must not run twice: it is sent on a dedicated
-	// connection, over which the engine was probed first.
+	// connection, after the engine was probed.
 	Once bool
-	// Again is set if the request was sent to this engine before. It is then sent like a request that must not run twice: on a connection that carried the
-	// earlier response, a late copy of that could not be told from the response to this send.
-	Again bool
 }
 
 // Response is an engine's response whose body is read as a stream. The caller closes it.
@@ -191,7 +188,7 @@
 	response.StreamBody = true
 	result := &Response{id: call.ID, request: request, response: response}
 	client := c.completions
-	if call.Once || call.Again {
+	if call.Once {
 		dedicated, err := dialer.NewProbed(c.address, "/health", readTimeout, call.Deadline)
 		if err != nil {
 			result.Close()
@@ -204,6 +201,10 @@
 		return nil, classifySendError(err)
 	}
 	if err := checkHeaders(response, call); err != nil {
+		var notRun *NotRunError
+		if !errors.As(err, &notRun) {
+			response.SetConnectionClose() // The responses that follow on it may be those of other requests too.
+		}
 		result.Close()
 		return nil, err
 	}
@@ -226,17 +227,13 @@
 // response that may belong to another send. On a new connection, a response need not
 // carry the request's ID, unless it is successful.
 func checkHeaders(response *fasthttp.Response, call Call) error {
-	account, known := dialer.Account(response)
+	exchange, received, known := dialer.Exchange(response)
 	if !known {
-		return NewBrokenError(fmt.Errorf("connection of the response to request %q is not known", call.ID))
-	}
-	exchange, err := account.Begin(call.ID)
-	if err != nil {
-		return NewBrokenError(err)
+		return NewBrokenError(dialer.NewUnknownConnectionError(call.ID))
 	}
 	got := string(response.Header.Peek(headerRequestID))
 	if reason := response.Header.Peek(headerNotRun); len(reason) > 0 {
-		proof, err := exchange.Refusal(got)
+		proof, err := exchange.Refusal(received)
 		if err != nil {
 			return NewBrokenError(err)
 		}
@@ -245,7 +242,7 @@
 	if got != call.ID && (got != "" || response.StatusCode() == fasthttp.StatusOK) {
 		return NewBrokenError(&MismatchError{wantID: call.ID, gotID: got})
 	}
-	if err := exchange.Answer(got); err != nil {
+	if err := exchange.Answer(received); err != nil {
 		return NewBrokenError(err)
 	}
 	return nil
--- a/engineclient/engine_test.go
+++ b/engineclient/engine_test.go
@@ -101,20 +101,53 @@
 			g.Expect(err).NotTo(gomega.HaveOccurred())
 			defer engine.Close()
 			client := engineclient.New(engine.Address())
-			send := func(id string, again bool) string {
-				response, err := client.Complete(engineclient.Call{ID: id, Path: "/v1/completions", Body: []byte("{}"), Deadline: time.Now().Add(5 * time.Second), Again: again})
-				var notRun *engineclient.NotRunError
-				switch {
-				case err == nil:
-					response.Close()
-					return "answered"
-				case errors.As(err, &notRun):
-					return "declined"
-				}
-				return "broken"
+			g.Expect(completeOnce(client, engineclient.Call{ID: test.First})).To(gomega.Equal("declined"))
+			g.Expect(completeOnce(client, engineclient.Call{ID: test.Second})).To(gomega.Equal(test.End))
+		})
+	}
+}
+
+// completeOnce sends a completion and returns how it ended: "declined", "broken" or "answered".
+func completeOnce(client *engineclient.Client, call engineclient.Call) string {
+	call.Path, call.Body, call.Deadline = "/v1/completions", []byte("{}"), time.Now().Add(5*time.Second)
+	response, err := client.Complete(call)
+	var notRun *engineclient.NotRunError
+	switch {
+	case err == nil:
+		defer response.Close()
+		if _, err := io.ReadAll(response); err != nil {
+			return "broken"
+		}
+		return "answered"
+	case errors.As(err, &notRun):
+		return "declined"
+	}
+	return "broken"
+}
+
+// TestKeptConnections guards against a response too many on a connection, of whatever kind, that is taken for the response to a later request there.
+func TestKeptConnections(t *testing.T) {
+	var cases []struct {
+		Name string
+		// Connections are the scripts of the engine's connections.
+		Connections [][]string
+		// Requests are sent one after another; End is "declined", "broken" or "answered".
+		Requests []struct {
+			ID, End string
+			Once    bool
+		}
+	}
+	gomega.NewWithT(t).Expect(casereader.Read("testdata/kept_connections.json", &cases)).To(gomega.Succeed())
+	for _, test := range cases {
+		t.Run(test.Name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			engine, err := rawpeer.NewScriptedWorker(test.Connections)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer engine.Close()
+			client := engineclient.New(engine.Address())
+			for i, request := range test.Requests {
+				g.Expect(completeOnce(client, engineclient.Call{ID: request.ID, Once: request.Once})).To(gomega.Equal(request.End), "request %d", i+1)
 			}
-			g.Expect(send(test.First, false)).To(gomega.Equal("declined"))
-			g.Expect(send(test.Second, test.First == test.Second)).To(gomega.Equal(test.End))
 		})
 	}
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -183,9 +183,8 @@
 	deadline   time.Time
 	// claim is the claimed idempotency key, or nil when the request has none.
 	claim *claimer.Claim
-	// ledger is the account of the attempts, each of which is a send. SentTo is the set of addresses of engines that got one.
+	// ledger is the account of the attempts, each of which is a send.
 	ledger prover.Ledger
-	sentTo map[string]bool
 }
 
 // weight returns the tenant's share in the queue; tenants that are not configured have 1.
@@ -208,7 +207,7 @@
 			g.inFlight.Add(-1)
 		}
 	}
-	request := &callerRequest{id: g.newID(), versioned: g.dependencies.Follower.Current(), arrived: now, sentTo: map[string]bool{}}
+	request := &callerRequest{id: g.newID(), versioned: g.dependencies.Follower.Current(), arrived: now}
 	c.Set(HeaderRequestID, request.id)
 	if g.drain.Load() != nil {
 		c.Response().SetConnectionClose() // Lets callers reconnect to other nodes before Stop.
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -214,9 +214,8 @@
 	m.request.ledger.Begin()
 	response, err := g.engineClient(address).Complete(engineclient.Call{
 		ID: m.request.id, Path: m.path, Body: body, Deadline: m.request.deadline, Priority: m.request.class,
-		Once: !m.request.route.Idempotent() || m.request.claim != nil, Again: m.request.sentTo[address],
+		Once: !m.request.route.Idempotent() || m.request.claim != nil,
 	})
-	m.request.sentTo[address] = true
 	var notRun *engineclient.NotRunError
 	if errors.As(err, &notRun) {
 		m.request.ledger.Prove(notRun.Proof())
