Orders and reports name themselves, or have a connection each

What could happen: a response too many on a kept control connection was taken for that of the next order or report: an acceptance for an order that the engine refused, a refusal for one that it carried out, a report for an order's refusal, an acceptance for an empty report (incarnation 0, which the gateway takes for a restart), an old report for one asked for later.

Evidence: with the code before, 11 of the 12 cases of kept_control.json fail, each by what was believed; now none. The one that passed has no response too many.

Change: each send of an order or a request for a report has an ID of its own in X-Request-Id. An engine that repeats it keeps its connections; for one that does not, or that gives an ID of its own, each has a new one (dialer.NewNamed, dialer.Accept). The stand-in repeats it. Engines and nodes of builds before work together with these: they cost a connection a report.

--- a/engineclient/engine.go
+++ b/engineclient/engine.go
@@ -10,6 +10,8 @@
 	"errors"
 	"fmt"
 	"io"
+	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -108,9 +110,10 @@
 
 // New returns a client for the engine at an IP and port.
 func New(address string) *Client {
-	control := dialer.New(address, readTimeout)
-	control.MaxResponseBodySize = maxControlBytes
-	return &Client{address: address, completions: dialer.NewNamed(address, readTimeout, dialer.MaxBodyBytes), control: control}
+	return &Client{
+		address: address, completions: dialer.NewNamed(address, readTimeout, dialer.MaxBodyBytes),
+		control: dialer.NewNamed(address, readTimeout, maxControlBytes),
+	}
 }
 
 // maxControlBytes bounds the body of a report or of the response to an order; a report of 1,000 units has less than a tenth of it.
@@ -343,14 +346,20 @@
 	return response, err
 }
 
+// controls counts the orders and requests for reports of the process; it is the source of their IDs.
+var controls atomic.Int64
+
 // sendControl sends a request over the control connections, decodes the JSON response
-// into result and returns the HTTP status code.
+// into result and returns the HTTP status code. Each send has an ID of its own; an engine that
+// does not name it in its response has a connection for each send.
 func (c *Client) sendControl(deadline time.Time, method, path string, body []byte, result any) (int, error) {
 	request, response := fasthttp.AcquireRequest(), fasthttp.AcquireResponse()
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + c.address + path)
+	id := "control-" + strconv.FormatInt(controls.Add(1), 36)
+	request.Header.Set(headerRequestID, id)
 	if body != nil {
 		request.Header.SetContentType("application/json")
 		request.SetBody(body)
@@ -359,6 +368,10 @@
 		c.control.CloseIdleConnections()
 		return 0, classifySendError(err)
 	}
+	if err := dialer.Accept(response, id); err != nil {
+		c.control.CloseIdleConnections()
+		return response.StatusCode(), NewBrokenError(err)
+	}
 	if err := json.Unmarshal(response.Body(), result); err != nil {
 		return response.StatusCode(), NewBrokenError(fmt.Errorf("decode engine response to %s: %w", path, err))
 	}
--- a/engineclient/engine_test.go
+++ b/engineclient/engine_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -151,3 +152,47 @@
 		})
 	}
 }
+
+// TestKeptControl guards against a response too many to an order or a request for a report that is taken for the response to a later one.
+func TestKeptControl(t *testing.T) {
+	var cases []struct {
+		Name string
+		// Connections are the scripts of the engine's connections.
+		Connections [][]string
+		// Sends are sent one after another. Kind is "order" or "report"; End is "accepted" or "refused" for an order, the sequence for a report, or "unknown".
+		Sends []struct{ Kind, End string }
+	}
+	gomega.NewWithT(t).Expect(casereader.Read("testdata/kept_control.json", &cases)).To(gomega.Succeed())
+	for _, test := range cases {
+		t.Run(test.Name, func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			engine, err := rawpeer.NewScriptedWorker(test.Connections)
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			defer engine.Close()
+			client := engineclient.New(engine.Address())
+			for i, send := range test.Sends {
+				g.Expect(sendControl(client, send.Kind, fmt.Sprint("o", i))).To(gomega.Equal(send.End), "send %d", i+1)
+			}
+		})
+	}
+}
+
+// sendControl sends an order or a request for a report and returns how it ended, as in TestKeptControl.
+func sendControl(client *engineclient.Client, kind, id string) string {
+	deadline := time.Now().Add(5 * time.Second)
+	if kind == "report" {
+		report, err := client.Report(deadline)
+		if err != nil {
+			return "unknown"
+		}
+		return fmt.Sprint(report.Sequence)
+	}
+	response, err := client.Order(deadline, engineclient.Order{ID: id, Fence: 1, Verb: "load", Unit: "u"})
+	switch {
+	case err != nil:
+		return "unknown"
+	case response.Accepted:
+		return "accepted"
+	}
+	return "refused"
+}
--- a/enginestandin/engine.go
+++ b/enginestandin/engine.go
@@ -280,7 +280,15 @@
 	}
 }
 
+// nameRequest puts the ID of a request into its response.
+func nameRequest(c fiber.Ctx) {
+	if id := c.Get("X-Request-Id"); id != "" {
+		c.Set("X-Request-Id", id)
+	}
+}
+
 func (e *Engine) handleReport(c fiber.Ctx) error {
+	nameRequest(c)
 	report, omitted := e.laggedReport()
 	if omitted {
 		return fiber.NewError(fiber.StatusServiceUnavailable, "report left out")
