More ways in which a worker is replaced or answers twice

Evidence: a process that is replaced at once, with connections of its own, breaks both promises too: the first request for the old ID opens the connection on which the copy comes. So a connection that outlives its process is not needed, only an entry that is still listed.

--- a/soaker/endpoint.go
+++ b/soaker/endpoint.go
@@ -90,27 +90,71 @@
 	_ = e.server.Close() // Breaks off the running requests.
 }
 
-// succeed makes a new worker take over the address and all connections of the current one at once, under a new ID or the same one. The entry of the old ID is
-// listed until it lapses. It does nothing while the worker is being replaced for another reason.
-func (e *environment) succeed(target *endpoint, keepsID bool) {
+// successions are the ways in which workers are replaced at their addresses at once, behind connections that live on: by a worker of another ID, by one of the
+// same ID, or by one of another service, and by a new process, which ends the connections.
+var successions = map[string]func(e *environment, target *endpoint){
+	"rename": func(e *environment, target *endpoint) {
+		e.succeed(target, func(replaced *fleetstandin.Worker) *fleetstandin.Worker {
+			return replaced.Copy(e.newWorkerID(target.service))
+		})
+	},
+	"restart": func(e *environment, target *endpoint) {
+		e.succeed(target, func(replaced *fleetstandin.Worker) *fleetstandin.Worker { return replaced.Copy(replaced.ID()) })
+	},
+	"reassign": func(e *environment, target *endpoint) {
+		e.succeed(target, func(replaced *fleetstandin.Worker) *fleetstandin.Worker {
+			for _, other := range e.endpoints {
+				if other == target {
+					continue
+				}
+				if worker := other.current(); worker.Service() != replaced.Service() {
+					return worker.Copy(e.newWorkerID(worker.Service()))
+				}
+			}
+			return replaced.Copy(e.newWorkerID(target.service))
+		})
+	},
+	"respawn": func(e *environment, target *endpoint) {
+		if !target.replacing.TryLock() {
+			return
+		}
+		defer target.replacing.Unlock()
+		replaced := target.current()
+		target.stopWorker()
+		e.startWorker(target, nil, nil)
+		target.successions++
+		time.AfterFunc(entryExpiry, func() { replaced.DeleteEntry(e.store) })
+	},
+}
+
+// succeed replaces the current worker by its successor. The entry of another ID is listed until it lapses. It does nothing while the worker is being replaced for another reason.
+func (e *environment) succeed(target *endpoint, successorOf func(*fleetstandin.Worker) *fleetstandin.Worker) {
 	if !target.replacing.TryLock() {
 		return
 	}
 	defer target.replacing.Unlock()
-	target.mu.Lock()
-	defer target.mu.Unlock()
-	replaced, id := target.worker, target.worker.ID()
-	if !keepsID {
-		id = e.newWorkerID(target.service)
+	replaced := target.current()
+	successor := successorOf(replaced)
+	replaced.Succeed(successor)
+	if successor.ID() != replaced.ID() {
 		time.AfterFunc(entryExpiry, func() { replaced.DeleteEntry(e.store) })
 	}
-	target.worker = replaced.Succeed(id)
+	target.mu.Lock()
+	defer target.mu.Unlock()
+	target.worker = successor
 	if !e.store.Unavailable() {
-		target.worker.WriteHeartbeat(e.store, target.proxy.Address())
+		successor.WriteHeartbeat(e.store, target.proxy.Address())
 	}
 	target.successions++
 }
 
+// current returns the endpoint's worker.
+func (e *endpoint) current() *fleetstandin.Worker {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.worker
+}
+
 // newWorkerID returns an ID that no worker has had.
 func (e *environment) newWorkerID(service string) string {
 	e.mu.Lock()
