The line about a request's end names its sends

What callers saw: REFUSED and TWICE (copies of refusals).

Now `request answered` and `request not answered` have `tries`: the last eight sends with worker, address, connection number, earlier requests on it, outcome and the ID that the response names; nodes that were asked stand among them. Texts that workers choose are cut at 64 bytes there and in `answered_request`. `response belongs to another send` is a line at level warn. `request passed to another node` names the node, lines of the other one have `from_node`. `send failed` of a response that broke off after its head has its address too. `trace` prints a try a line, and the lines of other requests that a response to the traced one met. No decision changes.

--- a/commander/trace.go
+++ b/commander/trace.go
@@ -13,8 +13,9 @@
 		name:      "trace",
 		summary:   "Prints one request's path through the logs of many nodes.",
 		arguments: "REQUEST-ID FILE...",
-		details: "Lines of the request are marked with \">\"; the others are about its model, or about the leases, leaders,\n" +
-			"dependencies and configuration of the nodes that handled it. Times are seconds from the request's arrival.",
+		details: "Lines of the request are marked with \">\"; the others are about its model, about requests that got a response\n" +
+			"to it, or about the leases, leaders, dependencies and configuration of the nodes that handled it. Under the line\n" +
+			"about its end, \"try\" is one of its last sends. Times are seconds from the request's arrival.",
 		prepare: func(*flag.FlagSet) func([]string, streams) int { return trace },
 	}
 }
--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -30,6 +31,8 @@
 
 // Carried is the response to a request that another node served.
 type Carried struct {
+	// Node is the address of that node, for log lines.
+	Node   string
 	Status int
 	Header http.Header
 	// Body fails unless it is read to the end of the whole response.
@@ -145,18 +148,20 @@
 	outcome *CarriedOutcome
 	// once is set if the request must run once by the configuration of that node.
 	once bool
+	// from is the name of that node.
+	from string
 }
 
-// ServeCarried serves a request that another node passed on, by whose configuration it must run once if once is set; it is not passed on again. The outcome is
+// ServeCarried serves a request that the node named from passed on, by whose configuration it must run once if once is set; it is not passed on again. The outcome is
 // set before the head of the response is written.
-func (f *Forwarder) ServeCarried(w http.ResponseWriter, r *http.Request, once bool, outcome *CarriedOutcome) {
+func (f *Forwarder) ServeCarried(w http.ResponseWriter, r *http.Request, from string, once bool, outcome *CarriedOutcome) {
 	defer f.carried.Add(-1)
 	if f.carried.Add(1) > maxCarried {
 		outcome.refused, outcome.untried = true, true
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	f.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), carriedKey{}, carriedRequest{outcome: outcome, once: once})))
+	f.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), carriedKey{}, carriedRequest{outcome: outcome, once: once, from: from})))
 }
 
 // carried returns what another node told of a request that it passed on; the zero value for others.
@@ -175,14 +180,20 @@
 	c.carryTried = true
 	f.endTrial(c, time.Now())
 	c.ledger.Begin()
-	response, err := f.dependencies.Carry(ctx, c.Request, !f.mayRepeat(c), c.deadline, func(untried bool) bool {
+	response, err := f.dependencies.Carry(ctx, c.Request, !f.mayRepeat(c), c.deadline, func(node string, untried bool) bool {
+		c.tries.pass(node, lo.Ternary(untried, "refused, untried", "refused"))
 		if !untried {
 			c.reached, c.retryAllowed = true, false
 		}
 		return f.allowRetry(time.Now(), c)
 	})
 	var notRun *NotRunError
-	logger.Info("request passed to another node").Str("request", c.ID).Strs("unreachable", c.unreachable).Bool("reached", c.reached).Int64("left_ms", time.Until(c.deadline).Milliseconds()).Err(err).Msg("request passed to another node")
+	node := ""
+	if response != nil {
+		node = response.Node
+		c.tries.pass(node, outcomeOfCarry(response, err))
+	}
+	logger.Info("request passed to another node").Str("request", c.ID).Str("node", node).Strs("unreachable", c.unreachable).Bool("reached", c.reached).Int64("left_ms", time.Until(c.deadline).Milliseconds()).Err(err).Msg("request passed to another node")
 	if errors.As(err, &notRun) {
 		c.ledger.Prove(notRun.proof)
 		f.dependencies.Recorder.Count("requests no node took")
@@ -223,3 +234,11 @@
 		}
 	}
 }
+
+// outcomeOfCarry returns how the node that took a request ended it.
+func outcomeOfCarry(response *Carried, err error) string {
+	if err != nil {
+		return "broken, " + err.Error()
+	}
+	return fmt.Sprintf("status %d", response.Status)
+}
--- a/forwarder/carry_test.go
+++ b/forwarder/carry_test.go
@@ -19,21 +19,21 @@
 )
 
 // carry takes a request as other nodes do, of which there are three if they refuse it.
-func (f *fixture) carry(_ context.Context, request *forwarder.Request, once bool, _ time.Time, refused func(untried bool) bool) (*forwarder.Carried, error) {
+func (f *fixture) carry(_ context.Context, request *forwarder.Request, once bool, _ time.Time, refused func(node string, untried bool) bool) (*forwarder.Carried, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.carriedOnce = once
 	if strings.HasPrefix(f.carrier, "refuse") {
 		for asked := 0; asked < 3; asked++ {
 			f.carriedCount++
-			if !refused(f.carrier == "refuse untried") {
+			if !refused(fmt.Sprint("n", asked+1), f.carrier == "refuse untried") {
 				break
 			}
 		}
 		return nil, forwarder.NewNotRunError(prover.Relayed(), "", forwarder.ReasonUnreachable, 0, nil)
 	}
 	f.carriedCount++
-	response := &forwarder.Carried{Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: io.NopCloser(strings.NewReader("id:1\ndata:x\n\n"))}
+	response := &forwarder.Carried{Node: "n1", Status: http.StatusOK, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: io.NopCloser(strings.NewReader("id:1\ndata:x\n\n"))}
 	switch f.carrier {
 	case "answer":
 		return response, nil
@@ -44,7 +44,7 @@
 		response.Status = http.StatusServiceUnavailable
 		return response, nil
 	case "break":
-		return nil, errors.New("connection reset")
+		return &forwarder.Carried{Node: "n1"}, errors.New("connection reset")
 	}
 	return nil, forwarder.NewNotRunError(prover.Relayed(), "", forwarder.ReasonUnreachable, 0, nil)
 }
@@ -81,7 +81,7 @@
 				request := f.request(script.Route, script.Model)
 				request.RequestURI = script.Route
 				outcome := &forwarder.CarriedOutcome{}
-				f.forwarder.ServeCarried(&carriedRecorder{recorded}, request, false, outcome)
+				f.forwarder.ServeCarried(&carriedRecorder{recorded}, request, "n0", false, outcome)
 				status, refused, untried = recorded.Code, outcome.Refused(), outcome.Untried()
 			} else if response, err := http.DefaultTransport.RoundTrip(f.request(script.Route, script.Model)); err == nil {
 				if _, err := io.ReadAll(response.Body); err == nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -68,8 +68,9 @@
 	// Crashed reports, by probing a worker's address, whether its process seems to have ended.
 	Crashed func(worker *registrar.Worker) bool
 	// Carry passes a request to another node, which serves it until the deadline, and at most once if once is set. Each node that refuses it is reported to refused, which says whether the next
-	// one may be asked; untried is set if the request has reached no worker there. The error is a *NotRunError if no node has taken it, else it may have run.
-	Carry func(ctx context.Context, request *Request, once bool, deadline time.Time, refused func(untried bool) (askNext bool)) (*Carried, error)
+	// one may be asked; untried is set if the request has reached no worker there. The error is a *NotRunError if no node has taken it, else it may have run at the Node of the result, whose
+	// other fields are unset then.
+	Carry func(ctx context.Context, request *Request, once bool, deadline time.Time, refused func(node string, untried bool) (askNext bool)) (*Carried, error)
 	// Streams holds the software versions at which streams began. FindStream asks the leaders; FindArchived looks in the store, and read is set if that could
 	// be read. ConfirmList reports whether the list of workers is known to have been up to date at some time after since.
 	Streams      *streamkeeper.Keeper
@@ -182,8 +183,9 @@
 	deadline time.Time
 	// ledger is the account of the sends, also of those by a node that the call was passed to.
 	ledger prover.Ledger
-	// sends counts the sends of this node to workers, including those that certainly did not run.
+	// sends counts the sends of this node to workers, including those that certainly did not run; tries are the last of them.
 	sends int
+	tries tries
 	// reached is set once a send may have reached a worker, also one of another node that the call was passed to. From then on, retryAllowed is
 	// set before each send, by the retry budget, and unset when that send has reached a worker.
 	reached, retryAllowed bool
@@ -270,15 +272,19 @@
 
 // logResponse logs a request that got a worker's response, with the worker and the load by which it was chosen. Runs are the sends before it that may have run.
 func (f *Forwarder) logResponse(c *call) {
-	logger.Info("request answered").Str("request", c.ID).Str("route", c.route.Name).Str("model", c.Model).Str("adapter", c.Adapter).Str("worker", c.worker).Str("software", c.software).Str("resumes", c.Resumes).Str("resumes_after", c.LastEventID).Strs("parts", c.sharedParts).
-		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Int("sends", c.sends).Int("runs", c.ledger.MayHaveRun()-1).Float64("limit", c.limitPerSecond).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstByteMS).Int("load", c.workerLoad).Int64("age_ms", c.stateAgeMS).
+	kind := "request answered"
+	if c.sends > 1 || c.carryTried {
+		kind = "request answered after failures" // A crowd of others does not displace it.
+	}
+	logger.Info(kind).Str("request", c.ID).Str("route", c.route.Name).Str("model", c.Model).Str("adapter", c.Adapter).Str("worker", c.worker).Str("software", c.software).Str("resumes", c.Resumes).Str("resumes_after", c.LastEventID).Strs("parts", c.sharedParts).
+		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Int("runs", c.ledger.MayHaveRun()-1).Float64("limit", c.limitPerSecond).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstByteMS).Int("load", c.workerLoad).Int64("age_ms", c.stateAgeMS).
 		Int64("after_ms", time.Since(c.arrived).Milliseconds()).Msg("request answered")
 }
 
 // admit decodes a request, reads its body and finds its route. When it fails, the
 // call that it returns has only the fields set that were reached before the error.
 func (f *Forwarder) admit(w http.ResponseWriter, r *http.Request, arrived time.Time) (*call, error) {
-	c := &call{catalog: f.dependencies.Catalog(), arrived: arrived, avoidUntil: map[string]time.Time{}, isCarried: carried(r).outcome != nil, once: carried(r).once}
+	c := &call{catalog: f.dependencies.Catalog(), arrived: arrived, avoidUntil: map[string]time.Time{}, isCarried: carried(r).outcome != nil, once: carried(r).once, tries: tries{from: clip(carried(r).from)}}
 	var err error
 	if c.Request, err = f.dependencies.Decode(r, arrived); err != nil {
 		return c, err
@@ -366,7 +372,11 @@
 
 // logFailure logs a request that ended without a complete response of a worker.
 func (f *Forwarder) logFailure(c *call, failure *FailureError, callerLeft bool) {
-	entry := logger.Info("request not answered").Str("request", requestID(c)).Str("code", failure.code).Int("status", failure.status).
+	kind := "request not answered"
+	if c.sends > 0 || c.carryTried {
+		kind = "request not answered after tries" // A crowd of requests that were never sent does not displace it.
+	}
+	entry := logger.Info(kind).Str("request", requestID(c)).Str("code", failure.code).Int("status", failure.status).
 		Int64("retry_ms", failure.retryMS).Bool("caller_left", callerLeft).Int64("after_ms", time.Since(c.arrived).Milliseconds())
 	if c.route != nil {
 		entry = entry.Str("route", c.route.Name).Int64("config", c.catalog.Version())
@@ -374,7 +384,7 @@
 	if c.Request != nil && c.Model != "" {
 		entry = entry.Str("model", c.Model).Str("adapter", c.Adapter)
 	}
-	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Int("sends", c.sends).Int("runs", c.ledger.MayHaveRun()).Bool("promised", prover.Promises(failure.status)).Str("why", failure.message).Msg("request not answered")
+	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Int("runs", c.ledger.MayHaveRun()).Bool("promised", prover.Promises(failure.status)).Str("why", failure.message).Msg("request not answered")
 }
 
 func requestID(c *call) string {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -44,6 +45,11 @@
 	// NotRun is the reason why the worker did not run the request; Broken is set when the connection fails before the response.
 	NotRun string
 	Broken bool
+	// Connected is set if the refusal of NotRun came over a connection, which had carried Earlier requests before. Answered is the ID in the refusal; if it is not
+	// the request's, the refusal belongs to another send.
+	Connected bool
+	Earlier   int
+	Answered  string
 	// Crashed is set if a probe of the worker shows that it has ended.
 	Crashed bool
 	// Status and Body are the response's; Cut is set when the connection fails after Body. Stream is set for an event stream; a body with events is always one.
@@ -296,12 +302,14 @@
 		return nil, forwarder.NewBrokenError(attempt.Worker.ID, errors.New("resumed after "+attempt.ResumeAfter))
 	}
 	switch {
+	case next.Connected:
+		return nil, next.refusal(attempt.Worker)
 	case next.NotRun != "":
 		return nil, forwarder.NewNotRunError(prover.Unsent(), attempt.Worker.ID, forwarder.Reason(next.NotRun), 503, nil)
 	case next.Broken:
 		return nil, forwarder.NewBrokenError(attempt.Worker.ID, errors.New("connection reset"))
 	}
-	response := &forwarder.Response{Status: next.Status, Unframed: next.Unframed, Header: http.Header{"Content-Type": {"text/plain"}}, PerSecond: f.named}
+	response := &forwarder.Response{Evidence: exchangeAfter(4, attempt.Worker.Address).Evidence(), Status: next.Status, Unframed: next.Unframed, Header: http.Header{"Content-Type": {"text/plain"}}, PerSecond: f.named}
 	if next.Stream || strings.Contains(next.Body, "id:") {
 		response.Header.Set("Content-Type", "text/event-stream")
 	}
@@ -312,6 +320,28 @@
 	return response, nil
 }
 
+// refusal returns the error of a send that was refused over a connection.
+func (s scriptedSend) refusal(worker *registrar.Worker) error {
+	exchange := exchangeAfter(s.Earlier, worker.Address)
+	proof, err := exchange.Refusal(s.Answered)
+	if err != nil {
+		return forwarder.NewBrokenError(worker.ID, err).WithEvidence(exchange.Evidence()).WithStatus(s.Status)
+	}
+	return forwarder.NewNotRunError(proof, worker.ID, forwarder.Reason(s.NotRun), s.Status, nil).WithEvidence(exchange.Evidence())
+}
+
+// exchangeAfter begins the request of the fixture on a connection that has carried others.
+func exchangeAfter(earlier int, address string) *prover.Exchange {
+	connection := prover.NewConnection(address)
+	for i := range earlier {
+		_, err := connection.Begin(fmt.Sprint("earlier", i))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	exchange, err := connection.Begin("r")
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	return exchange
+}
+
 func (f *fixture) request(path, model string) *http.Request {
 	request, err := http.NewRequest(http.MethodPost, f.server.URL+path, strings.NewReader("body"))
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
@@ -757,7 +787,7 @@
 			request := httptest.NewRequest(http.MethodPost, path, http.NoBody)
 			request.Host = "h"
 			recorded, outcome := httptest.NewRecorder(), &forwarder.CarriedOutcome{}
-			f.forwarder.ServeCarried(recorded, request, false, outcome)
+			f.forwarder.ServeCarried(recorded, request, "n0", false, outcome)
 			return recorded.Code, outcome.Untried()
 		}
 		status, untried := carried("/lasting/x")
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -66,6 +66,8 @@
 	// Status and Header are relayed unchanged, except for the headers that net/http sets.
 	Status int
 	Header http.Header
+	// Evidence is what is known of the send.
+	Evidence prover.Evidence
 	// Body returns an error if the response is incomplete; it must be closed.
 	Body io.ReadCloser
 	// Unframed is set if the response has no length, so that Body ends in the same way when it is complete and when the worker's process has ended.
@@ -178,6 +180,8 @@
 	cause  error
 	// evidence is what is known of the send; its zero value is that of a response that broke off.
 	evidence prover.Evidence
+	// status is the HTTP status of a response that is not used, or 0.
+	status int
 }
 
 // NewBrokenError returns the error of a send without a complete response; worker is the worker's ID.
@@ -194,6 +198,12 @@
 	return e
 }
 
+// WithStatus sets the status of a response that is not used and returns the error.
+func (e *BrokenError) WithStatus(status int) *BrokenError {
+	e.status = status
+	return e
+}
+
 // Error names the worker and the cause.
 func (e *BrokenError) Error() string {
 	return fmt.Sprintf("answer of worker %q did not arrive whole: %v", e.worker, e.cause)
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -11,7 +11,6 @@
 
 	"github.com/acaciaproxy/acaciaproxy/bufferer"
 	"github.com/acaciaproxy/acaciaproxy/logger"
-	"github.com/acaciaproxy/acaciaproxy/prover"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
@@ -187,13 +186,11 @@
 func (f *Forwarder) retry(ctx context.Context, c *call, worker *registrar.Worker, err error) error {
 	now := time.Now()
 	var notRun *NotRunError
-	var foreign *prover.ForeignError
-	if errors.As(err, &foreign) {
-		f.dependencies.Recorder.Count("responses to other sends")
-	}
-	evidence := evidenceOf(err)
+	c.tries.fail(c.ID, err)
+	f.logForeign(c, worker, err)
+	evidence := c.tries.evidence()
 	logger.Info("send failed").Str("request", c.ID).Str("worker", worker.ID).Str("software", worker.Software).Int("send", c.sends).Str("after_event", c.lastEventID).Int64("age_ms", c.stateAgeMS).
-		Bool("not_run", errors.As(err, &notRun)).Str("answered_request", evidence.ReceivedID()).Str("connection", evidence.Kind()).Str("address", evidence.Address()).Int64("connection_number", evidence.Connection()).
+		Bool("not_run", errors.As(err, &notRun)).Str("answered_request", clip(evidence.ReceivedID())).Str("connection", evidence.Kind()).Str("address", evidence.Address()).Int64("connection_number", evidence.Connection()).
 		Int("earlier", evidence.Earlier()).Err(err).Msg("send failed")
 	if errors.As(err, &notRun) {
 		return f.handleNotRun(ctx, c, worker, notRun)
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -23,6 +23,7 @@
 		return nil, err
 	}
 	worker := send.Worker
+	c.tries.respond(response)
 	f.reach.succeed(time.Now())
 	f.reportLoad(worker, response.Load)
 	f.observeLimit(c, worker, response.PerSecond)
@@ -63,6 +64,7 @@
 func (f *Forwarder) beginSend(c *call, worker *registrar.Worker) (endSend func(error)) {
 	c.sends++
 	c.ledger.Begin()
+	c.tries.begin(c.sends, worker)
 	c.sentAt, c.events = time.Now(), 0
 	c.worker, c.software, c.stateAgeMS = worker.ID, worker.Software, f.stateAge(worker).Milliseconds()
 	f.dependencies.Assessor.BeginSend(time.Now(), worker.ID)
--- a/logger/logger.go
+++ b/logger/logger.go
@@ -65,13 +65,18 @@
 
 // Info starts a line of a kind at level info, or returns nil if the rate limit of the
 // kind is exceeded; the methods of a nil entry do nothing. The caller passes the kind
-// as the line's message too.
-func Info(kind string) *log.Entry {
+// as the line's message too, unless some lines of one message are to have a limit of their own.
+func Info(kind string) *log.Entry { return start(kind, log.Info) }
+
+// Warn starts a line of a kind at level warn, as Info does.
+func Warn(kind string) *log.Entry { return start(kind, log.Warn) }
+
+func start(kind string, level func() *log.Entry) *log.Entry {
 	omitted, allowed := limiter.Allow(time.Now(), kind)
 	if !allowed {
 		return nil
 	}
-	entry := log.Info()
+	entry := level()
 	if omitted > 0 {
 		entry = entry.Int64("omitted", omitted)
 	}
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -31,8 +31,8 @@
 }
 
 // Trace writes the lines of one request in the order of time, marked with ">",
-// and between them the lines about its model and the context messages of the
-// nodes that handled it. Times are seconds from the request's arrival. Trace
+// and between them the lines about its model, the lines of other requests that got
+// a response to it, and the context messages of the nodes that handled it. Times are seconds from the request's arrival. Trace
 // reports whether any line names the request.
 func Trace(w io.Writer, log *logreader.Log, id string) bool {
 	var first, last time.Time
@@ -63,24 +63,30 @@
 		switch {
 		case line.Text("request") == id:
 			mark = ">"
+		case line.Text("answered_request") == id: // A response to it met another request.
 		case model != "" && line.Text("model") == model && line.Text("request") == "":
 		case contextMessages[line.Message] && nodes[line.Node]:
 		default:
 			continue
 		}
-		fmt.Fprintf(w, "%s %8.3f %s %s%s\n", mark, line.At.Sub(first).Seconds(), line.Node, line.Message, formatFields(line))
+		fmt.Fprintf(w, "%s %8.3f %s %s%s\n", mark, line.At.Sub(first).Seconds(), line.Node, line.Message, formatFields(line, id))
+		tries, _ := line.Fields["tries"].([]any)
+		for _, try := range tries {
+			fmt.Fprintf(w, "%s %8s   try %v\n", mark, "", try)
+		}
 	}
 	return true
 }
 
-// formatFields returns " key=value" for each field of a line except those that a
-// trace shows otherwise or leaves out, in the order of the keys.
-func formatFields(line *logreader.Line) string {
+// formatFields returns " key=value" for each field of a line except those that the
+// trace of a request shows otherwise or leaves out, in the order of the keys.
+func formatFields(line *logreader.Line, id string) string {
 	keys := make([]string, 0, len(line.Fields))
 	for key := range line.Fields {
-		if key != "time" && key != "level" && key != "message" && key != "request" {
-			keys = append(keys, key)
+		if key == "time" || key == "level" || key == "message" || key == "tries" || key == "request" && (line.Text(key) == id || line.Text(key) == "") {
+			continue
 		}
+		keys = append(keys, key)
 	}
 	sort.Strings(keys)
 	var text strings.Builder
--- a/reporter/reporter_test.go
+++ b/reporter/reporter_test.go
@@ -45,6 +45,23 @@
 	})
 })
 
+// Guards against a trace that hides which connections a request went over, or whom else a response to it met.
+var _ = ginkgo.Describe("the trace of a request that was sent more than once", func() {
+	ginkgo.It("shows each try on a line, and the other request that got a response to it", func() {
+		log, err := logreader.ReadFiles([]string{"testdata/tries.log"})
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		var text strings.Builder
+		gomega.Expect(reporter.Trace(&text, log, "r1")).To(gomega.BeTrue())
+		gomega.Expect(strings.Split(strings.TrimSuffix(text.String(), "\n"), "\n")).To(gomega.Equal([]string{
+			">    0.000 front-b-3 send failed address=10.0.0.1:80 answered_request=r1 connection_number=7 worker=w1",
+			">    0.020 front-b-3 request not answered after_ms=30 code=broken",
+			">            try 1 w1 10.0.0.1:80 #7 after 0: not run, replaced, status 421",
+			">            try 2 w2 10.0.0.1:80 #7 after 1: broken, EOF",
+			"     0.030 front-b-3 response belongs to another send answered_request=r1 request=r2 worker=w2",
+		}))
+	})
+})
+
 // FuzzRead passes arbitrary bytes to the log reader, and the lines read to Trace,
 // Summarize and Print, none of which may panic.
 func FuzzRead(f *testing.F) {
--- a/server/carry.go
+++ b/server/carry.go
@@ -30,7 +30,7 @@
 const maxPartBytes = 64 << 10
 
 // carry passes a request to another node, as forwarder.Dependencies describes. Requests are spread over the nodes that the leaders name.
-func (f *FleetNode) carry(ctx context.Context, request *forwarder.Request, once bool, deadline time.Time, refused func(untried bool) (askNext bool)) (*forwarder.Carried, error) {
+func (f *FleetNode) carry(ctx context.Context, request *forwarder.Request, once bool, deadline time.Time, refused func(node string, untried bool) (askNext bool)) (*forwarder.Carried, error) {
 	message := &nodewire.CarryRequest{
 		Node: f.settings.Name(), Method: request.Method, Target: request.Target, Host: request.Host, Headers: newHeaders(platform.CarriedHeader(request, deadline)), Body: request.Body, Once: once,
 	}
@@ -47,10 +47,13 @@
 		}
 		asked++
 		response, untried, err := f.askCarrier(ctx, address, message)
-		if response != nil || err != nil {
-			return response, err
+		if err != nil {
+			return &forwarder.Carried{Node: address}, err
+		}
+		if response != nil {
+			return response, nil
 		}
-		if !refused(untried) {
+		if !refused(address, untried) {
 			break
 		}
 	}
@@ -110,7 +113,7 @@
 	for _, entry := range part.GetHeaders() {
 		header[entry.GetName()] = entry.GetValues()
 	}
-	return &forwarder.Carried{Status: int(part.GetStatus()), Header: header, Body: &carriedBody{stream: stream, cancel: cancel, unread: part.GetBody()}}, false, nil
+	return &forwarder.Carried{Node: address, Status: int(part.GetStatus()), Header: header, Body: &carriedBody{stream: stream, cancel: cancel, unread: part.GetBody()}}, false, nil
 }
 
 func newHeaders(header http.Header) []*nodewire.Header {
@@ -211,6 +214,6 @@
 			err = status.Error(codes.Aborted, io.ErrUnexpectedEOF.Error())
 		}
 	}()
-	f.forwarder.ServeCarried(w, r, message.GetOnce(), w.outcome)
+	f.forwarder.ServeCarried(w, r, message.GetNode(), message.GetOnce(), w.outcome)
 	return w.sendHead(http.StatusOK)
 }
