One dead address does not cut a node off from all workers

What callers saw: nothing yet that was reported; found by the audit of what is kept by a worker's ID and means its address.

Cause: that two workers were unreachable for a request, or three for a node, is the sign of a lost path. They were counted by ID; of the entries with one address at most one is of a worker that is there. A node whose fleet has an address with three such entries counted as cut off, and then passes all requests on but one in 0.5 s.

Change: unreachable workers, and those known, are counted by address. `unreachable` in `request passed to another node` has addresses.

Specs of forwarder pass.

--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -14,10 +14,12 @@
 
 	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/prover"
+	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
 const (
-	// cutWorkers is the number of different workers that must fail as unreachable, with no response of any in between, for the node to count as cut off.
+	// cutWorkers is the number of different workers that must fail as unreachable, with no response of any in between, for the node to count as cut off. Those
+	// that are listed with one address count as one: at most one of them is there.
 	cutWorkers = 3
 	// reachPause is the time between two requests that a node which is cut off still sends to workers itself, to notice the end of the cut.
 	reachPause = 500 * time.Millisecond
@@ -43,7 +45,7 @@
 type reach struct {
 	// mu guards everything below.
 	mu sync.Mutex
-	// failed are the workers that were unreachable since the last response of any.
+	// failed are the addresses of the workers that were unreachable since the last response of any.
 	failed map[string]bool
 	// cut is set while the node counts as cut off, since cutAt.
 	cut   bool
@@ -52,15 +54,15 @@
 	probeAt time.Time
 }
 
-// fail records that a worker was unreachable; workers is the number of workers that the node knows.
-func (r *reach) fail(now time.Time, worker string, workers int) {
+// fail records that the worker at an address was unreachable; workers is the number of addresses of workers that the node knows.
+func (r *reach) fail(now time.Time, address string, workers int) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if r.failed == nil {
 		r.failed = map[string]bool{}
 	}
 	if len(r.failed) < cutWorkers {
-		r.failed[worker] = true
+		r.failed[address] = true
 	}
 	if !r.cut && len(r.failed) >= min(cutWorkers, workers) {
 		r.cut, r.cutAt, r.probeAt = true, now, now.Add(reachPause)
@@ -118,6 +120,11 @@
 	return "this node reaches no worker that could serve the request"
 }
 
+// knownAddresses returns the number of addresses of listed workers.
+func (f *Forwarder) knownAddresses() int {
+	return len(lo.UniqBy(f.dependencies.Workers.Fleet().All(), func(worker *registrar.Worker) string { return worker.Address }))
+}
+
 // lacksPath reports whether a call that no worker can be chosen for may be served by way of another node: this one is cut off, or did not reach a worker for it.
 // A single worker that is unreachable is more likely to have ended.
 func (f *Forwarder) lacksPath(c *call) bool {
--- a/forwarder/carry_test.go
+++ b/forwarder/carry_test.go
@@ -12,10 +12,12 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/casereader"
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
 	"github.com/acaciaproxy/acaciaproxy/prover"
+	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
 // carry takes a request as other nodes do, of which there are three if they refuse it.
@@ -54,8 +56,8 @@
 	Name, Carrier, Route, Model string
 	// Sends are the results of sends to workers.
 	Sends []scriptedSend
-	// Foreign is set for a request that another node passed on.
-	Foreign bool
+	// Foreign is set for a request that another node passed on. OneAddress is set if all entries of the service are of workers that had one address in turn.
+	Foreign, OneAddress bool
 	// Retries is the number of retries that the budget allows, -1 for any number.
 	Retries int
 	// Status is the response's, 0 for a connection that is closed before its end. Passed is the number of times that it is passed on, Sent the number of sends.
@@ -75,6 +77,9 @@
 			f := newFixture(script.Sends, false)
 			defer f.server.Close()
 			f.carrier, f.retries = script.Carrier, script.Retries
+			if script.OneAddress {
+				f.listSuccessors()
+			}
 			status, refused, untried := 0, false, false
 			if script.Foreign {
 				recorded := httptest.NewRecorder()
@@ -95,6 +100,31 @@
 	}
 })
 
+// listSuccessors lists more workers of the plain service, all at the address of the first.
+func (f *fixture) listSuccessors() {
+	changes := lo.Map([]string{"p2", "p3", "p4", "p5"}, func(id string, _ int) registrar.Change {
+		return registrar.Change{Worker: registrar.Worker{ID: id, Service: "plain", Zone: "z", Address: "127.0.0.1:1", Software: "v1", Slots: 8, SeenAt: time.Now(), RowVersion: 2}}
+	})
+	f.list.Apply(time.Now(), changes)
+}
+
+// Guards against a node that counts as cut off from all workers because one address is dead at which several were listed in turn.
+var _ = ginkgo.Describe("a node that does not reach one address", func() {
+	ginkgo.It("is not cut off from all workers", func() {
+		unreachable := scriptedSend{NotRun: "unreachable"}
+		f := newFixture([]scriptedSend{unreachable, unreachable, unreachable, unreachable, unreachable}, false)
+		defer f.server.Close()
+		f.listSuccessors()
+		response, err := http.DefaultTransport.RoundTrip(f.request("/once/x", ""))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusServiceUnavailable))
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		gomega.Expect(f.sent).To(gomega.Equal(5))
+		gomega.Expect(f.forwarder.CutOff()).To(gomega.BeFalse())
+	})
+})
+
 // carriedRecorder is a recorder that allows a deadline for the body.
 type carriedRecorder struct{ *httptest.ResponseRecorder }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -223,7 +223,7 @@
 	lastEventID string
 	// once is set if another node passed the call on and it must run once by the configuration there.
 	once bool
-	// isCarried is set if another node passed the call on, carryTried once this node has tried to. Unreachable are the workers that sends did not reach.
+	// isCarried is set if another node passed the call on, carryTried once this node has tried to. Unreachable are the addresses of the workers that sends did not reach.
 	isCarried, carryTried bool
 	unreachable           []string
 	// heldMS is the time waited for the model, firstByteMS the time from the last send to the head of its response, in milliseconds.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -147,12 +147,12 @@
 	f.limiter = limiter.New(f.ask, func() int { return 1 }, f.recorder.Count)
 	f.crashes = crashkeeper.New("n", crashkeeper.Rows{}, f.recorder.Count)
 	now := time.Now()
-	worker := func(id, service string, models map[string][]string) registrar.Worker {
-		return registrar.Worker{ID: id, Service: service, Zone: "z", Address: "127.0.0.1:1", Software: "v1", Slots: 8, Loaded: models, SeenAt: now}
+	worker := func(id, service string, port int, models map[string][]string) registrar.Worker {
+		return registrar.Worker{ID: id, Service: service, Zone: "z", Address: fmt.Sprint("127.0.0.1:", port), Software: "v1", Slots: 8, Loaded: models, SeenAt: now}
 	}
 	f.list.Replace(now, []registrar.Worker{
-		worker("p1", "plain", nil), worker("p2", "plain", nil),
-		worker("m1", "models", map[string][]string{"m": nil}), worker("m2", "models", map[string][]string{"m": nil}), worker("o1", "other", nil),
+		worker("p1", "plain", 1, nil), worker("p2", "plain", 2, nil),
+		worker("m1", "models", 3, map[string][]string{"m": nil}), worker("m2", "models", 4, map[string][]string{"m": nil}), worker("o1", "other", 5, nil),
 	}, 1)
 	route := func(name string, kind cataloger.Kind, service string, resumable bool) cataloger.Route {
 		return cataloger.Route{
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -264,8 +264,8 @@
 		c.avoidUntil[worker.ID] = now.Add(avoidFull)
 	case ReasonUnreachable:
 		if ctx.Err() == nil { // Else the call has ended while it was connecting.
-			c.unreachable = append(c.unreachable, worker.ID)
-			f.reach.fail(now, worker.ID, f.dependencies.Workers.Fleet().Size())
+			c.unreachable = append(c.unreachable, worker.Address)
+			f.reach.fail(now, worker.Address, f.knownAddresses())
 		}
 		f.dependencies.Assessor.MarkUnreachable(now, worker.ID)
 		c.avoidUntil[worker.ID] = now.Add(avoidUnreachable)
