A plain service that names no requests gets a connection for each

What callers could see: the copy of a 503 relayed as the refusal of a request that the service runs (REFUSED), another caller's answer (MIXED), or the second response to the probe as the answer of a request that must run once.

Cause: plain services name no requests in their responses, and nothing tells a response too many on a kept connection from the one that is due; bytes left over are not noticed by the HTTP client, and those that arrive while the next request is written could not be noticed by anyone.

Change: a connection is kept only for a service that repeats X-Request-Id of the request in its response. Any other gets a connection for each request, which it is asked to close. On a new connection any response is relayed, whatever ID it bears; on a kept one only one that names the request.

The ports that wait after the end of a connection are at the service's end.

--- a/serviceclient/service.go
+++ b/serviceclient/service.go
@@ -53,11 +53,11 @@
 
 // New returns a client for the endpoint at an IP and port.
 func New(address string) *Client {
-	return &Client{address: address, pooled: dialer.New(address, readTimeout)}
+	return &Client{address: address, pooled: dialer.NewNamed(address, readTimeout, dialer.MaxBodyBytes)}
 }
 
-// SendIdempotent sends a request that may run twice, over a pooled connection, and reads the body of the response with
-// readBody. The error is a *NotRunError or a *BrokenError.
+// SendIdempotent sends a request that may run twice, over a pooled connection if the service names requests in its responses, else over a
+// connection of its own, and reads the body of the response with readBody. The error is a *NotRunError or a *BrokenError.
 func (c *Client) SendIdempotent(request *fasthttp.Request, response *fasthttp.Response, deadline time.Time, readBody func(io.Reader) error) error {
 	err := send(c.pooled, request, response, deadline, readBody)
 	if err != nil {
@@ -66,8 +66,8 @@
 	return err
 }
 
-// SendOnce sends a request that must not run twice. It first probes the endpoint at the
-// URL path probe over a dedicated connection, so that the request is sent neither over
+// SendOnce sends a request that must not run twice, over a dedicated connection. It first probes the endpoint at the
+// URL path probe, so that the request is sent neither over
 // an unresponsive connection nor to a frozen endpoint. It reads the body of the response with readBody. The error is a
 // *NotRunError or a *BrokenError.
 func (c *Client) SendOnce(request *fasthttp.Request, response *fasthttp.Response, probe string, deadline time.Time, readBody func(io.Reader) error) error {
@@ -79,8 +79,8 @@
 	return send(dedicated, request, response, deadline, readBody)
 }
 
-// send sends a request and reads the body of the response, if it has one, with readBody. The rest of a body that readBody does not read to its end is not read,
-// and the connection is closed.
+// send sends a request and reads the body of the response, if it has one, with readBody. The rest of a body that readBody does not read to its end
+// is not read, and the connection is closed.
 func send(client *fasthttp.HostClient, request *fasthttp.Request, response *fasthttp.Response, deadline time.Time, readBody func(io.Reader) error) error {
 	response.StreamBody = true
 	if err := client.DoDeadline(request, response, deadline); err != nil {
@@ -89,6 +89,10 @@
 		}
 		return &BrokenError{cause: err}
 	}
+	if err := dialer.Accept(response, string(request.Header.Peek(dialer.HeaderRequestID))); err != nil {
+		_ = response.CloseBodyStream() // The connection is closed; nothing else is lost.
+		return &BrokenError{cause: err}
+	}
 	if response.BodyStream() == nil {
 		return nil
 	}
