Calls to the platform name themselves, or have a connection each

What could happen: a response too many on a kept connection of platformclient was taken for that of the next call: the success of a write for one that failed its checks (two leaders, a claim taken twice), a conflict for a write that took effect, another read's rows, rows for an object's content, an answer to a write for an empty list of hosts.

Change: each call has an ID of its own in X-Request-Id, and the stand-in repeats it. For a platform that does not, each call has a new connection (dialer.NewNamed, dialer.Accept).

The users' platform (package platform) has its own client of the store, which is not changed here.

--- a/platformclient/http.go
+++ b/platformclient/http.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/valyala/fasthttp"
@@ -31,7 +33,7 @@
 // NewHTTP returns a Platform that calls the platform at an address over HTTP, from a
 // node in a zone.
 func NewHTTP(address, zone string) *Platform {
-	h := &httpPlatform{client: dialer.New(address, httpReadTimeout), address: address, zone: zone}
+	h := &httpPlatform{client: dialer.NewNamed(address, httpReadTimeout, dialer.MaxBodyBytes), address: address, zone: zone}
 	return &Platform{
 		ReadRows:  h.readRows,
 		Write:     h.write,
@@ -41,6 +43,24 @@
 	}
 }
 
+// calls counts the calls of the process; it is the source of their IDs.
+var calls atomic.Int64
+
+// send sends a request with the zone and an ID of its own, and reads the response. A response that may be that of another call is an error.
+func (h *httpPlatform) send(deadline time.Time, request *fasthttp.Request, response *fasthttp.Response) error {
+	id := "call-" + strconv.FormatInt(calls.Add(1), 36)
+	request.Header.Set("X-Zone", h.zone)
+	request.Header.Set(dialer.HeaderRequestID, id)
+	if err := h.client.DoDeadline(request, response, deadline); err != nil {
+		return err
+	}
+	if err := dialer.Accept(response, id); err != nil {
+		h.client.CloseIdleConnections()
+		return err
+	}
+	return nil
+}
+
 // call sends a request and returns the status and a copy of the body of the response.
 // It returns a *NoResponseError without a response and for the statuses 429 and 5xx.
 func (h *httpPlatform) call(deadline time.Time, method, path string, body []byte) (int, []byte, error) {
@@ -49,12 +69,11 @@
 	defer fasthttp.ReleaseResponse(response)
 	request.Header.SetMethod(method)
 	request.SetRequestURI("http://" + h.address + path)
-	request.Header.Set("X-Zone", h.zone)
 	if body != nil {
 		request.Header.SetContentType("application/json")
 		request.SetBody(body)
 	}
-	if err := h.client.DoDeadline(request, response, deadline); err != nil {
+	if err := h.send(deadline, request, response); err != nil {
 		return 0, nil, NewNoResponseError(path, err)
 	}
 	status := response.StatusCode()
@@ -127,9 +146,8 @@
 	defer fasthttp.ReleaseRequest(request)
 	defer fasthttp.ReleaseResponse(response)
 	request.SetRequestURI("http://" + h.address + "/hosts")
-	request.Header.Set("X-Zone", h.zone)
 	request.Header.Set(fasthttp.HeaderIfNoneMatch, h.hostsTag)
-	if err := h.client.DoDeadline(request, response, deadline); err != nil {
+	if err := h.send(deadline, request, response); err != nil {
 		return nil, NewNoResponseError("/hosts", err)
 	}
 	switch response.StatusCode() {
--- a/platformstandin/platform.go
+++ b/platformstandin/platform.go
@@ -98,6 +98,7 @@
 
 func (p *Platform) registerRoutes() {
 	p.app = fiber.New(fiber.Config{BodyLimit: 64 << 20, Immutable: true})
+	p.app.Use(nameCall)
 	p.app.Get("/faults", func(c fiber.Ctx) error { return c.JSON(p.currentFaults()) })
 	p.app.Put("/faults", p.setFaults)
 	p.app.Get("/stats", p.stats)
@@ -158,6 +159,14 @@
 // hangPoll is the interval at which a hanging call checks whether the switch is off.
 const hangPoll = 10 * time.Millisecond
 
+// nameCall puts the ID of a call into its response.
+func nameCall(c fiber.Ctx) error {
+	if id := c.Get("X-Request-Id"); id != "" {
+		c.Set("X-Request-Id", id)
+	}
+	return c.Next()
+}
+
 // applyFaults delays or refuses a call according to the fault switches and to its zone, which the header X-Zone names.
 func (p *Platform) applyFaults(c fiber.Ctx) error {
 	if !p.waitReachable(c.Get("X-Zone")) {
