Stand-in engine: all responses name their request

Failures did not, so that one of them made the client use each connection to the engine once for 30 s. Tests of engineclient and server pass.

--- a/enginestandin/engine.go
+++ b/enginestandin/engine.go
@@ -147,6 +147,7 @@
 		return c.SendStatus(fiber.StatusNoContent)
 	})
 	e.app.Get("/record", e.handleRecord)
+	e.app.Use(nameRequest)
 	e.app.Use(e.applyFaults)
 	e.app.Get("/health", func(c fiber.Ctx) error { return c.SendString("ok") })
 	e.app.Get("/report", e.handleReport)
@@ -155,6 +156,14 @@
 	e.app.Post("/v1/completions", e.handleCompletion)
 }
 
+// nameRequest puts the ID of a request into its response, whatever that is.
+func nameRequest(c fiber.Ctx) error {
+	if id := c.Get("X-Request-Id"); id != "" {
+		c.Set("X-Request-Id", id)
+	}
+	return c.Next()
+}
+
 // Serve handles HTTP calls until the listener is closed.
 func (e *Engine) Serve(listener net.Listener) error {
 	e.listener = silencer.New(listener)
@@ -280,15 +289,7 @@
 	}
 }
 
-// nameRequest puts the ID of a request into its response.
-func nameRequest(c fiber.Ctx) {
-	if id := c.Get("X-Request-Id"); id != "" {
-		c.Set("X-Request-Id", id)
-	}
-}
-
 func (e *Engine) handleReport(c fiber.Ctx) error {
-	nameRequest(c)
 	report, omitted := e.laggedReport()
 	if omitted {
 		return fiber.NewError(fiber.StatusServiceUnavailable, "report left out")
--- a/enginestandin/order.go
+++ b/enginestandin/order.go
@@ -35,7 +35,6 @@
 }
 
 func (e *Engine) handleOrder(c fiber.Ctx) error {
-	nameRequest(c)
 	var order Order
 	if err := c.Bind().JSON(&order); err != nil {
 		return fiber.NewError(fiber.StatusBadRequest, err.Error())
