A failure with a body of JSON is no report of an engine

Seen in a test only: a 500 with a JSON object as body was read as a report without units, of incarnation 0, which the gateway takes for a restart and reports as a crash. Now only a 200 is a report. The new case of kept_control.json fails without the change.

--- a/engineclient/engine.go
+++ b/engineclient/engine.go
@@ -300,7 +300,10 @@
 // Report fetches the engine's report. The error is a *NotRunError or a *BrokenError.
 func (c *Client) Report(deadline time.Time) (Report, error) {
 	var report Report
-	_, err := c.sendControl(deadline, fasthttp.MethodGet, "/report", nil, &report)
+	status, err := c.sendControl(deadline, fasthttp.MethodGet, "/report", nil, &report)
+	if err == nil && status != fasthttp.StatusOK {
+		return Report{}, NewBrokenError(fmt.Errorf("engine returned status %d to a request for a report, expected 200", status))
+	}
 	return report, err
 }
 
