Soak: workers follow each other at an address at once

Change: acts in which all workers of a service are renamed behind connections that live on, or one is restarted under its ID or replaced by a new process, one to five times 1.2 s apart, while each refusal is written as many times more. They are drawn from a stream of their own, so that a seed's other acts stay.

--- a/soaker/schedule.go
+++ b/soaker/schedule.go
@@ -29,12 +29,12 @@
 type schedule struct {
 	environment *environment
 	random      *rand.Rand
-	// additions draws the actions of startAddition, departures those of startDeparture; they are separate, so that they do not change which other actions
-	// a seed draws.
-	additions, departures *rand.Rand
-	namePrefix            string
-	startedAt             time.Time
-	performed             []string
+	// additions draws the actions of startAddition, departures those of startDeparture, successions those of startSuccession; they are separate, so that they
+	// do not change which other actions a seed draws.
+	additions, departures, successions *rand.Rand
+	namePrefix                         string
+	startedAt                          time.Time
+	performed                          []string
 	// running counts the actions that have not ended.
 	running sync.WaitGroup
 	// mu guards reserved, which holds the nodes, the endpoints and the store that an action is running on.
@@ -42,8 +42,8 @@
 	reserved map[any]bool
 }
 
-func newSchedule(e *environment, random, additions, departures *rand.Rand, namePrefix string) *schedule {
-	return &schedule{environment: e, random: random, additions: additions, departures: departures, namePrefix: namePrefix, startedAt: time.Now(), reserved: map[any]bool{}}
+func newSchedule(e *environment, random, additions, departures, successions *rand.Rand, namePrefix string) *schedule {
+	return &schedule{environment: e, random: random, additions: additions, departures: departures, successions: successions, namePrefix: namePrefix, startedAt: time.Now(), reserved: map[any]bool{}}
 }
 
 // Pauses between two actions are uniformly distributed. On average, one action in immediateShare follows the previous one without a pause.
@@ -51,9 +51,11 @@
 	shortestPause  = 200 * time.Millisecond
 	longestPause   = 1800 * time.Millisecond
 	immediateShare = 4
-	// additionShare is the average number of draws of an action between two additions, departureShare between two departures.
-	additionShare  = 3
-	departureShare = 3
+	// additionShare is the average number of draws of an action between two additions, departureShare between two departures,
+	// successionShare between two successions.
+	additionShare   = 3
+	departureShare  = 3
+	successionShare = 2
 )
 
 // A run alternates between faultPhase, in which all actions may start, and plannedPhase, in which only planned ones may.
@@ -81,6 +83,9 @@
 		if s.departures.IntN(departureShare) == 0 {
 			s.startDeparture(deadline)
 		}
+		if s.successions.IntN(successionShare) == 0 {
+			s.startSuccession()
+		}
 		if s.random.IntN(immediateShare) > 0 {
 			time.Sleep(shortestPause + time.Duration(s.random.Int64N(int64(longestPause-shortestPause))))
 		}
@@ -251,6 +256,39 @@
 	s.leave(target)
 }
 
+// startSuccession starts actions in which workers of a service follow each other at their addresses at once, and write their refusals several times.
+func (s *schedule) startSuccession() {
+	service := s.environment.endpoints[s.successions.IntN(len(s.environment.endpoints))].service
+	how := soakSuccessions[s.successions.IntN(len(soakSuccessions))]
+	count := 1 + s.successions.IntN(maxSuccessions)
+	name := "worker " + how + " " + service
+	planned := how == "rename" // It breaks nothing off.
+	if s.onlyPlanned() && !planned || !strings.HasPrefix(name, s.namePrefix) {
+		return
+	}
+	for _, target := range s.environment.endpoints {
+		if target.service != service {
+			continue
+		}
+		s.startReserved(action{name: name, owner: target, planned: planned, run: func() {
+			target.setFaults(fleetstandin.Faults{Repeat: 1, Copies: count})
+			defer target.setFaults(fleetstandin.Faults{})
+			for range count {
+				successions[how](s.environment, target)
+				time.Sleep(entryExpiry)
+			}
+		}})
+		if !planned {
+			return // One worker at a time breaks requests off.
+		}
+	}
+}
+
+// soakSuccessions are the successions that a soak draws, at most maxSuccessions after each other. In a soak, an address keeps its service.
+var soakSuccessions = []string{"rename", "restart", "respawn"}
+
+const maxSuccessions = 5
+
 // streamCutShare is such that a worker that cuts streams cuts one in so many.
 const streamCutShare = 3
 
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -95,7 +95,7 @@
 	defer e.close()
 	callers := newCallers(e, rand.New(rand.NewPCG(spec.Seed, 1)))
 	callers.run()
-	actions := newSchedule(e, rand.New(rand.NewPCG(spec.Seed, 2)), rand.New(rand.NewPCG(spec.Seed, 3)), rand.New(rand.NewPCG(spec.Seed, 4)), spec.NamePrefix).run(spec.Until)
+	actions := newSchedule(e, rand.New(rand.NewPCG(spec.Seed, 2)), rand.New(rand.NewPCG(spec.Seed, 3)), rand.New(rand.NewPCG(spec.Seed, 4)), rand.New(rand.NewPCG(spec.Seed, 5)), spec.NamePrefix).run(spec.Until)
 	callers.continueWithoutFaults()
 	callers.stop()
 	report := &Report{Seed: spec.Seed, Actions: actions, Ends: callers.endCounts()}
