The workers of a node that the soak cuts off have addresses of their own

The soak cuts a node off from all workers by a view of the list in which all entries had one address. Nodes count unreachable addresses, so that one send would have been enough there; with 16 addresses it takes as many as with real workers. Workers of one address keep one in common.

--- a/soaker/cut_nodes_test.go
+++ b/soaker/cut_nodes_test.go
@@ -44,17 +44,23 @@
 	served bool
 }
 
+// cutAddresses is the number of addresses that a cut node finds in the list of workers: nodes count the addresses that they do not reach.
+const cutAddresses = 16
+
 // cutNodes cuts nodes off from all workers: connections are refused or, with how "hang", not answered.
 func (p *player) cutNodes(nodes []*node, how string) error {
-	address := "127.0.0.1:1"
-	if how == "hang" {
-		silent, err := faultinjector.ListenSilently("127.0.0.1:0") // Stays open until this process ends.
-		if err != nil {
-			return err
+	addresses := make([]string, cutAddresses)
+	for i := range addresses {
+		addresses[i] = fmt.Sprintf("127.0.0.%d:1", i+1)
+		if how == "hang" {
+			silent, err := faultinjector.ListenSilently("127.0.0.1:0") // Stays open until this process ends.
+			if err != nil {
+				return err
+			}
+			addresses[i] = silent.Addr().String()
 		}
-		address = silent.Addr().String()
 	}
-	view, err := p.environment.listen(fleetstandin.CutView(p.environment.store, address))
+	view, err := p.environment.listen(fleetstandin.CutView(p.environment.store, addresses))
 	if err != nil {
 		return err
 	}
