A report that names no start is believed as before

Found by a review, by reading: a report without born counted as one from before the worker's restart, for ever, so that its leader would have given it no orders. The protocol's own example of a report has none. A case of reports.json says what is meant; the fleetleader specs pass.

--- a/fleetleader/swap.go
+++ b/fleetleader/swap.go
@@ -329,7 +329,7 @@
 		log.Warn().Str("worker", w.ID).Err(err).Msg("worker report could not be read")
 		return
 	}
-	if current := state.worker.Incarnation; report.Incarnation < current {
+	if current := state.worker.Incarnation; report.Incarnation != 0 && report.Incarnation < current {
 		// The worker's entry shows that it has restarted since, without what the report lists.
 		state.recordFailure(now)
 		log.Warn().Str("worker", w.ID).Int64("born", report.Incarnation).Int64("restarted", current).Msg("worker report is from before its restart")
