--- a/server/fleet.go
+++ b/server/fleet.go
@@ -168,6 +168,7 @@
 	f.crashKeeper.OnNew(f.fleetLeader.NotifyCrash)
 	do.MustInvoke[*platform.Store](i).OnEra(f.observeEra)
 	f.workers.OnDeparture(f.observeDeparture)
+	f.workers.CountWith(f.recorder.Count)
 	f.subscriber = f.newSubscriber(do.MustInvoke[*demandcounter.Counter](i))
 	retryLimits := budgeter.Limits{Ratio: settings.RetryRatio(), Slack: settings.RetrySlack(), WindowS: settings.RetryWindow()}
 	retryBudget := budgeter.New(retryLimits, f.sharingNodes)
