A connection whose response belonged to another request is not used again

Found by a review, by reading: net/http puts a connection back into its pool when a response has no body, so that only the suspicion of the address kept the next request from it; a request that had chosen its connection by then met the next shifted response.

--- a/prover/connection.go
+++ b/prover/connection.go
@@ -27,8 +27,8 @@
 	// carried are requests that the connection has carried, oldest first: each whose response is due, each that was refused and, as far as there is room, the last
 	// ones that were answered. It has at most maxCarried elements, no two of the same request.
 	carried []carriedRequest
-	// unnamed is set once a response on the connection has named no request: later ones cannot be told apart.
-	unnamed bool
+	// distrust is why the connection may carry no other request, as a response on it has named none or belonged to another exchange; empty if it may.
+	distrust string
 }
 
 // carriedRequest is a request that a connection has carried.
@@ -72,8 +72,8 @@
 
 // reasonAgainst returns why the connection may not carry a request, or an empty string. The caller holds mu.
 func (c *Connection) reasonAgainst(id string, hash uint64) string {
-	if c.unnamed {
-		return "has carried a response that named no request"
+	if c.distrust != "" {
+		return c.distrust
 	}
 	if c.begun > 0 && id == "" {
 		return "has carried other requests"
@@ -111,18 +111,24 @@
 // Receive records that a response arrived which names a request, or none if receivedID is empty. The error is a *ForeignError if it may belong to another exchange.
 func (e *Exchange) Receive(receivedID string) error {
 	e.evidence.receivedID = receivedID
-	if receivedID == "" {
-		e.connection.mu.Lock()
-		e.connection.unnamed = true
-		e.connection.mu.Unlock()
-	}
 	if !e.evidence.Belongs() {
+		e.connection.setDistrust("has carried a response that belonged to another request")
 		e.connection.onForeign()
 		return &ForeignError{evidence: e.evidence}
 	}
+	if receivedID == "" {
+		e.connection.setDistrust("has carried a response that named no request")
+	}
 	return nil
 }
 
+// setDistrust records why the connection may carry no other request.
+func (c *Connection) setDistrust(reason string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.distrust = reason
+}
+
 // Refusal returns the proof that a response gives which says that the request did not run. The error is a *ForeignError if the response may belong to another
 // exchange.
 func (e *Exchange) Refusal(receivedID string) (Proof, error) {
--- a/soaker/faulty_workers_test.go
+++ b/soaker/faulty_workers_test.go
@@ -49,6 +49,9 @@
 
 // setFaulty makes all workers faulty, each one in the next of some ways.
 func (p *player) setFaulty(names []string) error {
+	if len(names) == 0 {
+		return fmt.Errorf("no faults are named")
+	}
 	for i, target := range p.environment.endpoints {
 		faults, known := faultsByName[names[i%len(names)]]
 		if !known {
