--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -55,6 +55,8 @@
 	Resumable bool
 	// Sticky is set when requests often share parts of their prompts.
 	Sticky bool
+	// Public is set when requests need no key although the configuration has tenants.
+	Public bool
 }
 
 // Retryable reports whether a request may be retried although it may have run already.
@@ -128,10 +130,13 @@
 // RunsModels reports whether the workers of the service load models.
 func (s *Service) RunsModels() bool { return len(s.Models) > 0 }
 
-// Limits bound the requests of callers.
+// Limits bound the requests of callers; a limit is 0 when the configuration sets none.
 type Limits struct {
-	// BodyBytes is the largest size of a request's body; 0 when the configuration sets none.
-	BodyBytes int
+	// HeaderBytes is the largest size of a request's line and headers, BodyBytes that of its body.
+	HeaderBytes, BodyBytes int
+	// HeaderTimeoutMS is the longest time in which the headers must arrive, IdleTimeoutMS the longest time between two requests of a
+	// connection, both in milliseconds.
+	HeaderTimeoutMS, IdleTimeoutMS int64
 }
 
 // Catalog is one version of the configuration, indexed by host and by name of service.
@@ -142,9 +147,12 @@
 	services map[string]*Service
 	// byHost holds the routes by host in lower case, the longest prefix first.
 	byHost map[string][]*Route
+	// tenants holds the tenants by name, tenantsByKey by the digests of their keys. Both are nil unless SetTenants was called.
+	tenants      map[string]*Tenant
+	tenantsByKey map[Digest]*Tenant
 }
 
-// New returns a catalog; it keeps references to the routes and services.
+// New returns a catalog without tenants; it keeps references to the routes and services.
 func New(version int64, routes []Route, services []Service, limits Limits) *Catalog {
 	c := &Catalog{version: version, limits: limits, services: map[string]*Service{}, byHost: map[string][]*Route{}}
 	for i := range services {
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/acaciaproxy/acaciaproxy/cataloger"
 	"github.com/acaciaproxy/acaciaproxy/prover"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
@@ -30,8 +31,13 @@
 	Body   []byte
 	// Model and Adapter name what the worker must have loaded; both are empty for services without models.
 	Model, Adapter string
-	// PromptTokens is the prompt's length, MaxResponseTokens the largest length of the response, both in tokens.
+	// PromptTokens is the prompt's length, MaxResponseTokens the largest length of the response, both in tokens. TokensCounted is set if the caller named them.
 	PromptTokens, MaxResponseTokens int
+	TokensCounted                   bool
+	// KeyDigest is the digest of the caller's key, zero without one. The key itself is kept nowhere.
+	KeyDigest cataloger.Digest
+	// Tenant is the name of the tenant that sent the request, which workers get; empty until the key was checked and without tenants.
+	Tenant string
 	// PromptParts are the prompt's parts in order; the last is specific to this request or its session.
 	PromptParts []PromptPart
 	// LastEventID is the id of the last event that the caller received, if it resumes a stream.
--- a/settingsreader/settings.go
+++ b/settingsreader/settings.go
@@ -7,8 +7,11 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"strings"
 	"time"
 
+	"github.com/samber/lo"
+
 	"github.com/acaciaproxy/acaciaproxy/configreader"
 )
 
@@ -43,6 +46,15 @@
 	configreader.NewNumberField("ratio", 0, 10, 0.2, "retries allowed per request of a service, counted over all nodes, with form \"fleet\""),
 	configreader.NewNumberField("slack", 0, 1e6, 50, "further retries of a service allowed in each window, counted over all nodes, with form \"fleet\""),
 	configreader.NewNumberField("window", 1, 3600, 10, "length in seconds of the window in which retries are counted, with form \"fleet\""),
+	configreader.NewNumberField("revoke", 0, 3600000, 0, "milliseconds after which a key that was taken away is accepted nowhere, whatever this node hears; 0 sets no such bound, with form \"fleet\""),
+	configreader.NewNumberField("quotawindow", 1, 3600, 8, "length in seconds of the window in which tenants' allowances are checked, with form \"fleet\""),
+	configreader.NewNumberField("quotaovershoot", 0, 1, 0.1, "fraction by which a tenant may exceed its allowance in a window, with form \"fleet\""),
+	configreader.NewNumberField("quotaslack", 0, 1e12, 0, "further tokens that a tenant may use in a window, with form \"fleet\""),
+	configreader.NewTextField("zones", false, "", "names of all availability zones, separated by commas, among which tenants' allowances are divided, with form \"fleet\""),
+	configreader.NewNumberField("memory", 0, 1e9, 0, "memory of this host in MiB, by which the bytes of callers are bounded; 0 if not known, with form \"fleet\""),
+	configreader.NewNumberField("descriptors", 0, 1e9, 0, "file descriptors of this host, by which connections are bounded; 0 if not known, with form \"fleet\""),
+	configreader.NewNumberField("hedge", 0, 100, 0, "hedged sends allowed per 100 requests of a service; 0 sends none, with form \"fleet\""),
+	configreader.NewNumberField("repeat", 0, 1, 0, "1 if an idempotent request that a worker answered with status 500 is sent to another worker, with form \"fleet\""),
 }
 
 // Values of "form".
@@ -146,6 +158,35 @@
 // RetryWindow returns the length of the window in which retries are counted, in seconds.
 func (s *Settings) RetryWindow() int { return int(s.object.Number("window")) }
 
+// RevokeMS returns the milliseconds after which a key that was taken away must be accepted nowhere; 0 for no such bound.
+func (s *Settings) RevokeMS() int64 { return int64(s.object.Number("revoke")) }
+
+// QuotaWindow returns the length of the window in which tenants' allowances are checked, in seconds.
+func (s *Settings) QuotaWindow() float64 { return s.object.Number("quotawindow") }
+
+// QuotaOvershoot returns the fraction by which a tenant may exceed its allowance in a window.
+func (s *Settings) QuotaOvershoot() float64 { return s.object.Number("quotaovershoot") }
+
+// QuotaSlack returns how many tokens a tenant may use in a window beyond that.
+func (s *Settings) QuotaSlack() float64 { return s.object.Number("quotaslack") }
+
+// Zones returns the names of all availability zones, or none if the settings do not name them.
+func (s *Settings) Zones() []string {
+	return lo.Compact(strings.Split(s.object.Text("zones"), ","))
+}
+
+// Memory returns the memory of the host in bytes, or 0 if it is not known.
+func (s *Settings) Memory() int64 { return int64(s.object.Number("memory")) << 20 }
+
+// Descriptors returns the number of file descriptors of the host, or 0 if it is not known.
+func (s *Settings) Descriptors() int { return int(s.object.Number("descriptors")) }
+
+// HedgePercent returns how many hedged sends are allowed per 100 requests of a service.
+func (s *Settings) HedgePercent() float64 { return s.object.Number("hedge") }
+
+// RepeatsFailures reports whether an idempotent request that a worker answered with status 500 is sent to another worker.
+func (s *Settings) RepeatsFailures() bool { return s.object.Number("repeat") > 0 }
+
 const bytesPerKiB = 1 << 10
 
 // BodyLimit returns the largest request body in bytes.
