No part of a reset response passes for whole; statuses outside 200 to 599 are failures

Cause: after a reset that the writing half of a connection has seen, the reading half sees an orderly end; and no client checked the status.

--- a/dialer/named.go
+++ b/dialer/named.go
@@ -51,6 +51,24 @@
 	account *prover.Connection
 	// next is the address that the client asked for last, until the first bytes of its request are written.
 	next *namedAddr
+	// statusLine is the beginning of the first line of the response that is due, up to the status; inStatusLine is set until that has arrived.
+	statusLine   []byte
+	inStatusLine bool
+}
+
+// statusEnd is the length of the first line of a response up to the end of the status.
+const statusEnd = len("HTTP/1.1 200")
+
+// Read reads a part of a response. It fails with a *StatusError at status 000, which the client would take for 200.
+func (c *namedConn) Read(buffer []byte) (int, error) {
+	n, err := c.Conn.Read(buffer)
+	if c.inStatusLine {
+		c.statusLine = append(c.statusLine, buffer[:min(n, statusEnd-len(c.statusLine))]...)
+		if c.inStatusLine = len(c.statusLine) < statusEnd; !c.inStatusLine && bytes.HasSuffix(c.statusLine, []byte(" 000")) {
+			return 0, &StatusError{}
+		}
+	}
+	return n, err
 }
 
 // namedAddr is the local address of a connection as one response keeps it.
@@ -76,6 +94,7 @@
 			return 0, err
 		}
 		c.next.exchange, c.next.unnamed, c.next = exchange, id == "", nil
+		c.statusLine, c.inStatusLine = c.statusLine[:0], true
 	}
 	return c.Conn.Write(data)
 }
--- a/engineclient/engine.go
+++ b/engineclient/engine.go
@@ -17,6 +17,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/acaciaproxy/acaciaproxy/dialer"
+	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/prover"
 )
 
@@ -234,6 +235,10 @@
 	if !known {
 		return NewBrokenError(dialer.NewUnknownConnectionError(call.ID))
 	}
+	if err := dialer.CheckStatus(response.StatusCode()); err != nil {
+		logger.Warn("response with an invalid status").Str("request", call.ID).Int("status", response.StatusCode()).Msg("response with an invalid status")
+		return NewBrokenError(err)
+	}
 	got := string(response.Header.Peek(headerRequestID))
 	if reason := response.Header.Peek(headerNotRun); len(reason) > 0 {
 		proof, err := exchange.Refusal(received)
@@ -371,9 +376,13 @@
 		c.control.CloseIdleConnections()
 		return 0, classifySendError(err)
 	}
-	if err := dialer.Accept(response, id); err != nil {
+	err := dialer.CheckStatus(response.StatusCode())
+	if err == nil {
+		err = dialer.Accept(response, id)
+	}
+	if err != nil {
 		c.control.CloseIdleConnections()
-		return response.StatusCode(), NewBrokenError(err)
+		return 0, NewBrokenError(err)
 	}
 	if err := json.Unmarshal(response.Body(), result); err != nil {
 		return response.StatusCode(), NewBrokenError(fmt.Errorf("decode engine response to %s: %w", path, err))
--- a/serviceclient/service.go
+++ b/serviceclient/service.go
@@ -9,6 +9,7 @@
 	"github.com/valyala/fasthttp"
 
 	"github.com/acaciaproxy/acaciaproxy/dialer"
+	"github.com/acaciaproxy/acaciaproxy/logger"
 )
 
 // readTimeout bounds the wait for the next byte from a service.
@@ -89,14 +90,21 @@
 		}
 		return &BrokenError{cause: err}
 	}
-	if err := dialer.Accept(response, string(request.Header.Peek(dialer.HeaderRequestID))); err != nil {
+	err := dialer.CheckStatus(response.StatusCode())
+	if err != nil {
+		response.SetConnectionClose()
+		logger.Warn("response with an invalid status").Int("status", response.StatusCode()).Msg("response with an invalid status")
+	} else {
+		err = dialer.Accept(response, string(request.Header.Peek(dialer.HeaderRequestID)))
+	}
+	if err != nil {
 		_ = response.CloseBodyStream() // The connection is closed; nothing else is lost.
 		return &BrokenError{cause: err}
 	}
 	if response.BodyStream() == nil {
 		return nil
 	}
-	err := readBody(response.BodyStream())
+	err = readBody(response.BodyStream())
 	if closeErr := response.CloseBodyStream(); err == nil {
 		err = closeErr
 	}
