Keys of tenants: check, proofs of freshness, passing on

Change: the forwarder checks keys at arrival, before each choice of a worker and just before the first byte of each send; the key is removed from the headers and only its digest kept; nodes that pass a request on send tenant and digest.

--- a/fleetleader/fleetleader.go
+++ b/fleetleader/fleetleader.go
@@ -17,6 +17,7 @@
 
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
 	"github.com/acaciaproxy/acaciaproxy/fleettracker"
+	"github.com/acaciaproxy/acaciaproxy/freshkeeper"
 	"github.com/acaciaproxy/acaciaproxy/nodewire"
 	"github.com/acaciaproxy/acaciaproxy/recorder"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
@@ -121,6 +122,8 @@
 	// DeparturesSince returns the workers that leave by their own word in the same way.
 	DeparturesSince func(first int64) (departures []*nodewire.Departure, next int64)
 	Limited         func(worker string, incarnation int64) bool
+	// ConfigReads returns when this node's last read of the configuration was sent, and the last one that has succeeded; it is called if followers send stamps.
+	ConfigReads func() (begunAt time.Time, completed freshkeeper.Read)
 }
 
 // Leader leads a zone while this node holds the zone's lease. It is safe for concurrent use.
--- a/fleetleader/follow.go
+++ b/fleetleader/follow.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/elector"
+	"github.com/acaciaproxy/acaciaproxy/freshkeeper"
 	"github.com/acaciaproxy/acaciaproxy/nodewire"
 	"github.com/acaciaproxy/acaciaproxy/pacer"
 )
@@ -42,6 +43,9 @@
 	carriers []string
 	// leaseVersions holds the version of each zone's lease that was last sent to the node.
 	leaseVersions map[string]int64
+	// stamps are those that the node has sent, stamped is set once there was one.
+	stamps  freshkeeper.Stamps
+	stamped bool
 }
 
 func (f *follower) close() { close(f.ended) }
@@ -135,6 +139,7 @@
 	if message.GetUnsure() && !s.follower.unsure {
 		s.follower.notify()
 	}
+	s.follower.receiveStamp(message.GetStamp(), s.leader.dependencies.ConfigReads)
 	s.follower.unsure, s.follower.unanswered = message.GetUnsure(), message.GetUnanswered()
 	s.leader.mu.Unlock()
 	s.leader.ReceiveDemand(message)
@@ -182,6 +187,9 @@
 		Zone: l.dependencies.Zone, Epoch: l.epoch, Config: l.configVersion(), Whole: f.sendAll, Nodes: int32(len(l.demand.nodes)),
 		Carriers: l.unsentCarriers(f), Leases: l.unsentLeases(f), Relay: l.buildForwardedReads(now, f), Waits: l.waitViews(f),
 	}
+	if f.stamped {
+		message.Fresh = f.nextProof(l.dependencies.ConfigReads)
+	}
 	if f.unsure {
 		message.Availability = l.availability()
 	}
--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -157,18 +157,20 @@
 	once bool
 	// from is the name of that node.
 	from string
+	// credential is what that node says of the caller.
+	credential Credential
 }
 
-// ServeCarried serves a request that the node named from passed on, by whose configuration it must run once if once is set; it is not passed on again. The outcome is
-// set before the head of the response is written.
-func (f *Forwarder) ServeCarried(w http.ResponseWriter, r *http.Request, from string, once bool, outcome *CarriedOutcome) {
+// ServeCarried serves a request that the node named from passed on, by whose configuration it must run once if once is set; it is not passed on again. The
+// credential is checked like a key. The outcome is set before the head of the response is written.
+func (f *Forwarder) ServeCarried(w http.ResponseWriter, r *http.Request, from string, once bool, credential Credential, outcome *CarriedOutcome) {
 	defer f.carried.Add(-1)
 	if f.carried.Add(1) > maxCarried {
 		outcome.refused, outcome.untried = true, true
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	f.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), carriedKey{}, carriedRequest{outcome: outcome, once: once, from: from})))
+	f.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), carriedKey{}, carriedRequest{outcome: outcome, once: once, from: from, credential: credential})))
 }
 
 // carried returns what another node told of a request that it passed on; the zero value for others.
@@ -249,3 +251,9 @@
 	}
 	return fmt.Sprintf("status %d", response.Status)
 }
+
+// seemsCutOff reports whether another zone seems cut off: this node received no message from its leader recently, or
+// the stream of its messages ended.
+func (f *Forwarder) seemsCutOff(now time.Time, zone string) bool {
+	return zone != f.dependencies.Zone && !f.dependencies.Tracker.IsLeaderLive(now, zone)
+}
--- a/forwarder/carry_test.go
+++ b/forwarder/carry_test.go
@@ -86,7 +86,7 @@
 				request := f.request(script.Route, script.Model)
 				request.RequestURI = script.Route
 				outcome := &forwarder.CarriedOutcome{}
-				f.forwarder.ServeCarried(&carriedRecorder{recorded}, request, "n0", false, outcome)
+				f.forwarder.ServeCarried(&carriedRecorder{recorded}, request, "n0", false, forwarder.Credential{}, outcome)
 				status, refused, untried = recorded.Code, outcome.Refused(), outcome.Untried()
 			} else if response, err := http.DefaultTransport.RoundTrip(f.request(script.Route, script.Model)); err == nil {
 				if _, err := io.ReadAll(response.Body); err == nil {
--- a/forwarder/drain.go
+++ b/forwarder/drain.go
@@ -91,3 +91,11 @@
 	}
 	w.WriteHeader(status)
 }
+
+// endWait returns the error with which a call ends that was waiting when its context was canceled: this node stops, or the caller has left.
+func (f *Forwarder) endWait(c *call) error {
+	if f.life.Err() != nil {
+		return newStopping(c)
+	}
+	return c.refuse("caller_left", "the caller left while its request waited", busyRetry)
+}
--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -9,6 +9,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/prover"
 )
 
@@ -139,3 +140,30 @@
 	const steps = 1 << 20
 	return float64(xxhash.Sum64String(id)%steps) / steps
 }
+
+// logFailure logs a request that ended without a complete response of a worker.
+func (f *Forwarder) logFailure(c *call, failure *FailureError, callerLeft bool) {
+	kind := "request not answered"
+	if c.sends > 0 || c.carryTried {
+		kind = "request not answered after tries" // A crowd of requests that were never sent does not displace it.
+	}
+	entry := logger.Info(kind).Str("request", requestID(c)).Str("code", failure.code).Int("status", failure.status).
+		Int64("retry_ms", failure.retryMS).Bool("caller_left", callerLeft).Int64("after_ms", time.Since(c.arrived).Milliseconds())
+	if c.route != nil {
+		entry = entry.Str("route", c.route.Name).Int64("config", c.catalog.Version())
+	}
+	if c.Request != nil && c.Tenant != "" {
+		entry = entry.Str("tenant", c.Tenant)
+	}
+	if c.Request != nil && c.Model != "" {
+		entry = entry.Str("model", c.Model).Str("adapter", c.Adapter)
+	}
+	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Int("runs", c.ledger.MayHaveRun()).Bool("promised", prover.Promises(failure.status)).Str("why", failure.message).Msg("request not answered")
+}
+
+func requestID(c *call) string {
+	if c.Request == nil {
+		return ""
+	}
+	return c.ID
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -79,6 +79,8 @@
 	ConfirmList  func(deadline, since time.Time) bool
 	// Budget limits the sends beyond the first of each request.
 	Budget Budget
+	// Keys checks callers' keys; it is used only while the configuration has tenants.
+	Keys Keys
 }
 
 // Budget is the retry budget of each service.
@@ -226,6 +228,8 @@
 	// isCarried is set if another node passed the call on, carryTried once this node has tried to. Unreachable are the addresses of the workers that sends did not reach.
 	isCarried, carryTried bool
 	unreachable           []string
+	// keyRemoved is set once the caller's key was removed from the headers.
+	keyRemoved bool
 	// heldMS is the time waited for the model, firstByteMS the time from the last send to the head of its response, in milliseconds.
 	heldMS, firstByteMS int64
 }
@@ -267,6 +271,9 @@
 		return
 	}
 	f.dependencies.Recorder.Observe(recorder.MeasureTotal, c.service.Name, c.route.Name, time.Since(arrived))
+	if c.Tenant != "" {
+		f.dependencies.Recorder.Observe(recorder.MeasureTenant, c.Tenant, c.route.Name, time.Since(arrived))
+	}
 	f.logResponse(c)
 }
 
@@ -276,9 +283,13 @@
 	if c.sends > 1 || c.carryTried {
 		kind = "request answered after failures" // A crowd of others does not displace it.
 	}
-	logger.Info(kind).Str("request", c.ID).Str("route", c.route.Name).Str("model", c.Model).Str("adapter", c.Adapter).Str("worker", c.worker).Str("software", c.software).Str("resumes", c.Resumes).Str("resumes_after", c.LastEventID).Strs("parts", c.sharedParts).
+	entry := logger.Info(kind).Str("request", c.ID).Str("route", c.route.Name).Str("model", c.Model).Str("adapter", c.Adapter).Str("worker", c.worker).Str("software", c.software).Str("resumes", c.Resumes).Str("resumes_after", c.LastEventID).Strs("parts", c.sharedParts).
 		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Int("runs", c.ledger.MayHaveRun()-1).Float64("limit", c.limitPerSecond).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstByteMS).Int("load", c.workerLoad).Int64("age_ms", c.stateAgeMS).
-		Int64("after_ms", time.Since(c.arrived).Milliseconds()).Msg("request answered")
+		Int64("after_ms", time.Since(c.arrived).Milliseconds())
+	if c.Tenant != "" {
+		entry = entry.Str("tenant", c.Tenant)
+	}
+	entry.Msg("request answered")
 }
 
 // admit decodes a request, reads its body and finds its route. When it fails, the
@@ -305,6 +316,9 @@
 	if !c.Deadline.IsZero() && c.Deadline.Before(c.deadline) {
 		c.deadline = c.Deadline
 	}
+	if err = f.admitKey(r, c); err != nil {
+		return c, err
+	}
 	if c.service, found = c.catalog.Service(route.Service(hashFraction(c.ID))); !found {
 		return c, c.refuse("no_service", "the route's service is not configured", configurationRetry)
 	}
@@ -355,41 +369,3 @@
 	}
 	return body, nil
 }
-
-// serverHeaders lists the response headers that net/http sets itself.
-var serverHeaders = []string{"Content-Length", "Date"}
-
-// copyHeader copies a worker's response headers to the caller's response.
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = values
-	}
-	for _, name := range serverHeaders {
-		to.Del(name)
-	}
-	to["Date"] = nil // Keeps net/http from adding a Date of its own.
-}
-
-// logFailure logs a request that ended without a complete response of a worker.
-func (f *Forwarder) logFailure(c *call, failure *FailureError, callerLeft bool) {
-	kind := "request not answered"
-	if c.sends > 0 || c.carryTried {
-		kind = "request not answered after tries" // A crowd of requests that were never sent does not displace it.
-	}
-	entry := logger.Info(kind).Str("request", requestID(c)).Str("code", failure.code).Int("status", failure.status).
-		Int64("retry_ms", failure.retryMS).Bool("caller_left", callerLeft).Int64("after_ms", time.Since(c.arrived).Milliseconds())
-	if c.route != nil {
-		entry = entry.Str("route", c.route.Name).Int64("config", c.catalog.Version())
-	}
-	if c.Request != nil && c.Model != "" {
-		entry = entry.Str("model", c.Model).Str("adapter", c.Adapter)
-	}
-	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Int("runs", c.ledger.MayHaveRun()).Bool("promised", prover.Promises(failure.status)).Str("why", failure.message).Msg("request not answered")
-}
-
-func requestID(c *call) string {
-	if c.Request == nil {
-		return ""
-	}
-	return c.ID
-}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -787,7 +787,7 @@
 			request := httptest.NewRequest(http.MethodPost, path, http.NoBody)
 			request.Host = "h"
 			recorded, outcome := httptest.NewRecorder(), &forwarder.CarriedOutcome{}
-			f.forwarder.ServeCarried(recorded, request, "n0", false, outcome)
+			f.forwarder.ServeCarried(recorded, request, "n0", false, forwarder.Credential{}, outcome)
 			return recorded.Code, outcome.Untried()
 		}
 		status, untried := carried("/lasting/x")
--- a/forwarder/kinds_test.go
+++ b/forwarder/kinds_test.go
@@ -54,7 +54,7 @@
 				recorded := httptest.NewRecorder()
 				request := f.request(script.Route, "")
 				request.RequestURI = script.Route
-				f.forwarder.ServeCarried(&carriedRecorder{recorded}, request, "n0", true, &forwarder.CarriedOutcome{})
+				f.forwarder.ServeCarried(&carriedRecorder{recorded}, request, "n0", true, forwarder.Credential{}, &forwarder.CarriedOutcome{})
 				status = recorded.Code
 			} else {
 				response, err := http.DefaultTransport.RoundTrip(f.request(script.Route, ""))
--- a/forwarder/message.go
+++ b/forwarder/message.go
@@ -60,6 +60,8 @@
 	// NotRetryable is set when the request must not run twice. It is then sent over a new connection or one that was
 	// idle only briefly, since a connection that the worker closes at that moment loses the request.
 	NotRetryable bool
+	// Check runs just before the first byte is written; nothing is sent if it fails, and the send ends with ReasonUncleared.
+	Check func() error
 }
 
 // Load is the load that a worker reports with a response, in numbers of requests.
@@ -107,6 +109,8 @@
 	ReasonReplaced Reason = "replaced"
 	// ReasonExpired means that the deadline passed while the request was in the worker's queue.
 	ReasonExpired Reason = "expired"
+	// ReasonUncleared means that nothing was sent because the caller's key was not accepted any more.
+	ReasonUncleared Reason = "uncleared"
 )
 
 // NotRunError reports that a worker certainly did not run a request.
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -151,6 +151,9 @@
 		if err := f.checkCrashes(c); err != nil {
 			return nil, err
 		}
+		if err := f.recheckKey(c); err != nil {
+			return nil, err
+		}
 		viewChanged := f.dependencies.Tracker.Changed()
 		now := time.Now()
 		if c.mayCarry() && f.reach.carries(now) {
@@ -312,14 +315,6 @@
 	return nil
 }
 
-// endWait returns the error with which a call ends that was waiting when its context was canceled: this node stops, or the caller has left.
-func (f *Forwarder) endWait(c *call) error {
-	if f.life.Err() != nil {
-		return newStopping(c)
-	}
-	return c.refuse("caller_left", "the caller left while its request waited", busyRetry)
-}
-
 // chooseModelWorker returns the worker with the least cost among those that have model and adapter loaded, or nil.
 func (f *Forwarder) chooseModelWorker(now time.Time, c *call, holders []fleettracker.Holder) *registrar.Worker {
 	var best *registrar.Worker
@@ -368,12 +363,6 @@
 	return cost, true
 }
 
-// seemsCutOff reports whether another zone seems cut off: this node received no message from its leader recently, or
-// the stream of its messages ended.
-func (f *Forwarder) seemsCutOff(now time.Time, zone string) bool {
-	return zone != f.dependencies.Zone && !f.dependencies.Tracker.IsLeaderLive(now, zone)
-}
-
 // sharedTokens returns the number of tokens in the prompt's shared parts, which are all but the last.
 func sharedTokens(c *call) int {
 	total := 0
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -46,6 +46,9 @@
 		if err := f.checkCrashes(c); err != nil {
 			return err
 		}
+		if err := f.recheckKey(c); err != nil {
+			return err
+		}
 		worker, err := f.choosePlainWorker(c)
 		if c.mayCarry() && (err != nil && f.lacksPath(c) || f.reach.carries(time.Now())) {
 			if done, err := f.carry(ctx, w, c); done {
@@ -192,6 +195,10 @@
 	logger.Info("send failed").Str("request", c.ID).Str("worker", worker.ID).Str("software", worker.Software).Int("send", c.sends).Str("after_event", c.lastEventID).Int64("age_ms", c.stateAgeMS).
 		Bool("not_run", errors.As(err, &notRun)).Str("answered_request", clip(evidence.ReceivedID())).Str("connection", evidence.Kind()).Str("address", evidence.Address()).Int64("connection_number", evidence.Connection()).
 		Int("earlier", evidence.Earlier()).Err(err).Msg("send failed")
+	if errors.As(err, &notRun) && notRun.reason == ReasonUncleared && c.sends < maxSends {
+		f.endTrial(c, now)
+		return nil // The check before the next choice of a worker decides.
+	}
 	if errors.As(err, &notRun) {
 		return f.handleNotRun(ctx, c, worker, notRun)
 	}
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -39,7 +39,7 @@
 
 // newSend returns the parameters of a send of a call to a worker, without urgency.
 func (f *Forwarder) newSend(c *call, worker *registrar.Worker) Send {
-	return Send{Worker: worker, Deadline: c.deadline.Add(-returnReserve), Urgency: -1, NotRetryable: !f.mayRepeat(c)}
+	return Send{Worker: worker, Deadline: c.deadline.Add(-returnReserve), Urgency: -1, NotRetryable: !f.mayRepeat(c), Check: f.newSendCheck(c)}
 }
 
 // mayRepeat reports whether a call may be sent again although a send of it may have run: its route allows that, by the configuration with which the call
@@ -87,7 +87,7 @@
 			c.ledger.Prove(notRun.proof)
 		}
 		slot.End(isNotRun && notRun.reason == ReasonFull)
-		if !isNotRun || notRun.reason != ReasonUnreachable {
+		if !isNotRun || notRun.reason != ReasonUnreachable && notRun.reason != ReasonUncleared {
 			c.reached, c.retryAllowed = true, false
 		}
 		f.recordOutcome(c, worker, f.isWorkerFault(c, err))
--- a/forwarder/tries_test.go
+++ b/forwarder/tries_test.go
@@ -31,7 +31,7 @@
 	request := f.request("/"+s.Route+"/x", s.Model)
 	if s.From != "" {
 		request.RequestURI = "/" + s.Route + "/x"
-		f.forwarder.ServeCarried(&carriedRecorder{httptest.NewRecorder()}, request, s.From, false, &forwarder.CarriedOutcome{})
+		f.forwarder.ServeCarried(&carriedRecorder{httptest.NewRecorder()}, request, s.From, false, forwarder.Credential{}, &forwarder.CarriedOutcome{})
 		return
 	}
 	response, err := http.DefaultTransport.RoundTrip(request)
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -33,6 +33,10 @@
 	MeasureInterToken = "between"
 	// MeasureTotal is the time from the arrival of the request to the end of the response.
 	MeasureTotal = "whole"
+	// MeasureTenant is MeasureTotal of the requests of a tenant, for each route.
+	MeasureTenant = "tenant"
+	// MeasureProof is the age of the latest proof that the configuration is the newest.
+	MeasureProof = "proof"
 )
 
 // Range of the histograms in microseconds, and their precision in significant decimal digits.
--- a/server/carry.go
+++ b/server/carry.go
@@ -34,6 +34,9 @@
 	message := &nodewire.CarryRequest{
 		Node: f.settings.Name(), Method: request.Method, Target: request.Target, Host: request.Host, Headers: newHeaders(platform.CarriedHeader(request, deadline)), Body: request.Body, Once: once,
 	}
+	if request.Tenant != "" {
+		message.Tenant, message.Credential = request.Tenant, request.KeyDigest[:]
+	}
 	carriers := f.carriers.all(f.settings.Nodes())
 	first := int(xxhash.Sum64String(request.ID) % uint64(max(len(carriers), 1)))
 	asked := 0
@@ -214,6 +217,6 @@
 			err = status.Error(codes.Aborted, io.ErrUnexpectedEOF.Error())
 		}
 	}()
-	f.forwarder.ServeCarried(w, r, message.GetNode(), message.GetOnce(), w.outcome)
+	f.forwarder.ServeCarried(w, r, message.GetNode(), message.GetOnce(), forwarder.NewCredential(message.GetTenant(), message.GetCredential()), w.outcome)
 	return w.sendHead(http.StatusOK)
 }
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -23,6 +23,7 @@
 	"github.com/acaciaproxy/acaciaproxy/fleetleader"
 	"github.com/acaciaproxy/acaciaproxy/fleettracker"
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
+	"github.com/acaciaproxy/acaciaproxy/freshkeeper"
 	"github.com/acaciaproxy/acaciaproxy/leaseholder"
 	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/lingerer"
@@ -63,6 +64,8 @@
 	slotGranter *limiter.SlotGranter
 	// arbiter decides on trials of requests that may crash workers while this node leads its zone.
 	arbiter *trier.Arbiter
+	// fresh decides until when this node accepts keys.
+	fresh   *freshkeeper.Keeper
 	peers   *peerclient.Pool
 	workers *platform.Workers
 	metrics *adminserver.Server
@@ -82,6 +85,7 @@
 	do.ProvideValue(injector, recorder.New())
 	do.ProvideValue(injector, peerclient.NewPool())
 	do.ProvideValue(injector, platform.NewWorkers())
+	do.ProvideValue(injector, freshkeeper.New(revokeTime(settings)))
 	do.Provide(injector, provideStore)
 	do.Provide(injector, func(i do.Injector) (*fleettracker.Tracker, error) {
 		return fleettracker.New(do.MustInvoke[*registrar.Registrar](i)), nil
@@ -124,7 +128,9 @@
 		}
 		return version, err
 	}
-	return watcher.New(source, do.MustInvoke[*registrar.Registrar](i), do.MustInvoke[*attester.Attester](i), do.MustInvoke[*fleettracker.Tracker](i).MarkWorkersChanged), nil
+	w := watcher.New(source, do.MustInvoke[*registrar.Registrar](i), do.MustInvoke[*attester.Attester](i), do.MustInvoke[*fleettracker.Tracker](i).MarkWorkersChanged)
+	w.ProveWithin(revokeTime(do.MustInvoke[*settingsreader.Settings](i)), do.MustInvoke[*freshkeeper.Keeper](i))
+	return w, nil
 }
 
 func provideCrashKeeper(i do.Injector) (*crashkeeper.Keeper, error) {
@@ -136,7 +142,7 @@
 func provideFleetNode(i do.Injector) (*FleetNode, error) {
 	settings := do.MustInvoke[*settingsreader.Settings](i)
 	f := &FleetNode{
-		settings: settings, workerList: do.MustInvoke[*registrar.Registrar](i), recorder: do.MustInvoke[*recorder.Recorder](i), watcher: do.MustInvoke[*watcher.Watcher](i), crashKeeper: do.MustInvoke[*crashkeeper.Keeper](i), fleetTracker: do.MustInvoke[*fleettracker.Tracker](i),
+		settings: settings, fresh: do.MustInvoke[*freshkeeper.Keeper](i), workerList: do.MustInvoke[*registrar.Registrar](i), recorder: do.MustInvoke[*recorder.Recorder](i), watcher: do.MustInvoke[*watcher.Watcher](i), crashKeeper: do.MustInvoke[*crashkeeper.Keeper](i), fleetTracker: do.MustInvoke[*fleettracker.Tracker](i),
 		granter: limiter.NewGranter(), slotGranter: limiter.NewSlotGranter(), arbiter: trier.NewArbiter(), peers: do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: adminserver.NewMetrics(), streamKeeper: streamkeeper.New(),
 	}
 	f.limiter = limiter.New(f.askPermits, func() int { return f.subscriber.Nodes() }, do.MustInvoke[*recorder.Recorder](i).Count)
@@ -162,6 +168,7 @@
 		BrittleSince:    func(first int64) ([]*nodewire.BrittleService, int64) { return f.brittleSince(first, false) },
 		DeparturesSince: func(first int64) ([]*nodewire.Departure, int64) { return f.departuresSince(first, false) },
 		Limited:         f.isLimited,
+		ConfigReads:     f.fresh.Reads,
 		Lease:           fleetleader.Lease{Leading: f.leaseholder.Leading, QuietRemaining: f.leaseholder.QuietRemaining, CheckOrder: f.leaseholder.CheckOrder, Leases: f.leaseholder.Leases},
 	})
 	f.archiver = archiver.New(archiver.Dependencies{Zone: settings.Zone(), Rows: do.MustInvoke[*platform.Store](i).Streams, Leading: f.isLeading, Count: f.recorder.Count})
@@ -180,6 +187,7 @@
 		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
 		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
 		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry},
+		Keys:   forwarder.Keys{Fresh: f.keysFresh, Behind: f.fresh.Behind, Remove: platform.RemoveKey},
 	}, platform.PathReady)
 	return f, nil
 }
@@ -250,6 +258,8 @@
 		},
 		CutOff:        func() bool { return f.forwarder.CutOff() },
 		OnCarriers:    f.carriers.set,
+		Stamp:         f.stamp,
+		OnFresh:       f.learnFreshness,
 		OwnStreams:    f.streamsSince,
 		OwnCrashes:    func(first int64) ([]*nodewire.Suspicion, int64) { return f.crashesSince(first, true) },
 		OwnLimits:     func(first int64) ([]*nodewire.WorkerLimit, int64) { return f.limitsSince(first, true) },
@@ -329,6 +339,7 @@
 	go func() { failed <- f.grpc.Serve(listeners[2]) }()
 	go func() { failed <- f.metrics.Serve(listeners[3]) }()
 	f.watcher.Run()
+	go f.watchKeys(stop)
 	f.crashKeeper.Run()
 	f.archiver.Run()
 	f.leaseholder.Run()
@@ -377,23 +388,3 @@
 	f.peers.Close()
 	f.workers.Close()
 }
-
-// handOver releases the zone's lease, if this node holds it, and asks the successor to take it.
-func (f *FleetNode) handOver() {
-	address, found := f.fleetLeader.Successor()
-	_, epoch, _ := f.leaseholder.Holder(f.settings.Zone())
-	if !f.leaseholder.Resign() || !found {
-		return
-	}
-	f.fleetLeader.Wake()
-	client, err := f.peers.FleetClient(address)
-	if err != nil {
-		log.Warn().Str("successor", address).Err(err).Msg("successor not notified of the released lease; it will find out by its own reads")
-		return
-	}
-	ctx, cancel := peerclient.WithDeadline(time.Now().Add(succeedTimeout))
-	defer cancel()
-	if _, err := client.Succeed(ctx, &nodewire.SucceedRequest{Zone: f.settings.Zone(), Epoch: epoch}); err != nil {
-		log.Warn().Str("successor", address).Err(err).Msg("successor not notified of the released lease; it will find out by its own reads")
-	}
-}
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -90,6 +90,9 @@
 	// OwnDepartures and OnDeparture are the same for workers that leave by their own word.
 	OwnDepartures func(first int64) (departures []*nodewire.Departure, next int64)
 	OnDeparture   func(departure *nodewire.Departure, zone string)
+	// Stamp returns this node's boot time in milliseconds, or 0 if it needs no proofs that its configuration is the newest. OnFresh is called with those of the leaders.
+	Stamp   func() int64
+	OnFresh func(proof *nodewire.Freshness)
 }
 
 // Subscriber keeps the streams of one node. It is safe for concurrent use.
@@ -242,6 +245,9 @@
 		s.dependencies.Tracker.SetEstimate(now, view.GetZone(), wait.GetService(), wait.GetModel(), now.Add(time.Duration(wait.GetEndsMs())*time.Millisecond))
 	}
 	s.dependencies.OnConfigVersion(view.GetConfig())
+	if proof := view.GetFresh(); proof != nil {
+		s.dependencies.OnFresh(proof)
+	}
 	for _, lease := range view.GetLeases() {
 		s.dependencies.OnLease(lease)
 	}
@@ -332,7 +338,7 @@
 	return &nodewire.Demand{
 		Node: s.dependencies.Self.Node, Zone: s.dependencies.Zone, Address: s.dependencies.Self.Address, Incarnation: s.dependencies.Self.Incarnation, Config: s.dependencies.Config(), AgeMs: time.Since(s.started).Milliseconds(),
 		Leads: s.dependencies.Leads(), Strength: s.dependencies.Cores, Cut: s.dependencies.CutOff(), ListVersion: s.dependencies.ListVersion(), Unsure: s.dependencies.IsUnsure(),
-		Unanswered: s.dependencies.IsUnanswered(),
+		Unanswered: s.dependencies.IsUnanswered(), Stamp: s.dependencies.Stamp(),
 	}
 }
 
--- a/watcher/forwarded_reads.go
+++ b/watcher/forwarded_reads.go
@@ -76,12 +76,16 @@
 }
 
 // waitWhileForwarded returns when this node must read the store itself, or the
-// watcher is stopped. It reports whether it waited, and whether the watcher still runs.
-func (w *Watcher) waitWhileForwarded() (waited, running bool) {
+// watcher is stopped. It reports whether it waited, and whether the watcher still runs. If proves is set,
+// the node must read the store itself also when no leader has proved lately that the configuration is the newest.
+func (w *Watcher) waitWhileForwarded(proves bool) (waited, running bool) {
 	for {
 		w.forwarding.mu.Lock()
 		remaining, ended := time.Until(w.forwarding.validUntil), w.forwarding.ended
 		w.forwarding.mu.Unlock()
+		if proves {
+			remaining = min(remaining, w.renewIn())
+		}
 		if remaining <= 0 {
 			return waited, true
 		}
--- a/watcher/tables.go
+++ b/watcher/tables.go
@@ -16,6 +16,10 @@
 	// version, applies them and returns the next version.
 	list func(deadline time.Time) (int64, error)
 	feed func(deadline time.Time, after, waitMS int64) (int64, error)
+	// waitMS is how long one call of feed waits, marginMS the time after that in which its response must have arrived, both in milliseconds.
+	waitMS, marginMS int64
+	// proves is set if the reads prove that the configuration is the newest.
+	proves bool
 }
 
 const (
@@ -67,7 +71,7 @@
 	after := int64(0)
 	relistAt := time.Now()
 	for {
-		if waited, running := w.waitWhileForwarded(); !running {
+		if waited, running := w.waitWhileForwarded(table.proves); !running {
 			return
 		} else if waited {
 			known = false // There may have been changes meanwhile.
@@ -78,7 +82,7 @@
 			next, err = table.list(time.Now().Add(maxReadTime))
 			relistAt = time.Now().Add(relistInterval)
 		} else {
-			next, err = table.feed(time.Now().Add(catalogWaitMS*time.Millisecond+maxReadTime), after, catalogWaitMS)
+			next, err = table.feed(time.Now().Add(time.Duration(table.waitMS+table.marginMS)*time.Millisecond), after, table.waitMS)
 			next = max(after, next)
 		}
 		w.recordCall(err, table.name, &failing)
@@ -92,8 +96,16 @@
 			continue
 		}
 		if err != nil {
+			hung := known && table.proves // The whole read uses another connection.
 			known = false
-			if !w.awaitSignal(w.responded.channel(), time.Now().Add(maxTablePause)) {
+			if hung && w.sleep(retryPause) {
+				continue
+			}
+			pause := maxTablePause
+			if table.proves && w.isForwarded(time.Now()) {
+				pause = maxRetryPause // No response to a read of the list of workers comes meanwhile.
+			}
+			if !w.awaitSignal(w.responded.channel(), time.Now().Add(pause)) {
 				return
 			}
 			continue
@@ -110,18 +122,17 @@
 
 // listCatalog reads the whole configuration and puts it in force.
 func (w *Watcher) listCatalog(deadline time.Time) (int64, error) {
-	configuration, err := w.source.ListCatalog(deadline)
-	if err == nil {
-		w.applyCatalog(configuration.Catalog)
-	}
+	configuration, err := w.readCatalog(deadline)
 	return configuration.After, err
 }
 
 // feedCatalog waits for a change of the configuration and puts it in force.
 func (w *Watcher) feedCatalog(deadline time.Time, after, waitMS int64) (int64, error) {
+	sentAt := w.beginRead()
 	configuration, err := w.source.FeedCatalog(deadline, after, waitMS)
 	if err == nil {
 		w.applyCatalog(configuration.Catalog)
+		w.fresh.Complete(sentAt, versionOf(configuration.Catalog), false)
 	}
 	return configuration.After, err
 }
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -12,7 +12,9 @@
 
 	"github.com/acaciaproxy/acaciaproxy/attester"
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/freshkeeper"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
+	"github.com/acaciaproxy/acaciaproxy/timekeeper"
 )
 
 // Timing of the calls to the store.
@@ -98,6 +100,9 @@
 	// catalog is the newest configuration that was read; nil before the first read. It is in force unless outdated says otherwise.
 	catalog  atomic.Pointer[cataloger.Catalog]
 	outdated outdatedState
+	// fresh records what the reads of the configuration prove. provingWaitMS is how long a feed waits that proves it often enough; 0 without a staleness bound.
+	fresh         *freshkeeper.Keeper
+	provingWaitMS int64
 	// listed is set once the whole list of workers was read, crashesListed once the crashes were.
 	listed, crashesListed atomic.Bool
 	// crashesDue is when the node gets ready without the crashes: maxCrashesDelay after the first read of the configuration. It is nil before
@@ -134,7 +139,7 @@
 
 // New returns a watcher that reads nothing before Run. Changed must not block.
 func New(source Source, list *registrar.Registrar, evidence *attester.Attester, changed func()) *Watcher {
-	w := &Watcher{source: source, registrar: list, attester: evidence, changed: changed, stopped: make(chan struct{})}
+	w := &Watcher{source: source, registrar: list, attester: evidence, changed: changed, stopped: make(chan struct{}), fresh: freshkeeper.New(0)}
 	w.listVersion.Store(unknownVersion)
 	w.listBase.Store(unknownVersion)
 	w.forwarding.ended = make(chan struct{})
@@ -177,8 +182,8 @@
 // Run starts reading the store, and returns immediately.
 func (w *Watcher) Run() {
 	w.markResponse()
-	go w.followTable(tableReader{name: "configuration", list: w.listCatalog, feed: w.feedCatalog})
-	go w.followTable(tableReader{name: "crashes", list: w.listCrashes, feed: w.source.FeedCrashes})
+	go w.followTable(w.configurationTable())
+	go w.followTable(tableReader{name: "crashes", list: w.listCrashes, feed: w.source.FeedCrashes, waitMS: catalogWaitMS, marginMS: maxReadTime.Milliseconds()})
 	go w.followWorkers()
 }
 
@@ -193,18 +198,18 @@
 		known = catalog.Version()
 	}
 	w.outdated.hear(time.Now(), version, known)
+	w.fresh.Hear(timekeeper.Now(), version)
 	if known >= version || !w.fetchingNewer.CompareAndSwap(false, true) {
 		return
 	}
 	go func() {
 		defer w.fetchingNewer.Store(false)
-		configuration, err := w.source.ListCatalog(time.Now().Add(maxReadTime))
+		configuration, err := w.readCatalog(time.Now().Add(maxReadTime))
 		w.recordCall(err, "configuration that a peer has", &w.fetchNewerFailing)
 		if err != nil {
 			w.sleep(retryPause)
 			return
 		}
-		w.applyCatalog(configuration.Catalog)
 		if configuration.Catalog != nil {
 			w.outdated.confirm(configuration.Catalog.Version())
 		}
@@ -259,6 +264,7 @@
 		}
 		if w.catalog.CompareAndSwap(current, catalog) {
 			w.outdated.apply(time.Now(), catalog.Version())
+			w.fresh.Apply(catalog.Version())
 			due := time.Now().Add(maxCrashesDelay)
 			w.crashesDue.CompareAndSwap(nil, &due)
 			log.Info().Int64("version", catalog.Version()).Msg("configuration in force")
@@ -274,7 +280,7 @@
 	pauseAfterFailure := retryPause
 	relistAt := time.Now()
 	for {
-		if waited, running := w.waitWhileForwarded(); !running {
+		if waited, running := w.waitWhileForwarded(false); !running {
 			return
 		} else if waited {
 			known = false
