Repeats of idempotent requests after a worker's 500

Change: with the setting repeat, a plain service's 500 is kept and the request goes to another worker within maxAttempts, the retry budget and the deadline. If that send fails, is denied or lasts too long, the first response is passed on unchanged. A 500 remains no fault of the worker for the assessor. Counters and lines of the decision; chargesRepeat is the call site for allowances of tenants. The deployment's template does not enable it. Budget moves from forwarder.go to repeats.go. Figures: 13 scripts (testdata/repeats.json); go test -race ./forwarder and go test ./platform pass. Not measured under load.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -79,14 +79,8 @@
 	ConfirmList  func(deadline, since time.Time) bool
 	// Budget limits the sends beyond the first of each request.
 	Budget Budget
-}
-
-// Budget is the retry budget of each service.
-type Budget struct {
-	// CountRequest counts a request for a service, which adds to its budget.
-	CountRequest func(now time.Time, service string)
-	// AllowRetry reports whether one more retry is within the budget, and counts it if so. Left is the number of retries that this node may still send.
-	AllowRetry func(now time.Time, service string) (allowed bool, left float64)
+	// RepeatFailed is set if a request that may be repeated is sent to another worker after a response with status 500 of a service without models.
+	RepeatFailed bool
 }
 
 // Forwarder is the callers' HTTP server. It is safe for concurrent use.
@@ -211,8 +205,7 @@
 	// when it was chosen; workerLoad is set for requests for models only.
 	worker, software string
 	workerLoad       int
-	// pace is the pace that this worker was known to have when it was chosen, in percent; 0 for none, and for requests for models.
-	pace float64
+	plainState
 	// stateAgeMS is the age of the node's information about that worker at the send, in milliseconds.
 	stateAgeMS int64
 	// expectedReadyAt is when the model should be ready according to the first estimate; zero while there is none.
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -133,11 +133,14 @@
 	pauses []string
 	sent   int
 	// hang makes every send wait until its context ends, which is then signalled on contextEnded.
-	hang         bool
+	hang bool
+	// hangsFrom is the number of the send from which on sends last until they are given up; 0 for none.
+	hangsFrom    int
 	contextEnded chan struct{}
 }
 
-func newFixture(sends []scriptedSend, noBudget bool) *fixture {
+// newFixture returns a fixture that plays sends; change adjusts the forwarder's dependencies.
+func newFixture(sends []scriptedSend, noBudget bool, change ...func(*forwarder.Dependencies)) *fixture {
 	f := &fixture{sends: sends, sentTo: map[string]bool{}, list: registrar.New(), recorder: recorder.New(), contextEnded: make(chan struct{}, 8)}
 	if f.retries = -1; noBudget {
 		f.retries = 0
@@ -171,7 +174,7 @@
 	}, []cataloger.Service{
 		{Name: "plain"}, {Name: "models", MemoryMB: 1000, Models: map[string]cataloger.Model{"m": {Name: "m"}, "cold": {Name: "cold"}, "huge": {Name: "huge", MemoryMB: 990, AdapterMB: 20}}},
 	}, cataloger.Limits{BodyBytes: 100})
-	f.forwarder = forwarder.New(forwarder.Dependencies{
+	dependencies := forwarder.Dependencies{
 		Zone: "z", Catalog: func() *cataloger.Catalog { return f.newest(catalog) }, Workers: f.list, Tracker: f.tracker, DemandCounter: demandcounter.New(),
 		Assessor: assessor.New(), Limiter: f.limiter, Recorder: f.recorder, Ready: func() bool { return true }, Isolated: func() bool { return f.isolated },
 		Decode: decode, Send: f.send, SetAttemptID: func(http.Header, string) {}, Crashed: f.hasCrashed,
@@ -182,7 +185,11 @@
 			Begin: func(time.Time, trier.Trial) (bool, error) { return true, nil }, End: func(time.Time, trier.Trial, time.Time) error { return nil },
 		}, f.recorder.Count),
 		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: f.allowRetry},
-	}, "/ready")
+	}
+	for _, change := range change {
+		change(&dependencies)
+	}
+	f.forwarder = forwarder.New(dependencies, "/ready")
 	f.server = httptest.NewServer(f.forwarder)
 	return f
 }
@@ -295,6 +302,12 @@
 	}
 	next := f.sends[f.sent]
 	f.sent++
+	if f.hangsFrom > 0 && f.sent >= f.hangsFrom {
+		f.mu.Unlock()
+		<-ctx.Done()
+		f.mu.Lock()
+		return nil, forwarder.NewBrokenError(attempt.Worker.ID, ctx.Err())
+	}
 	if next.Crashed {
 		f.crashed = true
 	}
@@ -309,7 +322,7 @@
 	case next.Broken:
 		return nil, forwarder.NewBrokenError(attempt.Worker.ID, errors.New("connection reset"))
 	}
-	response := &forwarder.Response{Evidence: exchangeAfter(4, attempt.Worker.Address).Evidence(), Status: next.Status, Unframed: next.Unframed, Header: http.Header{"Content-Type": {"text/plain"}}, PerSecond: f.named}
+	response := &forwarder.Response{Evidence: exchangeAfter(4, attempt.Worker.Address).Evidence(), Status: next.Status, Unframed: next.Unframed, Header: http.Header{"Content-Type": {"text/plain"}, "Signature": {next.Body}}, PerSecond: f.named}
 	if next.Stream || strings.Contains(next.Body, "id:") {
 		response.Header.Set("Content-Type", "text/event-stream")
 	}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -40,27 +40,42 @@
 		return err
 	}
 	defer func() { f.endTrial(c, time.Now().Add(crashNewsTime)) }()
+	response, carried, err := f.obtainPlain(ctx, w, c)
+	if carried {
+		return err
+	}
+	if response, err = f.bestOf(c, response, err); err == nil {
+		f.passOn(w, c, response)
+	}
+	return err
+}
+
+// obtainPlain sends a call to workers until one brings a response that is not replaced. Carried is set if another node has served it.
+func (f *Forwarder) obtainPlain(ctx context.Context, w http.ResponseWriter, c *call) (response *plainResponse, carried bool, err error) {
 	latestTrial := c.arrived.Add(maxPlainTrialWait)
 	for {
 		if err := f.checkCrashes(c); err != nil {
-			return err
+			return nil, false, err
 		}
 		worker, err := f.choosePlainWorker(c)
 		if c.mayCarry() && (err != nil && f.lacksPath(c) || f.reach.carries(time.Now())) {
 			if done, err := f.carry(ctx, w, c); done {
-				return err
+				return nil, true, err
 			}
 			continue
 		}
 		if err != nil && f.lacksPath(c) {
-			return f.refuseCutOff(c)
+			return nil, false, f.refuseCutOff(c)
 		}
 		if err != nil {
-			return err
+			return nil, false, err
 		}
 		if !f.beginTrial(c) {
+			if c.kept != nil {
+				latestTrial = time.Now()
+			}
 			if err := f.awaitTrial(ctx, c, latestTrial); err != nil {
-				return err
+				return nil, false, err
 			}
 			continue
 		}
@@ -68,42 +83,47 @@
 			f.endTrial(c, time.Now())
 			continue // The worker is not chosen again before the time at which a permit may be had.
 		}
-		held := f.space.Hold()
-		response, body, err := f.sendPlain(ctx, c, worker, held)
-		if err == nil {
-			copyHeader(w.Header(), response.Header)
-			f.writeHead(w, response.Status)
-			_, _ = w.Write(body) // A write fails only if the caller left; nothing remains to be done.
-		}
-		held.Release()
+		response, err := f.sendPlain(ctx, c, worker)
 		if err == nil {
 			f.endTrial(c, time.Now())
-			return nil
+			if !f.replaceFailed(c, worker, response) {
+				return response, false, nil
+			}
+			var cancel context.CancelFunc // The caller must get the kept response by its deadline.
+			ctx, cancel = context.WithDeadline(ctx, c.deadline.Add(-returnReserve))
+			defer cancel()
+			continue
 		}
 		if err := f.retry(ctx, c, worker, err); err != nil {
-			return err
+			return nil, false, err
 		}
 	}
 }
 
-// sendPlain sends a request to a worker and reads the complete response; held has the space for its body.
-func (f *Forwarder) sendPlain(ctx context.Context, c *call, worker *registrar.Worker, held *bufferer.Holding) (*Response, []byte, error) {
+// sendPlain sends a request to a worker and reads the complete response. The caller releases the space of the response.
+func (f *Forwarder) sendPlain(ctx context.Context, c *call, worker *registrar.Worker) (*plainResponse, error) {
 	send := f.newSend(c, worker)
 	endSend := f.beginSend(c, worker)
+	if c.pace > 0 {
+		f.dependencies.Recorder.Count("workers chosen by pace " + c.service.Name)
+	}
+	whole := &plainResponse{send: c.sendState(), held: f.space.Hold()}
 	response, err := f.send(ctx, c, send)
 	if err != nil {
 		endSend(err)
-		return nil, nil, err
+		return nil, err
 	}
-	body, err := held.ReadAll(response.Body, bufferer.MaxResponseBytes)
+	whole.Response = response
+	whole.body, err = whole.held.ReadAll(response.Body, bufferer.MaxResponseBytes)
 	_ = response.Body.Close() // Read to its end or failed.
 	if err == nil {
-		err = f.checkEnd(c, worker, response, len(body) == 0)
+		err = f.checkEnd(c, worker, response, len(whole.body) == 0)
 	}
 	if err != nil {
+		whole.held.Release()
 		err = NewBrokenError(worker.ID, err)
 		endSend(err)
-		return nil, nil, err
+		return nil, err
 	}
 	if response.Succeeded() {
 		f.recordAnswer(c)
@@ -112,7 +132,7 @@
 		}
 	}
 	endSend(nil)
-	return response, body, nil
+	return whole, nil
 }
 
 // choosePlainWorker returns the worker of the call's service with the least cost, or an error when none can take the request.
@@ -137,9 +157,6 @@
 	}
 	if chosen := selector.Select(candidates, rand.Float64); chosen >= 0 {
 		c.pace = candidates[chosen].Pace
-		if c.pace > 0 {
-			f.dependencies.Recorder.Count("workers chosen by pace " + c.service.Name)
-		}
 		return workers[chosen], nil
 	}
 	if !blocked.retryAt.IsZero() {
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -179,7 +179,7 @@
 		Carry: f.carry, Limiter: f.limiter, Streams: f.streamKeeper, FindStream: f.findStream, FindArchived: f.archiver.Find, ConfirmList: f.watcher.Confirm,
 		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
 		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
-		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry},
+		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry}, RepeatFailed: settings.RepeatsFailures(),
 	}, platform.PathReady)
 	return f, nil
 }
