--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -81,14 +81,8 @@
 	Budget Budget
 	// Keys checks callers' keys; it is used only while the configuration has tenants.
 	Keys Keys
-}
-
-// Budget is the retry budget of each service.
-type Budget struct {
-	// CountRequest counts a request for a service, which adds to its budget.
-	CountRequest func(now time.Time, service string)
-	// AllowRetry reports whether one more retry is within the budget, and counts it if so. Left is the number of retries that this node may still send.
-	AllowRetry func(now time.Time, service string) (allowed bool, left float64)
+	// RepeatFailed is set if a request that may be repeated is sent to another worker after a response with status 500 of a service without models.
+	RepeatFailed bool
 }
 
 // Forwarder is the callers' HTTP server. It is safe for concurrent use.
@@ -213,6 +207,7 @@
 	// when it was chosen; workerLoad is set for requests for models only.
 	worker, software string
 	workerLoad       int
+	plainState
 	// stateAgeMS is the age of the node's information about that worker at the send, in milliseconds.
 	stateAgeMS int64
 	// expectedReadyAt is when the model should be ready according to the first estimate; zero while there is none.
@@ -284,7 +279,7 @@
 		kind = "request answered after failures" // A crowd of others does not displace it.
 	}
 	entry := logger.Info(kind).Str("request", c.ID).Str("route", c.route.Name).Str("model", c.Model).Str("adapter", c.Adapter).Str("worker", c.worker).Str("software", c.software).Str("resumes", c.Resumes).Str("resumes_after", c.LastEventID).Strs("parts", c.sharedParts).
-		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Int("runs", c.ledger.MayHaveRun()-1).Float64("limit", c.limitPerSecond).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstByteMS).Int("load", c.workerLoad).Int64("age_ms", c.stateAgeMS).
+		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Int("runs", c.ledger.MayHaveRun()-1).Float64("limit", c.limitPerSecond).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstByteMS).Int("load", c.workerLoad).Float64("pace", c.pace).Int64("age_ms", c.stateAgeMS).
 		Int64("after_ms", time.Since(c.arrived).Milliseconds())
 	if c.Tenant != "" {
 		entry = entry.Str("tenant", c.Tenant)
