--- a/fleetleader/fleetleader.go
+++ b/fleetleader/fleetleader.go
@@ -122,7 +122,8 @@
 	// DeparturesSince returns the workers that leave by their own word in the same way.
 	DeparturesSince func(first int64) (departures []*nodewire.Departure, next int64)
 	Limited         func(worker string, incarnation int64) bool
-	// ConfigReads returns when this node's last read of the configuration was sent, and the last one that has succeeded; it is called if followers send stamps.
+	// ConfigReads returns when this node's last read of the configuration was sent, and the last one that has succeeded; it is called if followers
+	// send stamps.
 	ConfigReads func() (begunAt time.Time, completed freshkeeper.Read)
 }
 
--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -161,8 +161,8 @@
 	credential Credential
 }
 
-// ServeCarried serves a request that the node named from passed on, by whose configuration it must run once if once is set; it is not passed on again. The
-// credential is checked like a key. The outcome is set before the head of the response is written.
+// ServeCarried serves a request that the node named from passed on, by whose configuration it must run once if once is set; it is not passed on
+// again. The credential is checked like a key. The outcome is set before the head of the response is written.
 func (f *Forwarder) ServeCarried(w http.ResponseWriter, r *http.Request, from string, once bool, credential Credential, outcome *CarriedOutcome) {
 	defer f.carried.Add(-1)
 	if f.carried.Add(1) > maxCarried {
@@ -170,7 +170,8 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	f.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), carriedKey{}, carriedRequest{outcome: outcome, once: once, from: from, credential: credential})))
+	passedOn := carriedRequest{outcome: outcome, once: once, from: from, credential: credential}
+	f.ServeHTTP(w, r.WithContext(context.WithValue(r.Context(), carriedKey{}, passedOn)))
 }
 
 // carried returns what another node told of a request that it passed on; the zero value for others.
--- a/forwarder/carry_test.go
+++ b/forwarder/carry_test.go
@@ -25,6 +25,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.carriedOnce = once
+	if f.keys != nil {
+		f.keys.observe(request)
+	}
 	if strings.HasPrefix(f.carrier, "refuse") {
 		for asked := 0; asked < 3; asked++ {
 			f.carriedCount++
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -121,6 +121,8 @@
 	carriedOnce bool
 	// newKind is the kind, "once" or "idempotent", that all routes of plain services have in a newer version, which is in force from the first send on; empty for none.
 	newKind string
+	// keys are those of a keyScript; nil for others.
+	keys *keyPlayer
 	// retries is the number of retries that the budget still allows, -1 for any number.
 	retries      int
 	carriedCount int
@@ -182,6 +184,10 @@
 			Begin: func(time.Time, trier.Trial) (bool, error) { return true, nil }, End: func(time.Time, trier.Trial, time.Time) error { return nil },
 		}, f.recorder.Count),
 		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: f.allowRetry},
+		Keys: forwarder.Keys{
+			Fresh: func() bool { return f.keys.isFresh() }, Behind: func() bool { return f.keys.script.Behind },
+			Remove: func(header http.Header) { header.Del("Key") },
+		},
 	}, "/ready")
 	f.server = httptest.NewServer(f.forwarder)
 	return f
@@ -257,7 +263,7 @@
 		parts = lo.Map(strings.Split(names, ","), func(name string, _ int) forwarder.PromptPart { return forwarder.PromptPart{ID: name, Tokens: 1} })
 	}
 	return &forwarder.Request{
-		ID: "r", PromptParts: parts, Resumes: r.Header.Get("Resumes"), LastEventID: r.Header.Get("After"), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: http.Header{}, Model: model, Adapter: adapter, Deadline: arrived.Add(5 * time.Second),
+		ID: "r", KeyDigest: digestOf(r.Header.Get("Key")), PromptParts: parts, Resumes: r.Header.Get("Resumes"), LastEventID: r.Header.Get("After"), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: r.Header.Clone(), Model: model, Adapter: adapter, Deadline: arrived.Add(5 * time.Second),
 	}, nil
 }
 
@@ -276,6 +282,11 @@
 	f.mu.Lock()
 	f.sentTo[attempt.Worker.ID] = true
 	f.mu.Unlock()
+	if f.keys != nil {
+		if err := f.keys.observeSend(request, attempt); err != nil {
+			return nil, err
+		}
+	}
 	if f.hang {
 		<-ctx.Done()
 		f.contextEnded <- struct{}{}
--- a/forwarder/kinds_test.go
+++ b/forwarder/kinds_test.go
@@ -16,6 +16,9 @@
 
 // newest returns the catalog or, once a request was sent, a newer one in which the routes of plain services have the fixture's kind.
 func (f *fixture) newest(catalog *cataloger.Catalog) *cataloger.Catalog {
+	if f.keys != nil {
+		return f.keys.configuration()
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.newKind == "" || f.sent == 0 {
--- a/forwarder/tenants.go
+++ b/forwarder/tenants.go
@@ -10,14 +10,15 @@
 
 // Keys is what a forwarder needs to check callers' keys.
 type Keys struct {
-	// Fresh reports whether the configuration in force was the newest so lately that its keys may be accepted. Behind reports whether another node is known to have a
-	// newer one.
+	// Fresh reports whether the configuration in force was the newest so lately that its keys may be accepted. Behind reports whether another node is
+	// known to have a newer one.
 	Fresh, Behind func() bool
 	// Remove removes the key from a request's headers.
 	Remove func(header http.Header)
 }
 
-// Credential is what a node that passes a request on tells of its caller: the tenant's name and the digest of the key. The zero value stands for none.
+// Credential is what a node that passes a request on tells of its caller: the tenant's name and the digest of the key. The zero value stands for
+// none.
 type Credential struct {
 	tenant string
 	digest cataloger.Digest
@@ -102,7 +103,8 @@
 	return c.route.Public
 }
 
-// admitKey checks the key of a request that has just arrived, or the credential with which another node passed it on, and removes the key from its headers.
+// admitKey checks the key of a request that has just arrived, or the credential with which another node passed it on, and removes the key from its
+// headers.
 func (f *Forwarder) admitKey(r *http.Request, c *call) error {
 	if passedOn := carried(r).credential; !passedOn.digest.IsZero() {
 		c.KeyDigest, c.Tenant = passedOn.digest, passedOn.tenant
@@ -124,13 +126,14 @@
 	verdict, err := f.checkKey(c)
 	if err != nil {
 		f.dependencies.Recorder.Count("keys refused later")
-		logger.Info("key refused before a send").Str("request", c.ID).Str("key", string(verdict)).Str("tenant", c.Tenant).Int("sends", c.sends).Int("runs", c.ledger.MayHaveRun()).
-			Msg("key refused before a send")
+		logger.Info("key refused before a send").Str("request", c.ID).Str("key", string(verdict)).Str("tenant", c.Tenant).Int("sends", c.sends).
+			Int("runs", c.ledger.MayHaveRun()).Msg("key refused before a send")
 	}
 	return err
 }
 
-// checkKey checks a call's key, removes it from the headers that are sent on, and sets the call's tenant. The error is the one with which the call ends.
+// checkKey checks a call's key, removes it from the headers that are sent on, and sets the call's tenant. The error is the one with which the call
+// ends.
 func (f *Forwarder) checkKey(c *call) (keyVerdict, error) {
 	verdict, name := f.judgeKey(c, c.Tenant)
 	if verdict != keyUnneeded && !c.keyRemoved {
@@ -144,7 +147,7 @@
 		}
 		return verdict, nil
 	case keyStale:
-		return verdict, c.refuse("keys_stale", "this node cannot show that its configuration is recent enough for keys; another may", configurationRetry)
+		return verdict, c.refuse("keys_stale", "this node cannot show that its keys are recent enough; another may", configurationRetry)
 	case keyMissing:
 		return verdict, c.refuseKey("the route needs a key of a tenant")
 	case keyUnknown:
@@ -166,8 +169,8 @@
 	return &FailureError{status: http.StatusUnauthorized, promise: promise, code: "unknown_key", message: message}
 }
 
-// newSendCheck returns the check of a call just before the first byte of a send. It may run beside the call's own goroutine, so that it changes nothing; the error
-// is an *UnclearedError.
+// newSendCheck returns the check of a call just before the first byte of a send. It may run beside the call's own goroutine, so that it changes
+// nothing; the error is an *UnclearedError.
 func (f *Forwarder) newSendCheck(c *call) func() error {
 	tenant, keyRemoved := c.Tenant, c.keyRemoved
 	return func() error {
--- a/freshkeeper/freshkeeper.go
+++ b/freshkeeper/freshkeeper.go
@@ -1,4 +1,5 @@
-// Package freshkeeper decides until when a node may accept keys: as long as it can show that its configuration was the newest in the store not long ago.
+// Package freshkeeper decides until when a node may accept keys: as long as it can show that its configuration was the newest in the store not long
+// ago.
 //
 // It has no network and no clock. All times of a Keeper are those of one node's boot clock.
 package freshkeeper
@@ -9,13 +10,13 @@
 )
 
 const (
-	// maxGuard is the part of the bound that is held back: the store's feed may be silent for 1 s while changes are made, the rest covers clock rates and the time
-	// from a check to the send.
+	// maxGuard is the part of the bound that is held back: the store's feed may be silent for 1 s while changes are made, the rest covers clock rates
+	// and the time from a check to the send.
 	maxGuard = 1300 * time.Millisecond
 	// guardFraction is the largest part of the bound that the guard takes, as a divisor.
 	guardFraction = 3
-	// renewNumerator and renewDenominator are the part of a proof's time after which a node whose leader proves nothing reads the store itself. Proofs by way of
-	// a leader are renewed after about three fifths.
+	// renewNumerator and renewDenominator are the part of a proof's time after which a node whose leader proves nothing reads the store itself.
+	// Proofs by way of a leader are renewed after about three fifths.
 	renewNumerator, renewDenominator = 4, 5
 	// maxPending bounds the proofs that wait for a newer configuration.
 	maxPending = 16
@@ -70,8 +71,8 @@
 	}
 }
 
-// Complete records that a read that was sent at sentAt has succeeded, and that what it returned is in force if it is newer. Whole is set for a read of the whole
-// configuration, which returned a version, or 0 if the store holds none; a read of changes may return none.
+// Complete records that a read that was sent at sentAt has succeeded, and that what it returned is in force if it is newer. Whole is set for a read
+// of the whole configuration, which returned a version, or 0 if the store holds none; a read of changes may return none.
 func (k *Keeper) Complete(sentAt time.Time, version int64, whole bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -87,8 +88,8 @@
 	k.prove(sentAt, version)
 }
 
-// Learn records a proof by a leader: the store held no newer configuration than version when this node sent its stamp at stampedAt. A stamp of the future is of
-// another process and ignored.
+// Learn records a proof by a leader: the store held no newer configuration than version when this node sent its stamp at stampedAt. A stamp of the
+// future is of another process and ignored.
 func (k *Keeper) Learn(now, stampedAt time.Time, version int64) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
--- a/freshkeeper/stamps.go
+++ b/freshkeeper/stamps.go
@@ -11,8 +11,8 @@
 
 // Stamps holds what a leader has to send back to one follower. The zero value has no stamps. It is not safe for concurrent use.
 type Stamps struct {
-	// last is the last stamp, asked the last that had arrived before the read in progress was sent. Without asked, followers that send often would get nothing back:
-	// their last stamp has always arrived after the read began.
+	// last is the last stamp, asked the last that had arrived before the read in progress was sent. Without asked, followers that send often would
+	// get nothing back: their last stamp has always arrived after the read began.
 	last, asked stamp
 	// provenMS is the latest stamp that a read has proved, version the version of that read, sentMS the latest that was sent back.
 	provenMS, version, sentMS int64
--- a/server/carry.go
+++ b/server/carry.go
@@ -217,6 +217,7 @@
 			err = status.Error(codes.Aborted, io.ErrUnexpectedEOF.Error())
 		}
 	}()
-	f.forwarder.ServeCarried(w, r, message.GetNode(), message.GetOnce(), forwarder.NewCredential(message.GetTenant(), message.GetCredential()), w.outcome)
+	credential := forwarder.NewCredential(message.GetTenant(), message.GetCredential())
+	f.forwarder.ServeCarried(w, r, message.GetNode(), message.GetOnce(), credential, w.outcome)
 	return w.sendHead(http.StatusOK)
 }
--- a/server/keys.go
+++ b/server/keys.go
@@ -35,8 +35,8 @@
 	f.fresh.Learn(timekeeper.Now(), time.UnixMilli(proof.GetStamp()), proof.GetVersion())
 }
 
-// watchKeys logs when keys become stale and when they are accepted again, and records the age of the proof, until stop is closed. It does nothing without a bound,
-// and nothing while there are no tenants.
+// watchKeys logs when keys become stale and when they are accepted again, and records the age of the proof, until stop is closed. It does nothing
+// without a bound, and nothing while there are no tenants.
 func (f *FleetNode) watchKeys(stop <-chan struct{}) {
 	if !f.fresh.Bounded() {
 		return
@@ -57,16 +57,18 @@
 		if proven {
 			f.recorder.Observe(recorder.MeasureProof, "keys", "age", age)
 		}
-		if isFresh := f.fresh.Fresh(now); isFresh != fresh {
-			fresh = isFresh
-			if isFresh {
-				log.Info().Int64("version", catalog.Version()).Int64("age_ms", age.Milliseconds()).Int64("after_ms", now.Sub(staleSince).Milliseconds()).Msg("keys are fresh again")
-				continue
-			}
+		wasFresh := fresh
+		fresh = f.fresh.Fresh(now)
+		if wasFresh && !fresh {
 			staleSince = now
 			f.recorder.Count("keys became stale")
-			log.Warn().Int64("version", catalog.Version()).Bool("proven", proven).Int64("age_ms", age.Milliseconds()).Bool("behind", f.fresh.Behind()).Bool("leading", f.isLeading()).
+			log.Warn().Int64("version", catalog.Version()).Bool("proven", proven).Int64("age_ms", age.Milliseconds()).
+				Bool("behind", f.fresh.Behind()).Bool("leading", f.isLeading()).
 				Int64("store_ms", time.Since(f.watcher.LastResponseAt()).Milliseconds()).Msg("keys are stale: no key is accepted")
 		}
+		if fresh && !wasFresh {
+			log.Info().Int64("version", catalog.Version()).Int64("age_ms", age.Milliseconds()).
+				Int64("after_ms", now.Sub(staleSince).Milliseconds()).Msg("keys are fresh again")
+		}
 	}
 }
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -90,7 +90,8 @@
 	// OwnDepartures and OnDeparture are the same for workers that leave by their own word.
 	OwnDepartures func(first int64) (departures []*nodewire.Departure, next int64)
 	OnDeparture   func(departure *nodewire.Departure, zone string)
-	// Stamp returns this node's boot time in milliseconds, or 0 if it needs no proofs that its configuration is the newest. OnFresh is called with those of the leaders.
+	// Stamp returns this node's boot time in milliseconds, or 0 if it needs no proofs that its configuration is the newest. OnFresh is called with
+	// those of the leaders.
 	Stamp   func() int64
 	OnFresh func(proof *nodewire.Freshness)
 }
--- a/watcher/proofs.go
+++ b/watcher/proofs.go
@@ -15,8 +15,8 @@
 	minProvingWaitMS = 50
 )
 
-// ProveWithin makes the watcher record in keeper what its reads of the configuration prove, often enough for a staleness bound of keys; with 0, its reads stay as they
-// are. It must be called before Run.
+// ProveWithin makes the watcher record in keeper what its reads of the configuration prove, often enough for a staleness bound of keys; with 0, its
+// reads stay as they are. It must be called before Run.
 func (w *Watcher) ProveWithin(revoke time.Duration, keeper *freshkeeper.Keeper) {
 	w.fresh = keeper
 	if revoke > 0 {
--- a/watcher/watcher.go
+++ b/watcher/watcher.go
@@ -100,7 +100,8 @@
 	// catalog is the newest configuration that was read; nil before the first read. It is in force unless outdated says otherwise.
 	catalog  atomic.Pointer[cataloger.Catalog]
 	outdated outdatedState
-	// fresh records what the reads of the configuration prove. provingWaitMS is how long a feed waits that proves it often enough; 0 without a staleness bound.
+	// fresh records what the reads of the configuration prove. provingWaitMS is how long a feed waits that proves it often enough; 0 without a
+	// staleness bound.
 	fresh         *freshkeeper.Keeper
 	provingWaitMS int64
 	// listed is set once the whole list of workers was read, crashesListed once the crashes were.
@@ -183,7 +184,9 @@
 func (w *Watcher) Run() {
 	w.markResponse()
 	go w.followTable(w.configurationTable())
-	go w.followTable(tableReader{name: "crashes", list: w.listCrashes, feed: w.source.FeedCrashes, waitMS: catalogWaitMS, marginMS: maxReadTime.Milliseconds()})
+	go w.followTable(tableReader{
+		name: "crashes", list: w.listCrashes, feed: w.source.FeedCrashes, waitMS: catalogWaitMS, marginMS: maxReadTime.Milliseconds(),
+	})
 	go w.followWorkers()
 }
 
