Tenants' allowances: first working version

Cause: the configuration names rates and bursts of tenants, and nothing enforced them. Change: package quotakeeper (buckets at zones' leaders, prepaid tokens at nodes), the call TakeTokens, and the charge at admission, its refund and the charge of repeated sends in forwarder.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -31,6 +31,7 @@
 	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/prover"
+	"github.com/acaciaproxy/acaciaproxy/quotakeeper"
 	"github.com/acaciaproxy/acaciaproxy/recorder"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/streamkeeper"
@@ -79,6 +80,8 @@
 	ConfirmList  func(deadline, since time.Time) bool
 	// Budget limits the sends beyond the first of each request.
 	Budget Budget
+	// Allowances are the rate limits of tenants.
+	Allowances Allowances
 }
 
 // Budget is the retry budget of each service.
@@ -189,6 +192,8 @@
 	// reached is set once a send may have reached a worker, also one of another node that the call was passed to. From then on, retryAllowed is
 	// set before each send, by the retry budget, and unset when that send has reached a worker.
 	reached, retryAllowed bool
+	// charges are the tokens of the tenant's allowance that the call holds: one for each send that may run, besides that of a node that passed it on.
+	charges []*quotakeeper.Ticket
 	// avoidUntil maps workers that failed to serve this request to when they may be chosen again.
 	avoidUntil map[string]time.Time
 	// fingerprint is a hash of method, host, target and body. SharedParts are the IDs of the prompt's parts but the last. Fingerprints are the first
@@ -252,6 +257,7 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	c, err := f.admit(w, r, arrived)
+	defer f.refundUnrun(c)
 	if err != nil {
 		f.fail(w, r, c, err)
 		return
@@ -316,7 +322,10 @@
 	}
 	c.setFingerprints()
 	f.dependencies.Crashes.Arrived(c.fingerprints)
-	return c, f.checkCrashes(c)
+	if err := f.checkCrashes(c); err != nil {
+		return c, err
+	}
+	return c, f.charge(r.Context(), c)
 }
 
 // defaultBodyBytes limits bodies when the configuration sets no limit.
@@ -356,20 +365,6 @@
 	return body, nil
 }
 
-// serverHeaders lists the response headers that net/http sets itself.
-var serverHeaders = []string{"Content-Length", "Date"}
-
-// copyHeader copies a worker's response headers to the caller's response.
-func copyHeader(to, from http.Header) {
-	for name, values := range from {
-		to[name] = values
-	}
-	for _, name := range serverHeaders {
-		to.Del(name)
-	}
-	to["Date"] = nil // Keeps net/http from adding a Date of its own.
-}
-
 // logFailure logs a request that ended without a complete response of a worker.
 func (f *Forwarder) logFailure(c *call, failure *FailureError, callerLeft bool) {
 	kind := "request not answered"
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -220,6 +220,9 @@
 	if !f.allowRetry(now, c) {
 		return newFailure(http.StatusBadGateway, "no_budget", "the budget for repeated sends is spent: "+err.Error())
 	}
+	if err := f.chargeRepeat(ctx, c); err != nil {
+		return err
+	}
 	f.dependencies.Recorder.Count("sends repeated")
 	logger.Info("send repeated").Str("request", c.ID).Int("sends", c.sends).Int("runs", c.ledger.MayHaveRun()).Str("after_event", c.lastEventID).
 		Int64("left_ms", c.deadline.Sub(now).Milliseconds()).Msg("send repeated")
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -203,3 +203,17 @@
 		}
 	}
 }
+
+// serverHeaders lists the response headers that net/http sets itself.
+var serverHeaders = []string{"Content-Length", "Date"}
+
+// copyHeader copies a worker's response headers to the caller's response.
+func copyHeader(to, from http.Header) {
+	for name, values := range from {
+		to[name] = values
+	}
+	for _, name := range serverHeaders {
+		to.Del(name)
+	}
+	to["Date"] = nil // Keeps net/http from adding a Date of its own.
+}
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -97,6 +97,9 @@
 // Count adds one to the counter of a name, and creates the counter at its first use.
 func (r *Recorder) Count(name string) { r.counters.Add(name, 1) }
 
+// Add adds a number to the counter of a name, and creates the counter at its first use.
+func (r *Recorder) Add(name string, n int64) { r.counters.Add(name, n) }
+
 // CounterValue returns the value of a counter, or 0 when it was never counted.
 func (r *Recorder) CounterValue(name string) int64 {
 	counter, known := r.counters.Get(name).(*expvar.Int)
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -63,9 +63,11 @@
 	slotGranter *limiter.SlotGranter
 	// arbiter decides on trials of requests that may crash workers while this node leads its zone.
 	arbiter *trier.Arbiter
-	peers   *peerclient.Pool
-	workers *platform.Workers
-	metrics *adminserver.Server
+	// allowances are the rate limits of tenants.
+	allowances *allowances
+	peers      *peerclient.Pool
+	workers    *platform.Workers
+	metrics    *adminserver.Server
 	// grpc serves the calls of other nodes, callers accepts the connections of callers; both are nil until Run.
 	grpc    *grpc.Server
 	callers *lingerer.Listener
@@ -139,6 +141,7 @@
 		settings: settings, workerList: do.MustInvoke[*registrar.Registrar](i), recorder: do.MustInvoke[*recorder.Recorder](i), watcher: do.MustInvoke[*watcher.Watcher](i), crashKeeper: do.MustInvoke[*crashkeeper.Keeper](i), fleetTracker: do.MustInvoke[*fleettracker.Tracker](i),
 		granter: limiter.NewGranter(), slotGranter: limiter.NewSlotGranter(), arbiter: trier.NewArbiter(), peers: do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: adminserver.NewMetrics(), streamKeeper: streamkeeper.New(),
 	}
+	f.allowances = newAllowances(f)
 	f.limiter = limiter.New(f.askPermits, func() int { return f.subscriber.Nodes() }, do.MustInvoke[*recorder.Recorder](i).Count)
 	f.limiter.ReserveBy(limiter.Reservations{Reserve: f.reserveSlots, Later: tellLater})
 	f.leaseholder = leaseholder.New(leaseholder.Dependencies{
@@ -178,8 +181,9 @@
 		Ready: f.watcher.Ready, Isolated: f.isolated, Decode: platform.DecodeRequest, Send: f.workers.Send, SetAttemptID: platform.SetAttemptID, Crashed: f.workers.Crashed,
 		Carry: f.carry, Limiter: f.limiter, Streams: f.streamKeeper, FindStream: f.findStream, FindArchived: f.archiver.Find, ConfirmList: f.watcher.Confirm,
 		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
-		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
-		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry},
+		Trier:      trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
+		Budget:     forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry},
+		Allowances: forwarder.Allowances{Take: f.allowances.take, Refund: f.allowances.refund},
 	}, platform.PathReady)
 	return f, nil
 }
@@ -190,6 +194,7 @@
 	if f.isLeading() {
 		f.watcher.EndForwardedReads()
 	}
+	f.allowances.beginLeadership()
 	f.fleetLeader.Wake()
 }
 
@@ -334,6 +339,7 @@
 	f.leaseholder.Run()
 	f.fleetLeader.Run()
 	f.subscriber.Run()
+	f.allowances.run()
 	log.Info().Str("node", f.settings.Name()).Str("zone", f.settings.Zone()).Str("callers", f.settings.Callers()).
 		Str("nodes", f.settings.Nodes()).Str("platform", f.settings.Platform()).Msg("node started")
 	select {
@@ -352,8 +358,6 @@
 	killReserve = 900 * time.Millisecond
 	// lingerTimeout bounds the wait of a stopping node for callers that are still sending requests that it has answered.
 	lingerTimeout = 300 * time.Millisecond
-	// succeedTimeout bounds the call that asks the successor to take the lease.
-	succeedTimeout = 300 * time.Millisecond
 )
 
 // stop drains the node: the readiness check fails, the lease is handed over,
@@ -367,6 +371,7 @@
 	f.forwarder.Close()
 	f.callers.Wait(time.Now().Add(lingerTimeout))
 	f.subscriber.Stop()
+	f.allowances.stop()
 	f.fleetLeader.Stop()
 	f.leaseholder.Stop()
 	f.watcher.Stop()
@@ -377,23 +382,3 @@
 	f.peers.Close()
 	f.workers.Close()
 }
-
-// handOver releases the zone's lease, if this node holds it, and asks the successor to take it.
-func (f *FleetNode) handOver() {
-	address, found := f.fleetLeader.Successor()
-	_, epoch, _ := f.leaseholder.Holder(f.settings.Zone())
-	if !f.leaseholder.Resign() || !found {
-		return
-	}
-	f.fleetLeader.Wake()
-	client, err := f.peers.FleetClient(address)
-	if err != nil {
-		log.Warn().Str("successor", address).Err(err).Msg("successor not notified of the released lease; it will find out by its own reads")
-		return
-	}
-	ctx, cancel := peerclient.WithDeadline(time.Now().Add(succeedTimeout))
-	defer cancel()
-	if _, err := client.Succeed(ctx, &nodewire.SucceedRequest{Zone: f.settings.Zone(), Epoch: epoch}); err != nil {
-		log.Warn().Str("successor", address).Err(err).Msg("successor not notified of the released lease; it will find out by its own reads")
-	}
-}
--- a/server/fleetservice.go
+++ b/server/fleetservice.go
@@ -90,6 +90,12 @@
 	return s.node.try(request), nil
 }
 
+// TakeTokens implements nodewire.FleetServer. It grants nothing unless this node leads its zone.
+func (s *fleetService) TakeTokens(_ context.Context, request *nodewire.TakeTokensRequest) (*nodewire.TakeTokensReply, error) {
+	grants, leading := s.node.allowances.grant(request.GetNode(), request.GetZone(), newTokenRequests(request.GetTenants()))
+	return &nodewire.TakeTokensReply{Leading: leading, Tenants: newTokenGrants(grants)}, nil
+}
+
 // Carry implements nodewire.FleetServer.
 func (s *fleetService) Carry(request *nodewire.CarryRequest, stream nodewire.Fleet_CarryServer) error {
 	return s.node.serveCarried(request, stream)
