--- a/quotakeeper/calls.go
+++ b/quotakeeper/calls.go
@@ -10,6 +10,8 @@
 	// minAskPause and maxAskPause bound the time after which a leader that granted too little is asked again.
 	minAskPause = 10 * time.Millisecond
 	maxAskPause = 50 * time.Millisecond
+	// prepayPause is the least time between two calls in advance of requests.
+	prepayPause = 100 * time.Millisecond
 	// minDownTime and maxDownTime bound the time for which a leader is not called after calls to it failed; it doubles with each.
 	minDownTime = 50 * time.Millisecond
 	maxDownTime = 400 * time.Millisecond
@@ -120,7 +122,8 @@
 	return missing
 }
 
-// planNeeded asks the node's own leader for what requests lack, or the others in equal parts if that one has none, does not answer or is not known.
+// planNeeded asks the node's own leader for what requests lack or, if that one has too little, does not answer or is not known, the others in turn. One
+// leader is asked for all that is missing, since parts of what a request costs would be granted and not used.
 func (t *tenant) planNeeded(now time.Time, requests []Request) {
 	missing := t.missing(now)
 	if len(t.queue) == 0 || missing <= 0 {
@@ -134,23 +137,19 @@
 	if call := t.keeper.calls[0].inFlight; call != nil && now.Sub(call.sentAt) < patience && !now.Before(home.askAt) {
 		return
 	}
-	others := make([]int, 0, len(requests))
-	for i := 1; i < len(requests); i++ {
-		if t.callable(now, i) && !now.Before(t.sources[i].askAt) {
-			others = append(others, i)
+	for n := range len(requests) - 1 {
+		if i := 1 + (t.turn+n)%(len(requests)-1); t.callable(now, i) && !now.Before(t.sources[i].askAt) {
+			requests[i].Needed = missing
+			t.turn = i
+			return
 		}
 	}
-	for n, i := range others {
-		part := missing / int64(len(others)-n)
-		requests[i].Needed = part
-		missing -= part
-	}
 }
 
 // planExpected asks the node's own leader for what requests will need, once half of it is gone.
 func (t *tenant) planExpected(now time.Time, requests []Request) {
 	expected := t.demand.expected(now)
-	if expected == 0 || !t.callable(now, 0) || now.Before(t.sources[0].askAt) {
+	if expected == 0 || !t.callable(now, 0) || now.Before(t.sources[0].askAt) || now.Before(t.sources[0].prepayAt) {
 		return
 	}
 	if held := max(-t.missing(now), 0); held < expected/2 {
@@ -213,7 +212,10 @@
 // apply records a leader's answer for one tenant. The tokens expire by the time at which they were asked for, not by that of the answer.
 func (t *tenant) apply(now time.Time, call *Call, request Request, grant Grant, known bool) {
 	s := &t.sources[call.leader]
-	*s = source{answeredAt: now}
+	*s = source{answeredAt: now, prepayAt: s.prepayAt}
+	if request.Expected > 0 {
+		s.prepayAt = now.Add(prepayPause)
+	}
 	expiresAt := call.sentAt.Add(t.keeper.bounds.Lifetime())
 	switch {
 	case !known: // The leader's configuration does not have the tenant yet.
--- a/quotakeeper/granter.go
+++ b/quotakeeper/granter.go
@@ -37,6 +37,8 @@
 // Granter is the leader's side: a token bucket for each tenant with the zone's part of its allowance. It is safe for concurrent use.
 type Granter struct {
 	bounds Bounds
+	// random returns numbers in [0, 1).
+	random func() float64
 	// mu guards everything below.
 	mu sync.Mutex
 	// epoch is that of the leadership since beganAt; buckets hold what was gained under it, by tenant.
@@ -47,9 +49,9 @@
 	now time.Time
 }
 
-// NewGranter returns a granter that grants nothing until time has passed under an epoch.
-func NewGranter(bounds Bounds) *Granter {
-	return &Granter{bounds: bounds, buckets: map[string]*bucket{}}
+// NewGranter returns a granter that grants nothing until time has passed under an epoch. Random returns numbers in [0, 1).
+func NewGranter(bounds Bounds, random func() float64) *Granter {
+	return &Granter{bounds: bounds, random: random, buckets: map[string]*bucket{}}
 }
 
 // Begin begins the leadership of an epoch, with empty buckets: the leader before may just have granted all that the zone's buckets held. It
@@ -86,7 +88,7 @@
 		default:
 			b := g.bucket(request.Tenant, allowed)
 			b.takeBack(request.Returned)
-			grants = append(grants, b.grant(g.now, node, request))
+			grants = append(grants, b.grant(g.now, node, request, g.random))
 		}
 	}
 	return grants
@@ -130,8 +132,9 @@
 	b.credits -= accepted
 }
 
-// grant answers one request. While the bucket is short, each node gets the share of the level that its request has of all that is asked for.
-func (b *bucket) grant(now time.Time, node string, request Request) Grant {
+// grant answers one request. While the bucket is short, each node gets the share of the level that its request has of all that is asked for. A node
+// whose share is small gets it by lot: all that it needs or nothing, since at hundreds of nodes no share would cover a whole request.
+func (b *bucket) grant(now time.Time, node string, request Request, random func() float64) Grant {
 	needed := max(request.Needed, 0)
 	others := b.unmetOfOthers(now, node)
 	share := b.level
@@ -139,6 +142,12 @@
 		share = b.level * float64(needed) / asked
 	}
 	granted := min(needed, int64(share))
+	if granted < needed/2 || granted == 0 {
+		granted = min(needed, int64(b.level))
+		if random()*float64(granted) >= share {
+			granted = 0
+		}
+	}
 	b.level -= float64(granted)
 	grant := Grant{Tenant: request.Tenant, Granted: granted}
 	if short := needed - granted; short > 0 {
--- a/quotakeeper/tenant.go
+++ b/quotakeeper/tenant.go
@@ -15,6 +15,8 @@
 	// this node gets tokens of it until then, 0 if it has none short.
 	askAt      time.Time
 	refillPerS float64
+	// prepayAt is when it may be asked for tokens in advance again.
+	prepayAt time.Time
 	// answeredAt is when the leader last answered.
 	answeredAt time.Time
 	// downUntil is when the leader may be called again after a call failed.
@@ -38,6 +40,8 @@
 	demand demand
 	// sources are by leader, as Keeper.zones.
 	sources []source
+	// turn is the last leader of another zone that was asked.
+	turn int
 	// unlimitedUntil is until when the tenant counts as having no limit, because a leader said so.
 	unlimitedUntil time.Time
 	// promisedUntil is the time up to which the tokens to come are promised to refused requests.
--- a/server/allowances.go
+++ b/server/allowances.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -40,7 +41,7 @@
 	}
 	bounds := quotakeeper.NewBounds(len(zones), settings.QuotaWindow(), settings.QuotaOvershoot(), settings.QuotaSlack())
 	return &allowances{
-		node: node, zones: zones, keeper: quotakeeper.New(bounds, settings.Zone(), zones, node.recorder.Add), granter: quotakeeper.NewGranter(bounds),
+		node: node, zones: zones, keeper: quotakeeper.New(bounds, settings.Zone(), zones, node.recorder.Add), granter: quotakeeper.NewGranter(bounds, rand.Float64),
 		wake: make(chan struct{}, 1), stopped: make(chan struct{}),
 	}
 }
