--- /dev/null
+++ b/forwarder/allowance_test.go
@@ -0,0 +1,80 @@
+package forwarder_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/acaciaproxy/acaciaproxy/casereader"
+	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/forwarder"
+	"github.com/acaciaproxy/acaciaproxy/quotakeeper"
+)
+
+// tokens are the tokens of a tenant whose requests cost one each.
+type tokens struct {
+	left  int
+	short quotakeeper.Result
+	taken int
+}
+
+func (t *tokens) take(_ context.Context, tenant *cataloger.Tenant, cost int64, _ time.Time) (*quotakeeper.Ticket, quotakeeper.Result, time.Time) {
+	if tenant.Name != "t" || cost != 1 || t.left == 0 {
+		return nil, t.short, time.Now().Add(700 * time.Millisecond)
+	}
+	t.left--
+	t.taken++
+	return nil, quotakeeper.Granted, time.Time{}
+}
+
+func (t *tokens) refund(*quotakeeper.Ticket) { t.taken-- }
+
+var _ = ginkgo.Describe("a request of a limited tenant", func() {
+	var cases []struct {
+		script
+		// Tokens are those that the tenant has, Short is the result once they are spent. Spent are those that are spent in the end.
+		Tokens, Short, Spent int
+		// Code is the code of the refusal; MinRetryS bounds Retry-After, which must be missing if it is 0.
+		Code      string
+		MinRetryS float64
+		// Carried is set if another node passed the request on.
+		Carried bool
+	}
+	gomega.Expect(casereader.Read("testdata/allowances.json", &cases)).To(gomega.Succeed())
+	for _, c := range cases {
+		ginkgo.It("is charged: "+c.Name, func() {
+			f := newFixture(c.Sends, false)
+			defer f.server.Close()
+			f.tokens = tokens{left: c.Tokens, short: quotakeeper.Result(c.Short)}
+			f.tenants = []cataloger.Tenant{{Name: "t", Keys: []cataloger.Digest{cataloger.DigestOf("t")}, RatePerS: 1, Burst: 1}}
+			if c.Carried {
+				f.server.Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+					f.forwarder.ServeCarried(w, r, "n", false, &forwarder.CarriedOutcome{})
+				})
+			}
+			request, err := http.NewRequest(http.MethodGet, f.server.URL+"/"+c.Route+"/x", strings.NewReader(""))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			request.Host = "h"
+			request.Header.Set("Tenant", "t")
+			response, err := http.DefaultClient.Do(request)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			text := make([]byte, 300)
+			n, _ := response.Body.Read(text) // The whole of a short body.
+			_ = response.Body.Close()
+			f.server.Close() // Waits for the handler, which refunds at its end.
+			gomega.Expect(response.StatusCode).To(gomega.Equal(c.Status), string(text[:n]))
+			gomega.Expect(string(text[:n])).To(gomega.ContainSubstring(c.Code))
+			gomega.Expect(f.tokens.taken).To(gomega.Equal(c.Spent))
+			if c.MinRetryS == 0 {
+				gomega.Expect(response.Header).NotTo(gomega.HaveKey("Retry-After"))
+				return
+			}
+			gomega.Expect(response.Header.Get("Retry-After")).To(gomega.HavePrefix("0."))
+			gomega.Expect(response.Header.Get("Retry-After") >= "0.6").To(gomega.Equal(c.MinRetryS >= 0.6))
+		})
+	}
+})
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -29,6 +29,7 @@
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
 	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/prover"
+	"github.com/acaciaproxy/acaciaproxy/quotakeeper"
 	"github.com/acaciaproxy/acaciaproxy/recorder"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/streamkeeper"
@@ -127,6 +128,9 @@
 	// mu guards sends and sent.
 	mu    sync.Mutex
 	sends []scriptedSend
+	// tenants are those of the configuration, tokens those of the one that is limited.
+	tenants []cataloger.Tenant
+	tokens  tokens
 	// versions answers the sends of a versionScript; nil for others.
 	versions *versionPlayer
 	// pauses are the results of the sends of a pauseScript; nil for others.
@@ -182,6 +186,12 @@
 			Begin: func(time.Time, trier.Trial) (bool, error) { return true, nil }, End: func(time.Time, trier.Trial, time.Time) error { return nil },
 		}, f.recorder.Count),
 		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: f.allowRetry},
+		Allowances: forwarder.Allowances{
+			Take: func(ctx context.Context, tenant *cataloger.Tenant, cost int64, latest time.Time) (*quotakeeper.Ticket, quotakeeper.Result, time.Time) {
+				return f.tokens.take(ctx, tenant, cost, latest)
+			},
+			Refund: func(charge *quotakeeper.Ticket) { f.tokens.refund(charge) },
+		},
 	}, "/ready")
 	f.server = httptest.NewServer(f.forwarder)
 	return f
@@ -257,10 +267,18 @@
 		parts = lo.Map(strings.Split(names, ","), func(name string, _ int) forwarder.PromptPart { return forwarder.PromptPart{ID: name, Tokens: 1} })
 	}
 	return &forwarder.Request{
-		ID: "r", PromptParts: parts, Resumes: r.Header.Get("Resumes"), LastEventID: r.Header.Get("After"), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: http.Header{}, Model: model, Adapter: adapter, Deadline: arrived.Add(5 * time.Second),
+		ID: "r", Tenant: r.Header.Get("Tenant"), KeyDigest: keyDigest(r), PromptParts: parts, Resumes: r.Header.Get("Resumes"), LastEventID: r.Header.Get("After"), Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: http.Header{}, Model: model, Adapter: adapter, Deadline: arrived.Add(5 * time.Second),
 	}, nil
 }
 
+// keyDigest returns the digest of the key of a tenant, which is its name.
+func keyDigest(r *http.Request) cataloger.Digest {
+	if name := r.Header.Get("Tenant"); name != "" {
+		return cataloger.DigestOf(name)
+	}
+	return cataloger.Digest{}
+}
+
 // brokenBody returns its text and then an error.
 type brokenBody struct{ text *strings.Reader }
 
--- a/forwarder/kinds_test.go
+++ b/forwarder/kinds_test.go
@@ -18,6 +18,10 @@
 func (f *fixture) newest(catalog *cataloger.Catalog) *cataloger.Catalog {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.tenants != nil {
+		gomega.Expect(catalog.SetTenants(f.tenants)).To(gomega.Succeed())
+		f.tenants = nil // They are set before the first request.
+	}
 	if f.newKind == "" || f.sent == 0 {
 		return catalog
 	}
