--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -29,6 +29,7 @@
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
 	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/prover"
+	"github.com/acaciaproxy/acaciaproxy/quotakeeper"
 	"github.com/acaciaproxy/acaciaproxy/recorder"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/streamkeeper"
@@ -129,6 +130,9 @@
 	// mu guards sends and sent.
 	mu    sync.Mutex
 	sends []scriptedSend
+	// tenants are those of the configuration, tokens those of the one that is limited.
+	tenants []cataloger.Tenant
+	tokens  tokens
 	// versions answers the sends of a versionScript; nil for others.
 	versions *versionPlayer
 	// pauses are the results of the sends of a pauseScript; nil for others.
@@ -191,6 +195,12 @@
 			Fresh: func() bool { return f.keys.isFresh() }, Behind: func() bool { return f.keys.script.Behind },
 			Remove: func(header http.Header) { header.Del("Key") },
 		},
+		Allowances: forwarder.Allowances{
+			Take: func(ctx context.Context, tenant *cataloger.Tenant, cost int64, latest time.Time) (*quotakeeper.Ticket, quotakeeper.Result, time.Time) {
+				return f.tokens.take(ctx, tenant, cost, latest)
+			},
+			Refund: func(charge *quotakeeper.Ticket) { f.tokens.refund(charge) },
+		},
 	}
 	for _, change := range change {
 		change(&dependencies)
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -65,10 +65,12 @@
 	// arbiter decides on trials of requests that may crash workers while this node leads its zone.
 	arbiter *trier.Arbiter
 	// fresh decides until when this node accepts keys.
-	fresh   *freshkeeper.Keeper
-	peers   *peerclient.Pool
-	workers *platform.Workers
-	metrics *adminserver.Server
+	fresh *freshkeeper.Keeper
+	// allowances are the rate limits of tenants.
+	allowances *allowances
+	peers      *peerclient.Pool
+	workers    *platform.Workers
+	metrics    *adminserver.Server
 	// grpc serves the calls of other nodes, callers accepts the connections of callers; both are nil until Run.
 	grpc    *grpc.Server
 	callers *lingerer.Listener
@@ -145,6 +147,7 @@
 		settings: settings, fresh: do.MustInvoke[*freshkeeper.Keeper](i), workerList: do.MustInvoke[*registrar.Registrar](i), recorder: do.MustInvoke[*recorder.Recorder](i), watcher: do.MustInvoke[*watcher.Watcher](i), crashKeeper: do.MustInvoke[*crashkeeper.Keeper](i), fleetTracker: do.MustInvoke[*fleettracker.Tracker](i),
 		granter: limiter.NewGranter(), slotGranter: limiter.NewSlotGranter(), arbiter: trier.NewArbiter(), peers: do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: adminserver.NewMetrics(), streamKeeper: streamkeeper.New(),
 	}
+	f.allowances = newAllowances(f)
 	f.limiter = limiter.New(f.askPermits, func() int { return f.subscriber.Nodes() }, do.MustInvoke[*recorder.Recorder](i).Count)
 	f.limiter.ReserveBy(limiter.Reservations{Reserve: f.reserveSlots, Later: tellLater})
 	f.leaseholder = leaseholder.New(leaseholder.Dependencies{
@@ -187,7 +190,8 @@
 		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
 		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
 		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry}, RepeatFailed: settings.RepeatsFailures(),
-		Keys:   forwarder.Keys{Fresh: f.keysFresh, Behind: f.fresh.Behind, Remove: platform.RemoveKey},
+		Keys:       forwarder.Keys{Fresh: f.keysFresh, Behind: f.fresh.Behind, Remove: platform.RemoveKey},
+		Allowances: forwarder.Allowances{Take: f.allowances.take, Refund: f.allowances.refund},
 	}, platform.PathReady)
 	return f, nil
 }
@@ -198,6 +202,7 @@
 	if f.isLeading() {
 		f.watcher.EndForwardedReads()
 	}
+	f.allowances.beginLeadership()
 	f.fleetLeader.Wake()
 }
 
@@ -345,6 +350,7 @@
 	f.leaseholder.Run()
 	f.fleetLeader.Run()
 	f.subscriber.Run()
+	f.allowances.run()
 	log.Info().Str("node", f.settings.Name()).Str("zone", f.settings.Zone()).Str("callers", f.settings.Callers()).
 		Str("nodes", f.settings.Nodes()).Str("platform", f.settings.Platform()).Msg("node started")
 	select {
@@ -363,8 +369,6 @@
 	killReserve = 900 * time.Millisecond
 	// lingerTimeout bounds the wait of a stopping node for callers that are still sending requests that it has answered.
 	lingerTimeout = 300 * time.Millisecond
-	// succeedTimeout bounds the call that asks the successor to take the lease.
-	succeedTimeout = 300 * time.Millisecond
 )
 
 // stop drains the node: the readiness check fails, the lease is handed over,
@@ -378,6 +382,7 @@
 	f.forwarder.Close()
 	f.callers.Wait(time.Now().Add(lingerTimeout))
 	f.subscriber.Stop()
+	f.allowances.stop()
 	f.fleetLeader.Stop()
 	f.leaseholder.Stop()
 	f.watcher.Stop()
--- a/server/handover.go
+++ b/server/handover.go
@@ -9,6 +9,9 @@
 	"github.com/acaciaproxy/acaciaproxy/peerclient"
 )
 
+// succeedTimeout bounds the call that asks the successor to take the lease.
+const succeedTimeout = 300 * time.Millisecond
+
 // handOver releases the zone's lease, if this node holds it, and asks the successor to take it.
 func (f *FleetNode) handOver() {
 	address, found := f.fleetLeader.Successor()
