--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -192,7 +192,7 @@
 		}, f.recorder.Count),
 		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: f.allowRetry},
 		Keys: forwarder.Keys{
-			Fresh: func() bool { return f.keys.isFresh() }, Behind: func() bool { return f.keys.script.Behind },
+			Fresh: func() bool { return f.keys == nil || f.keys.isFresh() }, Behind: func() bool { return f.keys != nil && f.keys.script.Behind },
 			Remove: func(header http.Header) { header.Del("Key") },
 		},
 		Allowances: forwarder.Allowances{
