--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -186,7 +186,7 @@
 		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: f.allowRetry},
 		Keys: forwarder.Keys{
 			Fresh: func() bool { return f.keys.isFresh() }, Behind: func() bool { return f.keys.script.Behind },
-			Remove: func(header http.Header) { header.Del("Key") },
+			ProofAge: func() (time.Duration, bool) { return time.Second, true }, Remove: func(header http.Header) { header.Del("Key") },
 		},
 	}, "/ready")
 	f.server = httptest.NewServer(f.forwarder)
--- a/forwarder/tenants.go
+++ b/forwarder/tenants.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"strings"
+	"time"
 
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
 	"github.com/acaciaproxy/acaciaproxy/logger"
@@ -13,6 +14,8 @@
 	// Fresh reports whether the configuration in force was the newest so lately that its keys may be accepted. Behind reports whether another node is
 	// known to have a newer one.
 	Fresh, Behind func() bool
+	// ProofAge returns the time since the latest proof that the configuration was the newest, and whether there is one, for log lines.
+	ProofAge func() (age time.Duration, proven bool)
 	// Remove removes the key from a request's headers.
 	Remove func(header http.Header)
 }
@@ -115,6 +118,7 @@
 	}
 	f.dependencies.Keys.Remove(r.Header)
 	f.dependencies.Recorder.Count("keys " + string(verdict))
+	f.logKeyRefusal(c, verdict, err)
 	if err == nil && c.Tenant != "" {
 		f.dependencies.Recorder.Count("requests of tenant " + c.Tenant)
 	}
@@ -126,12 +130,22 @@
 	verdict, err := f.checkKey(c)
 	if err != nil {
 		f.dependencies.Recorder.Count("keys refused later")
-		logger.Info("key refused before a send").Str("request", c.ID).Str("key", string(verdict)).Str("tenant", c.Tenant).Int("sends", c.sends).
-			Int("runs", c.ledger.MayHaveRun()).Msg("key refused before a send")
 	}
+	f.logKeyRefusal(c, verdict, err)
 	return err
 }
 
+// logKeyRefusal logs why a call's key was refused with err, unless err is nil.
+func (f *Forwarder) logKeyRefusal(c *call, verdict keyVerdict, err error) {
+	if err == nil {
+		return
+	}
+	age, proven := f.dependencies.Keys.ProofAge()
+	logger.Info("key refused").Str("request", c.ID).Str("key", string(verdict)).Str("tenant", c.Tenant).Bool("behind", f.dependencies.Keys.Behind()).
+		Bool("proven", proven).Int64("proof_ms", age.Milliseconds()).Bool("for_other", c.isCarried).Int("sends", c.sends).Int("runs", c.ledger.MayHaveRun()).
+		Msg("key refused")
+}
+
 // checkKey checks a call's key, removes it from the headers that are sent on, and sets the call's tenant. The error is the one with which the call
 // ends.
 func (f *Forwarder) checkKey(c *call) (keyVerdict, error) {
--- a/freshkeeper/freshkeeper.go
+++ b/freshkeeper/freshkeeper.go
@@ -158,7 +158,10 @@
 func (k *Keeper) Age(now time.Time) (age time.Duration, proven bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return now.Sub(k.provenAt), !k.provenAt.IsZero()
+	if k.provenAt.IsZero() {
+		return 0, false
+	}
+	return now.Sub(k.provenAt), true
 }
 
 // RenewAt returns when this node should read the store itself unless a leader has proved more; zero without a proof.
--- a/reporter/reporter.go
+++ b/reporter/reporter.go
@@ -28,6 +28,7 @@
 	"lease taken": true, "lease lost": true, "lease handed over": true, "lease held over by promises": true, "orders begin": true, "orders end": true,
 	"leader heard": true, "leader lost": true, "dependency lost": true, "dependency regained": true, "configuration in force": true, "node stops": true,
 	"store has come back from an older copy": true, "lease has come back from an older copy of the store": true, "lease written again": true,
+	"keys are stale: no key is accepted": true, "keys are fresh again": true,
 }
 
 // Trace writes the lines of one request in the order of time, marked with ">",
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -187,7 +187,7 @@
 		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
 		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
 		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry},
-		Keys:   forwarder.Keys{Fresh: f.keysFresh, Behind: f.fresh.Behind, Remove: platform.RemoveKey},
+		Keys:   forwarder.Keys{Fresh: f.keysFresh, Behind: f.fresh.Behind, ProofAge: f.proofAge, Remove: platform.RemoveKey},
 	}, platform.PathReady)
 	return f, nil
 }
--- a/server/keys.go
+++ b/server/keys.go
@@ -22,6 +22,9 @@
 // keysFresh reports whether keys may be accepted now.
 func (f *FleetNode) keysFresh() bool { return f.fresh.Fresh(timekeeper.Now()) }
 
+// proofAge returns the time since the latest proof that the configuration was the newest, and whether there is one.
+func (f *FleetNode) proofAge() (age time.Duration, proven bool) { return f.fresh.Age(timekeeper.Now()) }
+
 // stamp returns this node's boot time in milliseconds, or 0 if it needs no proofs of freshness.
 func (f *FleetNode) stamp() int64 {
 	if !f.fresh.Bounded() {
