--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -193,7 +193,7 @@
 		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: f.allowRetry},
 		Keys: forwarder.Keys{
 			Fresh: func() bool { return f.keys == nil || f.keys.isFresh() }, Behind: func() bool { return f.keys != nil && f.keys.script.Behind },
-			Remove: func(header http.Header) { header.Del("Key") },
+			ProofAge: func() (time.Duration, bool) { return time.Second, true }, Remove: func(header http.Header) { header.Del("Key") },
 		},
 		Allowances: forwarder.Allowances{
 			Take: func(ctx context.Context, tenant *cataloger.Tenant, cost int64, latest time.Time) (*quotakeeper.Ticket, quotakeeper.Result, time.Time) {
