Requests for models wait at the node while workers are full (setting room)

Cause: each node sends a request to the cheapest holder of its model even if all its slots are known to be taken, and nodes that share the same stale figures choose the same worker; 10 to 20 in 100 sends are rejected (docs/HARD-LOAD.md, part 3). Change: package scheduler estimates the load of each holder from announcements, reports of the worker, own sends and rejections, chooses among those with free places by weight, orders the requests that wait at the node, and refuses those that get no place before their latest start. With the setting room, the forwarder asks it before each send to a worker with models; a request is sent to a worker that seems full only after a pause that grows with each rejection. Requests of tenants get their urgency from the priorities of tenant and route. The setting is off by default and not in deploy/settings.json.

--- a/assessor/assessor.go
+++ b/assessor/assessor.go
@@ -195,8 +195,9 @@
 	RecentSends int
 	// Running is the number of this node's requests in flight to the worker.
 	Running int
-	// ReportedLoad is the load in requests that the worker reported recently, or -1 without a recent report.
+	// ReportedLoad is the load in requests that the worker reported recently, or -1 without a recent report; ReportedAt is when it did.
 	ReportedLoad int
+	ReportedAt   time.Time
 	// Excluded is set while the worker must get no requests, since it could not be reached.
 	Excluded bool
 }
@@ -216,7 +217,7 @@
 			}
 		}
 		if now.Sub(w.reportedAt) < reportedLoadTime {
-			assessment.ReportedLoad = w.reportedLoad
+			assessment.ReportedLoad, assessment.ReportedAt = w.reportedLoad, w.reportedAt
 		}
 	})
 	return assessment
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -77,8 +77,10 @@
 	FindStream   func(deadline time.Time, service string, attempt uint64) streamkeeper.Inquiry
 	FindArchived func(attempt uint64) (origin streamkeeper.Origin, known, read bool)
 	ConfirmList  func(deadline, since time.Time) bool
-	// Budget limits the sends beyond the first of each request.
+	// Budget limits the sends beyond the first of each request. Room is set if requests for models wait at this node while all workers that have
+	// the model are full.
 	Budget Budget
+	Room   bool
 }
 
 // Budget is the retry budget of each service.
@@ -108,8 +110,9 @@
 	// reach is the node's path to the workers; carried counts the requests that it serves for other nodes.
 	reach   reach
 	carried atomic.Int64
-	// space is shared by the responses that are held in memory.
+	// space is shared by the responses that are held in memory. Room holds the requests that wait while workers are full; nil without.
 	space bufferer.Space
+	room  *room
 }
 
 // Limits of callers' connections. The configuration's idle timeout is shorter
@@ -122,7 +125,7 @@
 
 // New returns a forwarder that does not listen yet; readyPath is the path of readiness checks.
 func New(dependencies Dependencies, readyPath string) *Forwarder {
-	f := &Forwarder{dependencies: dependencies, draining: make(chan struct{})}
+	f := &Forwarder{dependencies: dependencies, draining: make(chan struct{}), room: newRoom(dependencies.Room)}
 	f.life, f.endLife = context.WithCancel(context.Background())
 	f.server = &http.Server{
 		Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
@@ -207,6 +210,8 @@
 	firstEventAt time.Time
 	// slot is that of the last send or, before it, the one that it was granted; nil unless the worker is brittle.
 	slot *limiter.Slot
+	// place is the call's place in the queue of its model, then the place at a worker that it was given; nil without either.
+	place *place
 	// worker is the ID of the worker of the last send, software the version of its software, workerLoad the number of requests that it was known to run
 	// when it was chosen; workerLoad is set for requests for models only.
 	worker, software string
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -4,11 +4,9 @@
 	"context"
 	"errors"
 	"fmt"
-	"math/rand/v2"
 	"net/http"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/demandcounter"
@@ -18,28 +16,6 @@
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
-// Cost terms of the choice among workers that have the model loaded, in estimated milliseconds until the first event.
-const (
-	// modelRequestCost is added for each request that the worker runs in its batch.
-	modelRequestCost = 4.0
-	// modelRemoteCost is added for a worker in another zone.
-	modelRemoteCost = 30.0
-	// modelPenaltyCost is the cost of a penalty of 1, the highest; failures of the worker raise its penalty.
-	modelPenaltyCost = 3000.0
-	// promptTokenCost is added for each shared prompt token that the worker likely has not cached.
-	promptTokenCost = 0.033
-	// modelCostJitter bounds a random term, which keeps nodes with the same information from all choosing the same worker.
-	modelCostJitter = 8.0
-	// minAffinityTokens is the number of shared prompt tokens from which on the worker that likely caches them is preferred.
-	minAffinityTokens = 1000
-	// modelCutOffCost is added for a worker in a zone that seems cut off.
-	modelCutOffCost = 150.0
-	// modelLimitedCost is added for a worker that names a limit, so that others with the model take what they can.
-	modelLimitedCost = 120.0
-	// modelFullCost is added when all slots of the worker are taken.
-	modelFullCost = 1000.0
-)
-
 // Times that bound the wait for a model.
 const (
 	// responseReserve is the time that a request needs on a worker once its model is loaded.
@@ -89,7 +65,7 @@
 			return nil
 		}
 		if retryErr := f.retry(ctx, c, worker, err); retryErr != nil {
-			return relay.endError(retryErr)
+			return relay.endError(f.withRetryTime(c, retryErr))
 		}
 		if !relay.canContinue() {
 			return relay.endError(err)
@@ -105,36 +81,22 @@
 	defer endRun()
 	sendCtx, cancel := context.WithCancel(ctx)
 	defer cancel() // Closes the connection to the worker, so that it stops running the request.
-	send.Urgency = urgency(c)
+	send.Urgency = f.urgency(c)
 	send.ResumeAfter = c.lastEventID
 	sentAt := time.Now()
 	response, err := f.send(sendCtx, c, send)
 	if err == nil {
 		c.slot.Accept()
+		f.acceptPlace(c)
 		c.firstByteMS = time.Since(sentAt).Milliseconds()
 		f.dependencies.Recorder.Observe(recorder.MeasureFirstToken, c.service.Name, c.route.Name, time.Since(sentAt))
 		err = relay.relayResponse(response, worker)
 	}
 	endSend(err)
+	f.endPlace(c, err)
 	return err
 }
 
-// Urgency of a request, by its route's target latency; workers run lower values first.
-const (
-	// urgentLatencyMS is the target latency in milliseconds up to which a route's requests are urgent.
-	urgentLatencyMS = 1000
-	urgencyHigh     = 3
-	urgencyNormal   = 5
-)
-
-// urgency returns the urgency that is sent to the worker for a call.
-func urgency(c *call) int {
-	if c.route.TargetLatencyMS <= urgentLatencyMS {
-		return urgencyHigh
-	}
-	return urgencyNormal
-}
-
 // acquireWorker returns a worker that has the call's model and adapter loaded, waiting for a load to end if need be.
 func (f *Forwarder) acquireWorker(ctx context.Context, c *call) (worker *registrar.Worker, err error) {
 	var endWait func()
@@ -147,6 +109,11 @@
 		}
 	}()
 	defer func() { f.recordEstimateError(c, err) }()
+	defer func() {
+		if worker == nil {
+			f.releasePlace(c)
+		}
+	}()
 	for {
 		if err := f.checkCrashes(c); err != nil {
 			return nil, err
@@ -160,8 +127,10 @@
 		if c.origin != nil && len(holders) == 0 {
 			return nil, f.refuseVersion(c)
 		}
-		if worker := f.chooseModelWorker(now, c, holders); worker != nil {
+		worker, full := f.pickModelWorker(now, c, holders)
+		if worker != nil {
 			if !f.beginTrial(c) {
+				f.releasePlace(c)
 				if err := f.awaitTrial(ctx, c, f.latestStart(c)); err != nil {
 					return nil, err
 				}
@@ -170,9 +139,22 @@
 			if f.permitSend(c, worker) {
 				return worker, nil
 			}
+			f.releasePlace(c)
 			f.endTrial(c, now)
 			continue // The worker is not chosen again before the time at which a permit may be had.
 		}
+		if full {
+			if endWait == nil {
+				endWait = f.beginPlaceWait(c, len(holders))
+			}
+			if err := f.checkPlaceWait(now, c, holders); err != nil {
+				return nil, err
+			}
+			if err := f.waitForChange(ctx, c, viewChanged); err != nil {
+				return nil, err
+			}
+			continue
+		}
 		if f.lacksPath(c) {
 			if c.mayCarry() {
 				return nil, &cutOffError{}
@@ -307,7 +289,8 @@
 		return c.refuse("not_loaded", "the model was not loaded in time", notLoadedRetry)
 	case <-viewChanged:
 	case <-draining:
-	case <-time.After(viewPollInterval):
+	case <-c.place.grants():
+	case <-time.After(lo.Ternary(c.place == nil, viewPollInterval, placePollInterval)):
 	}
 	return nil
 }
@@ -319,90 +302,3 @@
 	}
 	return c.refuse("caller_left", "the caller left while its request waited", busyRetry)
 }
-
-// chooseModelWorker returns the worker with the least cost among those that have model and adapter loaded, or nil.
-func (f *Forwarder) chooseModelWorker(now time.Time, c *call, holders []fleettracker.Holder) *registrar.Worker {
-	var best *registrar.Worker
-	bestCost := 0.0
-	affinity, otherWorkerCost := f.affinityWorker(c, holders)
-	for i := range holders {
-		holder := &holders[i]
-		if !holder.ReadyAt.IsZero() || !holder.HasAdapter || now.Before(c.avoidUntil[holder.Worker.ID]) {
-			continue
-		}
-		cost, usable := f.modelCost(now, holder)
-		if !usable {
-			continue
-		}
-		if holder.Worker.ID != affinity {
-			cost += otherWorkerCost
-		}
-		if best == nil || cost < bestCost {
-			best, bestCost = holder.Worker, cost
-			c.workerLoad = holder.Running
-		}
-	}
-	return best
-}
-
-// modelCost returns the cost of a worker from its load, zone and penalty; a worker that is not usable gets no requests.
-func (f *Forwarder) modelCost(now time.Time, holder *fleettracker.Holder) (cost float64, usable bool) {
-	verdict := f.judge(now, holder.Worker, holder.Running)
-	if !verdict.usable {
-		return 0, false
-	}
-	load := max(holder.Running+verdict.RecentSends, verdict.Running)
-	cost = float64(load)*modelRequestCost + verdict.Penalty*modelPenaltyCost + rand.Float64()*modelCostJitter
-	if holder.Worker.Zone != f.dependencies.Zone {
-		cost += modelRemoteCost
-	}
-	if load >= holder.Worker.Slots {
-		cost += modelFullCost
-	}
-	if verdict.limited {
-		cost += modelLimitedCost
-	}
-	if f.seemsCutOff(now, holder.Worker.Zone) {
-		cost += modelCutOffCost
-	}
-	return cost, true
-}
-
-// seemsCutOff reports whether another zone seems cut off: this node received no message from its leader recently, or
-// the stream of its messages ended.
-func (f *Forwarder) seemsCutOff(now time.Time, zone string) bool {
-	return zone != f.dependencies.Zone && !f.dependencies.Tracker.IsLeaderLive(now, zone)
-}
-
-// sharedTokens returns the number of tokens in the prompt's shared parts, which are all but the last.
-func sharedTokens(c *call) int {
-	total := 0
-	for _, part := range c.PromptParts[:max(len(c.PromptParts)-1, 0)] {
-		total += part.Tokens
-	}
-	return total
-}
-
-// affinityWorker returns the worker that rendezvous hashing assigns to a prompt's
-// shared parts, so that all nodes send them to the same one; it is empty when these
-// parts are short. otherWorkerCost is the cost of processing them on any other worker.
-func (f *Forwarder) affinityWorker(c *call, holders []fleettracker.Holder) (worker string, otherWorkerCost float64) {
-	shared := sharedTokens(c)
-	if shared < minAffinityTokens {
-		return "", 0
-	}
-	hashKey := c.Model + "/" + c.Adapter
-	for _, part := range c.PromptParts[:len(c.PromptParts)-1] {
-		hashKey += "\x00" + part.ID
-	}
-	best, bestScore := "", uint64(0)
-	for i := range holders {
-		if !holders[i].ReadyAt.IsZero() || !holders[i].HasAdapter {
-			continue
-		}
-		if score := xxhash.Sum64String(holders[i].Worker.ID + "\x00" + hashKey); best == "" || score > bestScore {
-			best, bestScore = holders[i].Worker.ID, score
-		}
-	}
-	return best, promptTokenCost * float64(shared)
-}
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -180,6 +180,7 @@
 		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
 		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
 		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry},
+		Room:   settings.WaitsForRoom(),
 	}, platform.PathReady)
 	return f, nil
 }
--- a/settingsreader/settings.go
+++ b/settingsreader/settings.go
@@ -55,6 +55,7 @@
 	configreader.NewNumberField("descriptors", 0, 1e9, 0, "file descriptors of this host, by which connections are bounded; 0 if not known, with form \"fleet\""),
 	configreader.NewNumberField("hedge", 0, 100, 0, "hedged sends allowed per 100 requests of a service; 0 sends none, with form \"fleet\""),
 	configreader.NewNumberField("repeat", 0, 1, 0, "1 if an idempotent request that a worker answered with status 500 is sent to another worker, with form \"fleet\""),
+	configreader.NewNumberField("room", 0, 1, 0, "1 if requests for a model wait at this node while the workers that have it are full, with form \"fleet\""),
 }
 
 // Values of "form".
@@ -187,6 +188,9 @@
 // RepeatsFailures reports whether an idempotent request that a worker answered with status 500 is sent to another worker.
 func (s *Settings) RepeatsFailures() bool { return s.object.Number("repeat") > 0 }
 
+// WaitsForRoom reports whether requests for a model wait at this node while the workers that have it are full.
+func (s *Settings) WaitsForRoom() bool { return s.object.Number("room") > 0 }
+
 const bytesPerKiB = 1 << 10
 
 // BodyLimit returns the largest request body in bytes.
