scheduler: expected free places of old figures, places passed on, pauses after rejections

Cause: figures of other nodes are 0.3 to 0.8 s old in a fleet of 62 nodes, longer than a request runs. A choice by the square of free places still piles onto workers that seem free, and while a model's workers are full every node keeps trying them. Change: an old figure counts less, towards the average use of the holders, and the chance of a worker is proportional to its expected free places. A request that ends leaves its place to the next one of its node. After rejections, other sends of the model pause, longer with each one.

--- a/forwarder/room.go
+++ b/forwarder/room.go
@@ -45,10 +45,10 @@
 	ticket *scheduler.Ticket
 	// granted is closed when the place at the worker is given.
 	granted chan struct{}
-	// worker is nil while the call waits; begunAt is when it was given a place there, probe is set if the worker seemed full then.
+	// worker is nil while the call waits; begunAt is when it was given a place there, paced is set unless an earlier call had left that place to it.
 	worker  *registrar.Worker
 	begunAt time.Time
-	probe   bool
+	paced   bool
 }
 
 // grants returns the channel that is closed when the place is given; nil without a place.
@@ -146,9 +146,11 @@
 		if announcement := f.dependencies.Tracker.Announcement(holder.Worker.ID); announcement != nil {
 			known.Announced, known.AnnouncedAt = announcement.Running, announcement.ReceivedAt
 		}
+		id := holder.Worker.ID
+		load, knownAt := f.room.places.Load(id, known)
 		candidate := scheduler.Candidate{
-			Load: f.room.places.Load(now, holder.Worker.ID, known), Slots: holder.Worker.Slots, Cost: f.standingCost(now, holder.Worker, &verdict),
-			Closed: f.room.places.Closed(now, holder.Worker.ID) || now.Before(c.avoidUntil[holder.Worker.ID]),
+			Load: load, Slots: holder.Worker.Slots, KnownAt: knownAt, Cost: f.standingCost(now, holder.Worker, &verdict),
+			Closed: f.room.places.Closed(now, id) || now.Before(c.avoidUntil[id]), Passed: f.room.places.Passed(now, id),
 		}
 		if holder.Worker.ID != affinity {
 			candidate.Cost += otherWorkerCost
@@ -161,16 +163,21 @@
 // dispatch gives the places that are free to the calls whose turn it is; the caller holds mu.
 func (f *Forwarder) dispatch(now time.Time, q *placeQueue) {
 	q.dispatchedAt = now
-	for q.queue.Len() > 0 && f.dispatchOne(now, q, scheduler.Choose, false) {
+	for f.dispatchOne(now, q, scheduler.ChoosePassed, false) {
 	}
-	if q.queue.MayProbe(now) && f.dispatchOne(now, q, scheduler.ChooseFull, true) {
-		q.queue.Probed(now, rand.Float64())
+	for q.queue.MaySend(now) && f.dispatchOne(now, q, scheduler.Choose, true) {
+	}
+	if q.queue.MaySendFull(now) && f.dispatchOne(now, q, scheduler.ChooseFull, true) {
 		f.dependencies.Recorder.Count("sends to workers that seem full")
 	}
 }
 
-// dispatchOne gives a place to the first call that choose finds a worker for, and reports whether there was one; the caller holds mu.
-func (f *Forwarder) dispatchOne(now time.Time, q *placeQueue, choose func([]scheduler.Candidate, float64) int, probe bool) bool {
+// choose returns the index of the worker for a call, or -1.
+type choose func(now time.Time, candidates []scheduler.Candidate, draw float64) int
+
+// dispatchOne gives a place to the first call that choose finds a worker for, and reports whether there was one; the send counts for the pauses
+// between sends if paced is set. The caller holds mu.
+func (f *Forwarder) dispatchOne(now time.Time, q *placeQueue, choose choose, paced bool) bool {
 	var worker *registrar.Worker
 	fullFor := map[string]bool{} // Adapters whose holders have no places.
 	ticket := q.queue.Next(func(ticket *scheduler.Ticket) bool {
@@ -179,7 +186,7 @@
 			return false
 		}
 		workers, candidates := f.candidates(now, c, f.matching(c, f.dependencies.Tracker.Holders(now, c.service.Name, c.Model, c.Adapter)))
-		chosen := choose(candidates, rand.Float64())
+		chosen := choose(now, candidates, rand.Float64())
 		if chosen < 0 {
 			fullFor[c.Adapter] = c.origin == nil && len(c.avoidUntil) == 0
 			return false
@@ -194,7 +201,10 @@
 	delete(q.places, ticket)
 	q.queue.Start(now, ticket)
 	f.room.places.Begin(now, worker.ID)
-	p.worker, p.begunAt, p.probe = worker, now, probe
+	if paced {
+		q.queue.Sent(now, rand.Float64())
+	}
+	p.worker, p.begunAt, p.paced = worker, now, paced
 	close(p.granted)
 	return true
 }
@@ -207,8 +217,9 @@
 	f.room.mu.Lock()
 	defer f.room.mu.Unlock()
 	f.room.places.Accepted(c.place.worker.ID)
-	if c.place.probe {
-		c.place.queue.queue.ProbeEnded(true)
+	c.place.queue.queue.Served(time.Now())
+	if c.place.paced {
+		c.place.queue.queue.Answered(true)
 	}
 }
 
@@ -247,8 +258,8 @@
 	}
 	now := time.Now()
 	f.room.places.Cancel(now, c.place.worker.ID, c.place.begunAt, rejected, rand.Float64())
-	if rejected && c.place.probe {
-		c.place.queue.queue.ProbeEnded(false)
+	if rejected {
+		c.place.queue.queue.Answered(false)
 	}
 	c.place = nil
 	f.dispatchAll(now)
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -1,8 +1,9 @@
 package scheduler
 
 import (
-	"slices"
 	"time"
+
+	"github.com/samber/lo"
 )
 
 const (
@@ -24,8 +25,8 @@
 	if q.Len() == 0 || window < minRateTime {
 		return 0, false
 	}
-	q.startedAt = slices.DeleteFunc(q.startedAt, func(at time.Time) bool { return now.Sub(at) > rateWindow })
-	return float64(len(q.startedAt)+1) / window.Seconds(), true
+	served := lo.CountBy(q.servedAt, func(at time.Time) bool { return now.Sub(at) <= window })
+	return float64(served+1) / window.Seconds(), true
 }
 
 // ahead returns how many of the waiting requests are expected to get a place before a ticket.
@@ -65,10 +66,11 @@
 		return q.RetryAt(now, moreAt, draw), true
 	}
 	perSecond, known := q.rate(now)
-	if !known || !moreAt.IsZero() && !moreAt.After(latest) {
-		return time.Time{}, false
+	ahead := q.ahead(ticket)
+	if !known || ahead == 0 || !moreAt.IsZero() && !moreAt.After(latest) {
+		return time.Time{}, false // The first in turn may get a place at any moment.
 	}
-	if startAt := now.Add(seconds(float64(q.ahead(ticket)+1) / perSecond)); !startAt.After(latest) {
+	if startAt := now.Add(seconds(float64(ahead) / perSecond)); !startAt.After(latest) {
 		return time.Time{}, false
 	}
 	return q.RetryAt(now, moreAt, draw), true
@@ -89,18 +91,3 @@
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
-
-// MayProbe reports whether a request may be sent to a worker although all seem full: the figures are old, and places that got free may not be known.
-func (q *Queue) MayProbe(now time.Time) bool { return q.Len() > 0 && !now.Before(q.probeAt) }
-
-// Probed records such a send. Draw is a random number in [0, 1).
-func (q *Queue) Probed(now time.Time, draw float64) { q.probeAt = now.Add(spread(q.probePause, draw)) }
-
-// ProbeEnded records whether a worker took a request that was sent there. The pause doubles with each one that was rejected.
-func (q *Queue) ProbeEnded(accepted bool) {
-	if accepted {
-		q.probePause = minProbe
-		return
-	}
-	q.probePause = min(2*q.probePause, maxProbe)
-}
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -1,47 +1,68 @@
 package scheduler
 
-import "math"
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/samber/lo"
+)
 
 // costScale is the cost in milliseconds that lowers the chance of a worker to 1/e: differences below it are outweighed by free places, those of
 // some times as much exclude a worker while another one has places.
 const costScale = 20.0
 
+// turnover is the time in which most of the requests of a worker end, about that of a short response.
+const turnover = 450 * time.Millisecond
+
 // Candidate is a worker that may be sent a request.
 type Candidate struct {
 	// Load is the estimated number of requests that the worker has, Slots how many it runs at the same time.
 	Load, Slots int
 	// Cost is what speaks against the worker besides its load, in milliseconds until the first byte.
 	Cost float64
-	// Closed is set if the worker must not be sent requests although it may have places.
-	Closed bool
+	// KnownAt is the time to which the figure of the load belongs.
+	KnownAt time.Time
+	// Closed is set if the worker must not be sent requests although it may have places, Passed if a request of this node that ended just now has
+	// left its place to the next one.
+	Closed, Passed bool
+}
+
+// use returns the part of the slots of all candidates that is in use.
+func use(candidates []Candidate) float64 {
+	load, slots := 0, 0
+	for i := range candidates {
+		load, slots = load+candidates[i].Load, slots+candidates[i].Slots
+	}
+	return float64(load) / float64(max(slots, 1))
 }
 
-// free returns the number of free places.
-func (c *Candidate) free() int {
+// free returns the expected number of free places. The older the figure of the load, the more of the requests that it counts have ended and were
+// replaced by others, of which the worker has as many as the average one.
+func (c *Candidate) free(now time.Time, averageUse float64) float64 {
 	if c.Closed {
 		return 0
 	}
-	return max(c.Slots-c.Load, 0)
+	old := 1 - math.Exp(-now.Sub(c.KnownAt).Seconds()/turnover.Seconds())
+	free := float64(c.Slots) - (1-old)*float64(c.Load) - old*averageUse*float64(c.Slots)
+	return lo.Ternary(free < 1, 0, free)
 }
 
-// Choose returns the index of the worker for a request, or -1 if all are full. Each worker's chance is proportional to the square of its free
-// places, so that nodes with the same stale figures spread their requests as the workers have places. Draw is a random number in [0, 1).
-func Choose(candidates []Candidate, draw float64) int {
-	least := math.Inf(1)
+// Choose returns the index of the worker for a request, or -1 if all are full. Each worker's chance is proportional to its expected free places, so
+// that nodes with the same stale figures spread their requests as the workers have places. Draw is a random number in [0, 1).
+func Choose(now time.Time, candidates []Candidate, draw float64) int {
+	least, total, averageUse := math.Inf(1), 0.0, use(candidates)
+	weights := make([]float64, len(candidates))
 	for i := range candidates {
-		if candidates[i].free() > 0 {
+		if weights[i] = candidates[i].free(now, averageUse); weights[i] > 0 {
 			least = min(least, candidates[i].Cost)
 		}
 	}
-	total := 0.0
-	weights := make([]float64, len(candidates))
 	for i := range candidates {
-		free := float64(candidates[i].free())
-		weights[i] = free * free * math.Exp((least-candidates[i].Cost)/costScale)
-		if free == 0 {
-			weights[i] = 0
+		if weights[i] > 0 {
+			weights[i] *= math.Exp((least - candidates[i].Cost) / costScale)
+			total += weights[i]
 		}
-		total += weights[i]
 	}
 	last := -1
 	draw *= total
@@ -58,9 +79,14 @@
 	return last
 }
 
+// ChoosePassed returns the index of a worker at which a request of this node has left its place, or -1.
+func ChoosePassed(_ time.Time, candidates []Candidate, _ float64) int {
+	return slices.IndexFunc(candidates, func(c Candidate) bool { return c.Passed && !c.Closed })
+}
+
 // ChooseFull returns the index of the worker for a request that is sent although all seem full, since the figures may be old: the one with the
 // least load in proportion to its slots that is not closed; -1 if there is none. Draw, a random number in [0, 1), decides between equal ones.
-func ChooseFull(candidates []Candidate, draw float64) int {
+func ChooseFull(_ time.Time, candidates []Candidate, draw float64) int {
 	best, bestLoad := -1, 0.0
 	first := int(draw * float64(len(candidates)))
 	for n := range candidates {
--- a/scheduler/places.go
+++ b/scheduler/places.go
@@ -15,6 +15,8 @@
 	announcementLag = 300 * time.Millisecond
 	// endedMemory is how long ended sends are kept to correct figures that still include them.
 	endedMemory = 800 * time.Millisecond
+	// passedTime is how long after the end of a send its place is taken to be free for this node; others may take it after that.
+	passedTime = 30 * time.Millisecond
 	// minClosed is how long a worker that rejected a send gets no other one from this node. It doubles with each further rejection, up to
 	// maxClosed, until the worker takes a request: nodes that all keep trying a full worker spend the retry budget.
 	minClosed = 80 * time.Millisecond
@@ -45,6 +47,8 @@
 	// closedUntil is when the worker may be sent requests again after it rejected one, closedTime the last such time without its random part.
 	closedUntil time.Time
 	closedTime  time.Duration
+	// passedUntil is until when the place of the last send that ended is taken to be free for this node.
+	passedUntil time.Time
 }
 
 // Places holds the places of workers that this node's sends take, and the rejections that it got. It is not safe for concurrent use.
@@ -69,6 +73,7 @@
 	w := p.worker(worker)
 	w.sends = slices.DeleteFunc(w.sends, func(s ownSend) bool { return !s.endedAt.IsZero() && now.Sub(s.endedAt) > endedMemory })
 	w.sends = append(w.sends, ownSend{begunAt: now})
+	w.passedUntil = time.Time{}
 }
 
 // End gives back the place of a send that began at a time. A place that a request had taken is free for the next one, so the worker is open again.
@@ -77,7 +82,13 @@
 	if i := w.find(begunAt); i >= 0 {
 		w.sends[i].endedAt = now
 	}
-	w.closedUntil = time.Time{}
+	w.closedUntil, w.passedUntil = time.Time{}, now.Add(passedTime)
+}
+
+// Passed reports whether a send of this node that ended a moment ago has left its place at a worker to the next one.
+func (p *Places) Passed(now time.Time, worker string) bool {
+	w, known := p.workers[worker]
+	return known && now.Before(w.passedUntil)
 }
 
 // Cancel forgets a send that did not take its place; the worker is closed for a time if it rejected the request. Draw is a random number in [0, 1).
@@ -110,8 +121,8 @@
 }
 
 // Load estimates how many requests of all nodes a worker has: the newest of what others say, with the sends of this node that it does not
-// include yet and without those that have ended since.
-func (p *Places) Load(now time.Time, worker string, known Known) int {
+// include yet and without those that have ended since. KnownAt is the time to which the figure belongs.
+func (p *Places) Load(worker string, known Known) (load int, knownAt time.Time) {
 	base, basis := known.Announced, known.AnnouncedAt.Add(-announcementLag)
 	if known.AnnouncedAt.IsZero() {
 		base, basis = 0, time.Time{}
@@ -134,5 +145,5 @@
 			}
 		}
 	}
-	return max(base, running)
+	return max(base, running), basis
 }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -17,9 +17,13 @@
 	longPrompt = 4000
 	// placeTokens is the number of prompt tokens that keep a worker busy for as long as a short response keeps a place.
 	placeTokens = 12000
-	// minProbe and maxProbe bound the pause between two sends of this node for one model to workers that all seem full.
-	minProbe = 40 * time.Millisecond
-	maxProbe = 320 * time.Millisecond
+	// restTime is how long no request must have waited for the next one to begin anew: one that a worker rejected comes back sooner.
+	restTime = 500 * time.Millisecond
+	// minPause and maxPause bound the pause between two sends of a queue while workers reject its requests.
+	// A request waits at least a part of its target latency before it is sent to a worker that seems full, unless minPause is less.
+	targetParts = 4
+	minPause    = 80 * time.Millisecond
+	maxPause    = 1 * time.Second
 )
 
 // Rank orders requests by urgency: the tenant's priority goes before the route's; 0 is the highest in both.
@@ -47,7 +51,10 @@
 func (r *Request) cost() float64 { return 1 + float64(r.PromptTokens)/placeTokens }
 
 // Ticket is a request's place in a queue.
-type Ticket struct{ request Request }
+type Ticket struct {
+	request Request
+	addedAt time.Time
+}
 
 // Request returns the request of the ticket.
 func (t *Ticket) Request() *Request { return &t.request }
@@ -63,17 +70,19 @@
 	used map[flow]float64
 	// starts counts the places given since the last one by fair share, sinceLong those since the last long prompt.
 	starts, sinceLong int
-	// contendedAt is when the queue was last empty, startedAt when it gave its latest places since then.
-	contendedAt time.Time
-	startedAt   []time.Time
-	// probeAt is when a request may be sent although all workers seem full, probePause the pause after it.
-	probeAt    time.Time
-	probePause time.Duration
+	// contendedAt is when requests began to wait, servedAt when workers took the latest of those since then, waitedAt when the last one that had
+	// to wait left the queue.
+	contendedAt, waitedAt time.Time
+	servedAt              []time.Time
+	// pause is the pause between two sends while workers reject requests, 0 if they do not; the next send may begin at sendAt. FullAt is the same
+	// for a send to a worker that seems full.
+	pause          time.Duration
+	sendAt, fullAt time.Time
 }
 
 // NewQueue returns an empty queue.
 func NewQueue() *Queue {
-	return &Queue{used: map[flow]float64{}, sinceLong: shareTurn, probePause: minProbe}
+	return &Queue{used: map[flow]float64{}, sinceLong: shareTurn}
 }
 
 // Len returns the number of waiting requests.
@@ -81,17 +90,17 @@
 
 // Add puts a request into the queue. Draw is a random number in [0, 1).
 func (q *Queue) Add(now time.Time, request Request, draw float64) *Ticket {
-	if len(q.waiting) == 0 {
+	if len(q.waiting) == 0 && now.Sub(q.waitedAt) > max(restTime, 2*q.pause) {
 		clear(q.used) // Nobody has a claim from a time without competition.
-		q.contendedAt, q.startedAt, q.probePause = now, nil, minProbe
-		q.probeAt = now.Add(spread(minProbe, draw))
+		q.contendedAt, q.servedAt, q.pause = now, nil, 0
+		q.fullAt = now.Add(spread(min(minPause, request.DueAt.Sub(request.ArrivedAt)/targetParts), draw))
 	}
 	for _, key := range []flow{{tenant: request.Tenant}, {request.Tenant, request.Route}} {
 		if least, waits := q.leastUsed(key); !waits {
 			q.used[key] = max(q.used[key], least)
 		}
 	}
-	ticket := &Ticket{request: request}
+	ticket := &Ticket{request: request, addedAt: now}
 	q.waiting = append(q.waiting, ticket)
 	return ticket
 }
@@ -164,9 +173,19 @@
 	)
 }
 
+// Served records that a worker has taken a request that was given a place.
+func (q *Queue) Served(now time.Time) {
+	q.servedAt = slices.DeleteFunc(q.servedAt, func(at time.Time) bool { return now.Sub(at) > rateWindow })
+	if q.Len() > 0 || now.Sub(q.waitedAt) <= restTime {
+		q.servedAt = append(q.servedAt, now)
+	}
+}
+
 // Start takes a ticket out of the queue since it was given a place.
 func (q *Queue) Start(now time.Time, ticket *Ticket) {
-	q.startedAt = append(q.startedAt, now)
+	if now.After(ticket.addedAt) {
+		q.waitedAt = now
+	}
 	q.Remove(ticket)
 	if q.starts++; q.starts >= shareTurn {
 		q.starts = 0
