scheduler: tests by load, early refusals by the rate of the flow; slow readers are cut off (setting room)

Cause: the estimate of a waiting request's start left out later requests of other kinds that go first, and a caller that stops reading its response kept its call and its place at the worker for as long as its connection lasted. Change: the estimate uses the rate at which requests of the same tenant and route got places. Long prompts get one place in seven while quick requests wait. A holder that was full less than 450 ms ago is taken to be full. With the setting room, a write to a caller ends 1 s after the call's deadline; the relay held 4 KB and one incomplete event before, and still does.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -84,13 +84,15 @@
 // fixture is a forwarder with two workers of a service without models and two of a service with models.
 type fixture struct {
 	forwarder *forwarder.Forwarder
-	server    *httptest.Server
-	recorder  *recorder.Recorder
-	tracker   *fleettracker.Tracker
-	list      *registrar.Registrar
-	crashes   *crashkeeper.Keeper
-	limiter   *limiter.Limiter
-	streams   *streamkeeper.Keeper
+	// dependencies are those of forwarder.
+	dependencies forwarder.Dependencies
+	server       *httptest.Server
+	recorder     *recorder.Recorder
+	tracker      *fleettracker.Tracker
+	list         *registrar.Registrar
+	crashes      *crashkeeper.Keeper
+	limiter      *limiter.Limiter
+	streams      *streamkeeper.Keeper
 	// origins are those that the leaders know, by attempt; listOld is set while the list of workers cannot be confirmed.
 	origins map[string]streamkeeper.Origin
 	// originsAt is when the leaders begin to know them.
@@ -171,7 +173,7 @@
 	}, []cataloger.Service{
 		{Name: "plain"}, {Name: "models", MemoryMB: 1000, Models: map[string]cataloger.Model{"m": {Name: "m"}, "cold": {Name: "cold"}, "huge": {Name: "huge", MemoryMB: 990, AdapterMB: 20}}},
 	}, cataloger.Limits{BodyBytes: 100})
-	f.forwarder = forwarder.New(forwarder.Dependencies{
+	f.dependencies = forwarder.Dependencies{
 		Zone: "z", Catalog: func() *cataloger.Catalog { return f.newest(catalog) }, Workers: f.list, Tracker: f.tracker, DemandCounter: demandcounter.New(),
 		Assessor: assessor.New(), Limiter: f.limiter, Recorder: f.recorder, Ready: func() bool { return true }, Isolated: func() bool { return f.isolated },
 		Decode: decode, Send: f.send, SetAttemptID: func(http.Header, string) {}, Crashed: f.hasCrashed,
@@ -182,7 +184,8 @@
 			Begin: func(time.Time, trier.Trial) (bool, error) { return true, nil }, End: func(time.Time, trier.Trial, time.Time) error { return nil },
 		}, f.recorder.Count),
 		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: f.allowRetry},
-	}, "/ready")
+	}
+	f.forwarder = forwarder.New(f.dependencies, "/ready")
 	f.server = httptest.NewServer(f.forwarder)
 	return f
 }
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -45,6 +45,7 @@
 	if err := f.findOrigin(ctx, c); err != nil {
 		return err
 	}
+	defer f.boundWrites(w, c)()
 	relay := &relay{forwarder: f, writer: w, call: c}
 	defer func() { f.endTrial(c, time.Now().Add(crashNewsTime)) }()
 	for {
--- a/forwarder/relay.go
+++ b/forwarder/relay.go
@@ -154,10 +154,10 @@
 	r.forwarder.recordEvents(r.call, worker, bytes.Count(events, eventEnd))
 	r.relayed = true
 	if _, err := r.writer.Write(events); err != nil {
-		return err
+		return r.callerError(err)
 	}
 	if err := http.NewResponseController(r.writer).Flush(); err != nil {
-		return err
+		return r.callerError(err)
 	}
 	r.pending = append(r.pending[:0], r.pending[lastEnd+len(eventEnd):]...)
 	return nil
--- a/forwarder/room.go
+++ b/forwarder/room.go
@@ -217,7 +217,7 @@
 	f.room.mu.Lock()
 	defer f.room.mu.Unlock()
 	f.room.places.Accepted(c.place.worker.ID)
-	c.place.queue.queue.Served(time.Now())
+	c.place.queue.queue.Served(time.Now(), c.place.ticket)
 	if c.place.paced {
 		c.place.queue.queue.Answered(true)
 	}
--- /dev/null
+++ b/forwarder/room_test.go
@@ -0,0 +1,147 @@
+package forwarder_test
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+
+	"github.com/acaciaproxy/acaciaproxy/casereader"
+	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/fleettracker"
+	"github.com/acaciaproxy/acaciaproxy/forwarder"
+	"github.com/acaciaproxy/acaciaproxy/prover"
+)
+
+// roomScript is a number of requests at once, and how they must end.
+type roomScript struct {
+	Name     string
+	Requests int
+	Tenant   string
+	// Running is the announced load of the workers, Rejects says which of them reject all requests.
+	Running map[string]int
+	Rejects map[string]bool
+	Status  int
+	// Rejected is the largest number of rejected sends, WaitedMS the least time and RetryMS the least Retry-After of the slowest request.
+	Rejected, WaitedMS, RetryMS, Urgency int
+}
+
+// newRoomFixture returns a fixture whose requests wait while workers are full, and are sent by send.
+func newRoomFixture(tenant string, send func(forwarder.Send) (*forwarder.Response, error)) *fixture {
+	f := newFixture(nil, false)
+	f.server.Close()
+	catalog := f.dependencies.Catalog()
+	gomega.Expect(catalog.SetTenants([]cataloger.Tenant{{Name: "first"}, {Name: "second", Priority: 1}, {Name: "last", Priority: 30}})).To(gomega.Succeed())
+	f.dependencies.Room = true
+	f.dependencies.Send = func(_ context.Context, _ *forwarder.Request, attempt forwarder.Send) (*forwarder.Response, error) {
+		return send(attempt)
+	}
+	f.dependencies.Decode = func(r *http.Request, arrived time.Time) (*forwarder.Request, error) {
+		request, err := decode(r, arrived)
+		request.Tenant = tenant
+		return request, err
+	}
+	f.forwarder = forwarder.New(f.dependencies, "/ready")
+	f.server = httptest.NewServer(f.forwarder)
+	return f
+}
+
+// Guards against sends to workers that are known to be full, which are rejected and use up the retry budget.
+var _ = ginkgo.Describe("requests that wait for room are sent", func() {
+	var scripts []roomScript
+	gomega.Expect(casereader.Read("testdata/room.json", &scripts)).To(gomega.Succeed())
+	for _, s := range scripts {
+		ginkgo.It(s.Name, func() {
+			var rejected, urgency atomic.Int64
+			f := newRoomFixture(s.Tenant, func(send forwarder.Send) (*forwarder.Response, error) {
+				urgency.Store(int64(send.Urgency))
+				if s.Rejects[send.Worker.ID] {
+					rejected.Add(1)
+					load := &forwarder.Load{Running: 8, Waiting: 4, Slots: 8}
+					return nil, forwarder.NewNotRunError(prover.Unsent(), send.Worker.ID, forwarder.ReasonFull, 503, load)
+				}
+				return &forwarder.Response{Status: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("x"))}, nil
+			})
+			defer f.server.Close()
+			now := time.Now()
+			for worker, running := range s.Running {
+				announcement := fleettracker.Announcement{Worker: worker, Zone: "z", ReceivedAt: now, Running: running, Units: []fleettracker.Unit{{Model: "m"}}}
+				f.tracker.ApplyAnnouncements(now, "z", 1, []fleettracker.Announcement{announcement}, false)
+			}
+			var waiting sync.WaitGroup
+			var retryMS, waitedMS atomic.Int64
+			for range s.Requests {
+				waiting.Go(func() {
+					defer ginkgo.GinkgoRecover()
+					response, err := http.DefaultTransport.RoundTrip(f.request("/stream/x", "m"))
+					gomega.Expect(err).NotTo(gomega.HaveOccurred())
+					gomega.Expect(response.StatusCode).To(gomega.Equal(s.Status))
+					seconds, _ := strconv.ParseFloat(response.Header.Get("Retry-After"), 64) // 0 without.
+					retryMS.Store(max(retryMS.Load(), int64(seconds*1000)))
+					waitedMS.Store(max(waitedMS.Load(), time.Since(now).Milliseconds()))
+				})
+			}
+			waiting.Wait()
+			gomega.Expect(rejected.Load()).To(gomega.BeNumerically("<=", s.Rejected), "rejected sends")
+			gomega.Expect(waitedMS.Load()).To(gomega.BeNumerically(">=", s.WaitedMS), "time waited")
+			gomega.Expect(retryMS.Load()).To(gomega.BeNumerically(">=", s.RetryMS), "Retry-After")
+			gomega.Expect(urgency.Load()).To(gomega.BeEquivalentTo(s.Urgency), "urgency")
+		})
+	}
+})
+
+// stalledWriter is the connection of a caller that reads nothing: each write waits until the deadline.
+type stalledWriter struct {
+	*httptest.ResponseRecorder
+	deadline atomic.Int64
+}
+
+func (w *stalledWriter) SetWriteDeadline(deadline time.Time) error {
+	w.deadline.Store(deadline.UnixNano())
+	return nil
+}
+
+func (w *stalledWriter) SetReadDeadline(time.Time) error { return nil }
+
+func (w *stalledWriter) Write([]byte) (int, error) {
+	time.Sleep(time.Until(time.Unix(0, w.deadline.Load())))
+	return 0, os.ErrDeadlineExceeded
+}
+
+// endlessBody is a stream of events without end, which counts the bytes that were read.
+type endlessBody struct{ read atomic.Int64 }
+
+func (b *endlessBody) Read(buffer []byte) (int, error) {
+	b.read.Add(int64(len(buffer)))
+	return copy(buffer, strings.Repeat("id:1\ndata:x\n\n", len(buffer)/13+1)), nil
+}
+
+func (b *endlessBody) Close() error { return nil }
+
+// Guards against a node that reads a worker's stream faster than its caller takes it, and against a caller that keeps a place for ever.
+var _ = ginkgo.It("a caller that does not read its stream gets little of it held and is cut off after the deadline", func() {
+	body := &endlessBody{}
+	f := newRoomFixture("", func(forwarder.Send) (*forwarder.Response, error) {
+		return &forwarder.Response{Status: 200, Header: http.Header{"Content-Type": {"text/event-stream"}}, Body: body}, nil
+	})
+	defer f.server.Close()
+	began := time.Now()
+	request := f.request("/stream/x", "m")
+	request.RequestURI = "/stream/x"
+	func() {
+		defer func() { gomega.Expect(recover()).To(gomega.Equal(http.ErrAbortHandler)) }()
+		f.forwarder.ServeHTTP(&stalledWriter{ResponseRecorder: httptest.NewRecorder()}, request)
+	}()
+	gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 4*time.Second))
+	gomega.Expect(body.read.Load()).To(gomega.BeNumerically("<=", 8<<10))
+	gomega.Expect(f.recorder.CounterValue("slow readers")).To(gomega.BeEquivalentTo(1))
+})
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -18,44 +18,43 @@
 	retrySpread = 0.5
 )
 
-// rate returns how many places a second the queue gets, and whether that is known. It errs on the high side by one place, since a request that is
-// refused in error costs more than one that waits in vain.
-func (q *Queue) rate(now time.Time) (perSecond float64, known bool) {
+// rate returns how many places a second the requests get that counts selects, and whether that is known. It errs on the high side by one place,
+// since a request that is refused in error costs more than one that waits in vain.
+func (q *Queue) rate(now time.Time, counts func(flow) bool) (perSecond float64, known bool) {
 	window := min(now.Sub(q.contendedAt), rateWindow)
 	if q.Len() == 0 || window < minRateTime {
 		return 0, false
 	}
-	served := lo.CountBy(q.servedAt, func(at time.Time) bool { return now.Sub(at) <= window })
+	served := lo.CountBy(q.served, func(s service) bool { return now.Sub(s.at) <= window && counts(s.flow) })
 	return float64(served+1) / window.Seconds(), true
 }
 
-// ahead returns how many of the waiting requests are expected to get a place before a ticket.
-func (q *Queue) ahead(ticket *Ticket) int {
+// all selects all flows.
+func all(flow) bool { return true }
+
+// ahead returns how many of the waiting requests are expected to get a place before a ticket, and how many of these are of its flow.
+func (q *Queue) ahead(ticket *Ticket) (ahead, ofFlow int) {
 	own := &ticket.request
-	ownFlow := flow{own.Tenant, own.Route}
-	moreUrgent, ownBefore := 0, 0
+	moreUrgent := 0
 	others := map[flow]int{}
 	for _, other := range q.waiting {
-		if other == ticket {
-			continue
-		}
-		key := flow{other.request.Tenant, other.request.Route}
+		order := other.request.Rank.compare(own.Rank)
 		switch {
-		case other.request.Rank.compare(own.Rank) < 0:
+		case other == ticket:
+		case other.request.flow() == own.flow():
+			ofFlow += lo.Ternary(other.request.DueAt.After(own.DueAt), 0, 1)
+		case order < 0:
 			moreUrgent++
-		case other.request.Rank != own.Rank:
-		case key == ownFlow && !other.request.DueAt.After(own.DueAt):
-			ownBefore++
-		case key != ownFlow:
-			others[key]++
+		case order == 0:
+			others[other.request.flow()]++
 		}
 	}
-	fair := ownBefore
+	fair := ofFlow
 	for _, count := range others {
-		fair += min(count, ownBefore+1)
+		fair += min(count, ofFlow+1)
 	}
 	// A turn by fair share comes once a round however many are more urgent.
-	return min(moreUrgent+fair, shareTurn*(fair+1)-1)
+	return min(moreUrgent+fair, shareTurn*(fair+1)-1), ofFlow
 }
 
 // Late reports whether a waiting request certainly gets no place before its latest start, and when it should be retried then. MoreAt is when
@@ -65,12 +64,15 @@
 	if !now.Before(latest) {
 		return q.RetryAt(now, moreAt, draw), true
 	}
-	perSecond, known := q.rate(now)
-	ahead := q.ahead(ticket)
-	if !known || ahead == 0 || !moreAt.IsZero() && !moreAt.After(latest) {
-		return time.Time{}, false // The first in turn may get a place at any moment.
+	perSecond, known := q.rate(now, all)
+	if !known || !moreAt.IsZero() && !moreAt.After(latest) {
+		return time.Time{}, false
 	}
-	if startAt := now.Add(seconds(float64(ahead) / perSecond)); !startAt.After(latest) {
+	// The first in turn may get a place at any moment. Requests that are yet to come go before others too: the rate of the flow has that.
+	ahead, ofFlow := q.ahead(ticket)
+	ofFlowPerSecond, _ := q.rate(now, func(f flow) bool { return f == ticket.request.flow() })
+	startAt := now.Add(seconds(max(float64(ahead)/perSecond, float64(ofFlow)/ofFlowPerSecond)))
+	if !startAt.After(latest) {
 		return time.Time{}, false
 	}
 	return q.RetryAt(now, moreAt, draw), true
@@ -79,7 +81,7 @@
 // RetryAt returns when a request that is refused now should be retried: when those that wait have got places, or further workers have the model.
 func (q *Queue) RetryAt(now time.Time, moreAt time.Time, draw float64) time.Time {
 	delay := minRetry
-	if perSecond, known := q.rate(now); known {
+	if perSecond, known := q.rate(now, all); known {
 		delay = max(delay, seconds(float64(q.Len()+1)/perSecond))
 	} else {
 		delay = runTime
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -38,12 +38,13 @@
 }
 
 // free returns the expected number of free places. The older the figure of the load, the more of the requests that it counts have ended and were
-// replaced by others, of which the worker has as many as the average one.
+// replaced by others, of which the worker has as many as the average one. A worker that was full less than turnover ago is taken to be full.
 func (c *Candidate) free(now time.Time, averageUse float64) float64 {
-	if c.Closed {
+	age := now.Sub(c.KnownAt)
+	if c.Closed || c.Load >= c.Slots && age < turnover {
 		return 0
 	}
-	old := 1 - math.Exp(-now.Sub(c.KnownAt).Seconds()/turnover.Seconds())
+	old := 1 - math.Exp(-age.Seconds()/turnover.Seconds())
 	free := float64(c.Slots) - (1-old)*float64(c.Load) - old*averageUse*float64(c.Slots)
 	return lo.Ternary(free < 1, 0, free)
 }
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -12,6 +12,9 @@
 	// shareTurn is the length of a round: one of that many places goes by fair share whatever the ranks, so that a burst of higher rank cannot
 	// take all places.
 	shareTurn = 4
+	// longTurn is how many places go to quick requests that wait before a long prompt gets the next one: a place with a long prompt is free again
+	// after about twice the time, so that these get a quarter of the places' time.
+	longTurn = 6
 	// longPrompt is the number of prompt tokens from which on a prompt is long: a worker takes about 130 ms for it, a quarter or more of what quick
 	// requests are to take in all.
 	longPrompt = 4000
@@ -62,6 +65,15 @@
 // flow is a tenant, or a route of a tenant; all flows of one kind that wait get equal shares.
 type flow struct{ tenant, route string }
 
+// flow returns the flow of the request's route.
+func (r *Request) flow() flow { return flow{r.Tenant, r.Route} }
+
+// service is a request that a worker took.
+type service struct {
+	at   time.Time
+	flow flow
+}
+
 // Queue holds the requests that wait at a node for places at the workers of one model. It is not safe for concurrent use.
 type Queue struct {
 	// waiting are the tickets in the order of arrival.
@@ -70,10 +82,10 @@
 	used map[flow]float64
 	// starts counts the places given since the last one by fair share, sinceLong those since the last long prompt.
 	starts, sinceLong int
-	// contendedAt is when requests began to wait, servedAt when workers took the latest of those since then, waitedAt when the last one that had
-	// to wait left the queue.
+	// contendedAt is when requests began to wait, served are those that workers took since then within rateWindow, waitedAt is when the last one that
+	// had to wait left the queue.
 	contendedAt, waitedAt time.Time
-	servedAt              []time.Time
+	served                []service
 	// pause is the pause between two sends while workers reject requests, 0 if they do not; the next send may begin at sendAt. FullAt is the same
 	// for a send to a worker that seems full.
 	pause          time.Duration
@@ -82,7 +94,7 @@
 
 // NewQueue returns an empty queue.
 func NewQueue() *Queue {
-	return &Queue{used: map[flow]float64{}, sinceLong: shareTurn}
+	return &Queue{used: map[flow]float64{}, sinceLong: longTurn}
 }
 
 // Len returns the number of waiting requests.
@@ -92,10 +104,10 @@
 func (q *Queue) Add(now time.Time, request Request, draw float64) *Ticket {
 	if len(q.waiting) == 0 && now.Sub(q.waitedAt) > max(restTime, 2*q.pause) {
 		clear(q.used) // Nobody has a claim from a time without competition.
-		q.contendedAt, q.servedAt, q.pause = now, nil, 0
+		q.contendedAt, q.served, q.pause = now, nil, 0
 		q.fullAt = now.Add(spread(min(minPause, request.DueAt.Sub(request.ArrivedAt)/targetParts), draw))
 	}
-	for _, key := range []flow{{tenant: request.Tenant}, {request.Tenant, request.Route}} {
+	for _, key := range []flow{{tenant: request.Tenant}, request.flow()} {
 		if least, waits := q.leastUsed(key); !waits {
 			q.used[key] = max(q.used[key], least)
 		}
@@ -154,7 +166,7 @@
 	if len(ordered) < 2 {
 		return ordered
 	}
-	byShare, quickFirst := q.starts >= shareTurn-1, q.sinceLong < shareTurn-1
+	byShare, quickFirst := q.starts >= shareTurn-1, q.sinceLong < longTurn
 	slices.SortStableFunc(ordered, func(a, b *Ticket) int { return q.compare(&a.request, &b.request, byShare, quickFirst) })
 	return ordered
 }
@@ -168,16 +180,16 @@
 	return cmp.Or(
 		lo.Ternary(byShare, 0, a.Rank.compare(b.Rank)),
 		cmp.Compare(q.used[flow{tenant: a.Tenant}], q.used[flow{tenant: b.Tenant}]),
-		cmp.Compare(q.used[flow{a.Tenant, a.Route}], q.used[flow{b.Tenant, b.Route}]),
+		cmp.Compare(q.used[a.flow()], q.used[b.flow()]),
 		a.DueAt.Compare(b.DueAt),
 	)
 }
 
-// Served records that a worker has taken a request that was given a place.
-func (q *Queue) Served(now time.Time) {
-	q.servedAt = slices.DeleteFunc(q.servedAt, func(at time.Time) bool { return now.Sub(at) > rateWindow })
+// Served records that a worker has taken the request of a ticket.
+func (q *Queue) Served(now time.Time, ticket *Ticket) {
+	q.served = slices.DeleteFunc(q.served, func(s service) bool { return now.Sub(s.at) > rateWindow })
 	if q.Len() > 0 || now.Sub(q.waitedAt) <= restTime {
-		q.servedAt = append(q.servedAt, now)
+		q.served = append(q.served, service{now, ticket.request.flow()})
 	}
 }
 
@@ -195,5 +207,5 @@
 	}
 	cost := ticket.request.cost()
 	q.used[flow{tenant: ticket.request.Tenant}] += cost
-	q.used[flow{ticket.request.Tenant, ticket.request.Route}] += cost
+	q.used[ticket.request.flow()] += cost
 }
