--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -40,7 +40,8 @@
 	f := newFixture(nil, false)
 	f.server.Close()
 	catalog := f.dependencies.Catalog()
-	gomega.Expect(catalog.SetTenants([]cataloger.Tenant{{Name: "first"}, {Name: "second", Priority: 1}, {Name: "last", Priority: 30}})).To(gomega.Succeed())
+	tenants := []cataloger.Tenant{{Name: "first"}, {Name: "second", Priority: 1}, {Name: "last", Priority: 30}}
+	gomega.Expect(catalog.SetTenants(tenants)).To(gomega.Succeed())
 	f.dependencies.Room = true
 	f.dependencies.Send = func(_ context.Context, _ *forwarder.Request, attempt forwarder.Send) (*forwarder.Response, error) {
 		return send(attempt)
