--- a/assessor/assessor.go
+++ b/assessor/assessor.go
@@ -230,8 +230,9 @@
 	RecentSends int
 	// Running is the number of this node's requests in flight to the worker.
 	Running int
-	// ReportedLoad is the load in requests that the worker reported recently, or -1 without a recent report.
+	// ReportedLoad is the load in requests that the worker reported recently, or -1 without a recent report; ReportedAt is when it did.
 	ReportedLoad int
+	ReportedAt   time.Time
 	// DecayedLoad is the reported load decayed by its age; 0 without one.
 	DecayedLoad float64
 	// Pace is how long work takes at the worker in percent of the usual time, by a recent report decayed by its age; 0 without one, which stands
@@ -258,7 +259,7 @@
 			}
 		}
 		if now.Sub(w.reportedAt) < reportedLoadTime {
-			assessment.ReportedLoad = w.reportedLoad
+			assessment.ReportedLoad, assessment.ReportedAt = w.reportedLoad, w.reportedAt
 		}
 	})
 	return assessment
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -85,13 +85,15 @@
 // fixture is a forwarder with two workers of a service without models and two of a service with models.
 type fixture struct {
 	forwarder *forwarder.Forwarder
-	server    *httptest.Server
-	recorder  *recorder.Recorder
-	tracker   *fleettracker.Tracker
-	list      *registrar.Registrar
-	crashes   *crashkeeper.Keeper
-	limiter   *limiter.Limiter
-	streams   *streamkeeper.Keeper
+	// dependencies are those of forwarder.
+	dependencies forwarder.Dependencies
+	server       *httptest.Server
+	recorder     *recorder.Recorder
+	tracker      *fleettracker.Tracker
+	list         *registrar.Registrar
+	crashes      *crashkeeper.Keeper
+	limiter      *limiter.Limiter
+	streams      *streamkeeper.Keeper
 	// origins are those that the leaders know, by attempt; listOld is set while the list of workers cannot be confirmed.
 	origins map[string]streamkeeper.Origin
 	// originsAt is when the leaders begin to know them.
@@ -180,7 +182,7 @@
 	}, []cataloger.Service{
 		{Name: "plain"}, {Name: "models", MemoryMB: 1000, Models: map[string]cataloger.Model{"m": {Name: "m"}, "cold": {Name: "cold"}, "huge": {Name: "huge", MemoryMB: 990, AdapterMB: 20}}},
 	}, cataloger.Limits{BodyBytes: 100})
-	dependencies := forwarder.Dependencies{
+	f.dependencies = forwarder.Dependencies{
 		Zone: "z", Catalog: func() *cataloger.Catalog { return f.newest(catalog) }, Workers: f.list, Tracker: f.tracker, DemandCounter: demandcounter.New(),
 		Assessor: assessor.New(), Limiter: f.limiter, Recorder: f.recorder, Ready: func() bool { return true }, Isolated: func() bool { return f.isolated },
 		Decode: decode, Send: f.send, SetAttemptID: func(http.Header, string) {}, Crashed: f.hasCrashed,
@@ -203,9 +205,9 @@
 		},
 	}
 	for _, change := range change {
-		change(&dependencies)
+		change(&f.dependencies)
 	}
-	f.forwarder = forwarder.New(dependencies, "/ready")
+	f.forwarder = forwarder.New(f.dependencies, "/ready")
 	f.server = httptest.NewServer(f.forwarder)
 	return f
 }
