Hedged sends for idempotent requests of plain services

Cause: a request at a worker that is slow just now waits for it, though another worker is free; the pace is known too late for workers that are slow for less than half a second (docs/HARD-LOAD.md, part 6). Change: with the setting hedge, a request of an idempotent route is sent to a second worker after the 95th percentile of its route's latencies (at least 10 ms, 50 samples), within maxAttempts, the setting's share, the retry budget and the deadline; chargesRepeat is the call site for allowances. The first whole response is used, the other send is cancelled. Package hedger has decision and accounts without network and clock. Each of both sends runs in a goroutine with copies; only the serving goroutine touches the call. A send that was cancelled while it was connecting does not count as an unreachable worker. Counters sent, won, denied by reason; line "hedged send", field hedge. Not measured under load.

--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -28,6 +28,7 @@
 	"github.com/acaciaproxy/acaciaproxy/crashkeeper"
 	"github.com/acaciaproxy/acaciaproxy/demandcounter"
 	"github.com/acaciaproxy/acaciaproxy/fleettracker"
+	"github.com/acaciaproxy/acaciaproxy/hedger"
 	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/prover"
@@ -81,6 +82,8 @@
 	Budget Budget
 	// RepeatFailed is set if a request that may be repeated is sent to another worker after a response with status 500 of a service without models.
 	RepeatFailed bool
+	// Hedger decides on hedged sends; nil for none.
+	Hedger *hedger.Hedger
 }
 
 // Forwarder is the callers' HTTP server. It is safe for concurrent use.
@@ -272,7 +275,7 @@
 		kind = "request answered after failures" // A crowd of others does not displace it.
 	}
 	logger.Info(kind).Str("request", c.ID).Str("route", c.route.Name).Str("model", c.Model).Str("adapter", c.Adapter).Str("worker", c.worker).Str("software", c.software).Str("resumes", c.Resumes).Str("resumes_after", c.LastEventID).Strs("parts", c.sharedParts).
-		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Int("runs", c.ledger.MayHaveRun()-1).Float64("limit", c.limitPerSecond).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstByteMS).Int("load", c.workerLoad).Float64("pace", c.pace).Int64("age_ms", c.stateAgeMS).
+		Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Int("runs", c.ledger.MayHaveRun()-1).Float64("limit", c.limitPerSecond).Int64("held_ms", c.heldMS).Int64("first_ms", c.firstByteMS).Int("load", c.workerLoad).Float64("pace", c.pace).Str("hedge", c.hedge).Int64("age_ms", c.stateAgeMS).
 		Int64("after_ms", time.Since(c.arrived).Milliseconds()).Msg("request answered")
 }
 
@@ -379,7 +382,7 @@
 	if c.Request != nil && c.Model != "" {
 		entry = entry.Str("model", c.Model).Str("adapter", c.Adapter)
 	}
-	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Int("runs", c.ledger.MayHaveRun()).Bool("promised", prover.Promises(failure.status)).Str("why", failure.message).Msg("request not answered")
+	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Str("hedge", c.hedge).Int("runs", c.ledger.MayHaveRun()).Bool("promised", prover.Promises(failure.status)).Str("why", failure.message).Msg("request not answered")
 }
 
 func requestID(c *call) string {
--- /dev/null
+++ b/forwarder/hedges_test.go
@@ -0,0 +1,85 @@
+package forwarder_test
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/onsi/ginkgo/v2"
+	"github.com/onsi/gomega"
+	"github.com/samber/lo"
+
+	"github.com/acaciaproxy/acaciaproxy/assessor"
+	"github.com/acaciaproxy/acaciaproxy/casereader"
+	"github.com/acaciaproxy/acaciaproxy/forwarder"
+	"github.com/acaciaproxy/acaciaproxy/hedger"
+)
+
+// Guards against a second send where none is allowed, a response that is lost beside a failed send, a promise that a send which may have run has not,
+// a send that goes on at its worker once its response is not used, and sends that the assessor counts for ever or as faults of the worker.
+var _ = ginkgo.Describe("requests whose first send takes longer than usual", func() {
+	var scripts []struct {
+		Name, Route string
+		// Percent is the share of hedged sends, 100 if it is 0. Samples is the number of latencies of 30 ms before, 60 if it is 0.
+		Percent  float64
+		Samples  int
+		NoBudget bool
+		// Repeats is set if the setting for repeats after a 500 is; NewKind is the kind in a newer configuration, empty without one.
+		Repeats     bool
+		NewKind     string
+		NewKindFrom int
+		// Unfaulted is set if no worker may have a penalty afterwards.
+		Unfaulted bool
+		Sends     []scriptedSend
+		// Status and Body are the response's, which comes within WithinMS. Cancelled is the number of sends that are cancelled.
+		Status, WithinMS, Cancelled int
+		Body                        string
+		Retry                       bool
+		Lines, Counts               []string
+	}
+	gomega.Expect(casereader.Read("testdata/hedges.json", &scripts)).To(gomega.Succeed())
+	for _, script := range scripts {
+		ginkgo.It(script.Name, func() {
+			h := hedger.New(lo.CoalesceOrEmpty(script.Percent, 100))
+			for range lo.CoalesceOrEmpty(script.Samples, 60) {
+				h.Observe(time.Now(), "plain", "idempotent", 30*time.Millisecond)
+			}
+			var workers *assessor.Assessor
+			f := newFixture(script.Sends, script.NoBudget, func(dependencies *forwarder.Dependencies) {
+				dependencies.Hedger, dependencies.RepeatFailed = h, script.Repeats
+				workers = dependencies.Assessor
+			})
+			defer f.server.Close()
+			f.newKind, f.newKindFrom = script.NewKind, script.NewKindFrom
+			logged := casereader.NewCapture()
+			defer logged.Close()
+			counts := func() []int64 {
+				return lo.Map(script.Counts, func(name string, _ int) int64 { return f.recorder.CounterValue(name) })
+			}
+			before, began := counts(), time.Now()
+			response, err := http.DefaultTransport.RoundTrip(f.request("/"+script.Route+"/x", ""))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			body, err := io.ReadAll(response.Body)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(time.Since(began).Milliseconds()).To(gomega.BeNumerically("<=", script.WithinMS))
+			gomega.Expect(response.StatusCode).To(gomega.Equal(script.Status), string(body))
+			gomega.Expect(response.Header.Get("Retry-After") != "").To(gomega.Equal(script.Retry))
+			if script.Body != "" {
+				gomega.Expect(string(body)).To(gomega.Equal(script.Body))
+			}
+			f.mu.Lock()
+			gomega.Expect(f.sent).To(gomega.Equal(len(script.Sends)), "sends")
+			f.mu.Unlock()
+			gomega.Eventually(f.contextEnded, 500*time.Millisecond).Should(gomega.HaveLen(script.Cancelled))
+			for _, worker := range []string{"p1", "p2"} {
+				rating := workers.Assess(time.Now(), worker)
+				gomega.Expect(rating.Running).To(gomega.BeZero(), worker)
+				gomega.Expect(script.Unfaulted && (rating.Excluded || rating.Penalty > 0)).To(gomega.BeFalse(), worker)
+			}
+			for i, count := range counts() {
+				gomega.Expect(count).To(gomega.Equal(before[i]+1), script.Counts[i])
+			}
+			gomega.Eventually(func() []string { return logged.Missing(script.Lines) }, time.Second).Should(gomega.BeEmpty(), logged.String)
+		})
+	}
+})
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -35,6 +35,9 @@
 	defer cancel()
 	if !c.isCarried { // Counted by the node that the caller reached.
 		f.dependencies.Budget.CountRequest(c.arrived, c.service.Name)
+		if f.dependencies.Hedger.Enabled() {
+			f.dependencies.Hedger.CountRequest(c.service.Name)
+		}
 	}
 	if err := f.findOrigin(ctx, c); err != nil {
 		return err
@@ -83,7 +86,7 @@
 			f.endTrial(c, time.Now())
 			continue // The worker is not chosen again before the time at which a permit may be had.
 		}
-		response, err := f.sendPlain(ctx, c, worker)
+		response, worker, err := f.sendOrHedge(ctx, c, worker)
 		if err == nil {
 			f.endTrial(c, time.Now())
 			if !f.replaceFailed(c, worker, response) {
@@ -97,6 +100,9 @@
 		if err := f.retry(ctx, c, worker, err); err != nil {
 			return nil, false, err
 		}
+		if err := f.checkRepeat(c); err != nil {
+			return nil, false, err
+		}
 	}
 }
 
@@ -104,9 +110,6 @@
 func (f *Forwarder) sendPlain(ctx context.Context, c *call, worker *registrar.Worker) (*plainResponse, error) {
 	send := f.newSend(c, worker)
 	endSend := f.beginSend(c, worker)
-	if c.pace > 0 {
-		f.dependencies.Recorder.Count("workers chosen by pace " + c.service.Name)
-	}
 	whole := &plainResponse{send: c.sendState(), held: f.space.Hold()}
 	response, err := f.send(ctx, c, send)
 	if err != nil {
@@ -116,23 +119,31 @@
 	whole.Response = response
 	whole.body, err = whole.held.ReadAll(response.Body, bufferer.MaxResponseBytes)
 	_ = response.Body.Close() // Read to its end or failed.
-	if err == nil {
-		err = f.checkEnd(c, worker, response, len(whole.body) == 0)
+	if err != nil {
+		err = NewBrokenError(worker.ID, err)
+	} else {
+		err = f.completePlain(c, worker, whole)
 	}
+	endSend(err)
 	if err != nil {
 		whole.held.Release()
-		err = NewBrokenError(worker.ID, err)
-		endSend(err)
 		return nil, err
 	}
-	if response.Succeeded() {
+	return whole, nil
+}
+
+// completePlain records a response that was read to its end. The error is a *BrokenError if it may have broken off.
+func (f *Forwarder) completePlain(c *call, worker *registrar.Worker, whole *plainResponse) error {
+	if err := f.checkEnd(c, worker, whole.Response, len(whole.body) == 0); err != nil {
+		return NewBrokenError(worker.ID, err)
+	}
+	if whole.Succeeded() {
 		f.recordAnswer(c)
-		if hasEventStream(response.Header) {
+		if hasEventStream(whole.Header) {
 			f.recordOrigin(time.Now(), c, worker)
 		}
 	}
-	endSend(nil)
-	return whole, nil
+	return nil
 }
 
 // choosePlainWorker returns the worker of the call's service with the least cost, or an error when none can take the request.
@@ -202,12 +213,7 @@
 func (f *Forwarder) retry(ctx context.Context, c *call, worker *registrar.Worker, err error) error {
 	now := time.Now()
 	var notRun *NotRunError
-	c.tries.fail(c.ID, err)
-	f.logForeign(c, worker, err)
-	evidence := c.tries.evidence()
-	logger.Info("send failed").Str("request", c.ID).Str("worker", worker.ID).Str("software", worker.Software).Int("send", c.sends).Str("after_event", c.lastEventID).Int64("age_ms", c.stateAgeMS).
-		Bool("not_run", errors.As(err, &notRun)).Str("answered_request", clip(evidence.ReceivedID())).Str("connection", evidence.Kind()).Str("address", evidence.Address()).Int64("connection_number", evidence.Connection()).
-		Int("earlier", evidence.Earlier()).Err(err).Msg("send failed")
+	f.logFailedSend(c, worker, err)
 	if errors.As(err, &notRun) {
 		return f.handleNotRun(ctx, c, worker, notRun)
 	}
@@ -242,6 +248,17 @@
 	return nil
 }
 
+// logFailedSend records and logs the error of the last send.
+func (f *Forwarder) logFailedSend(c *call, worker *registrar.Worker, err error) {
+	var notRun *NotRunError
+	c.tries.fail(c.ID, err)
+	f.logForeign(c, worker, err)
+	evidence := c.tries.evidence()
+	logger.Info("send failed").Str("request", c.ID).Str("worker", worker.ID).Str("software", worker.Software).Int("send", c.tries.number()).Str("after_event", c.lastEventID).Int64("age_ms", c.stateAgeMS).
+		Bool("not_run", errors.As(err, &notRun)).Str("answered_request", clip(evidence.ReceivedID())).Str("connection", evidence.Kind()).Str("address", evidence.Address()).Int64("connection_number", evidence.Connection()).
+		Int("earlier", evidence.Earlier()).Err(err).Msg("send failed")
+}
+
 // allowRetry reports whether a call may be sent to a worker, by this node or another: none has got it yet, or the retry budget allows one
 // more send. It logs the budget's decision.
 func (f *Forwarder) allowRetry(now time.Time, c *call) bool {
@@ -258,6 +275,21 @@
 
 // handleNotRun returns nil when a call that a worker certainly did not run may be sent once more, else the error with which it ends.
 func (f *Forwarder) handleNotRun(ctx context.Context, c *call, worker *registrar.Worker, notRun *NotRunError) error {
+	f.recordNotRun(ctx, c, worker, notRun)
+	refusal := c.refuse("full", notRun.Error(), busyRetry)
+	now := time.Now()
+	if ctx.Err() != nil || c.deadline.Sub(now) < minResendTime || c.sends >= maxSends {
+		return refusal
+	}
+	if !f.allowRetry(now, c) {
+		return refusal
+	}
+	time.Sleep(resendPause)
+	return nil
+}
+
+// recordNotRun records what a worker that certainly did not run a call tells of itself.
+func (f *Forwarder) recordNotRun(ctx context.Context, c *call, worker *registrar.Worker, notRun *NotRunError) {
 	now := time.Now()
 	f.reportLoad(worker, notRun.load)
 	f.observePause(c, worker, notRun.pauseS)
@@ -291,13 +323,4 @@
 	if notRun.reason != ReasonUnreachable {
 		f.reach.succeed(now)
 	}
-	refusal := c.refuse("full", notRun.Error(), busyRetry)
-	if ctx.Err() != nil || c.deadline.Sub(now) < minResendTime || c.sends >= maxSends {
-		return refusal
-	}
-	if !f.allowRetry(now, c) {
-		return refusal
-	}
-	time.Sleep(resendPause)
-	return nil
 }
--- a/forwarder/repeats.go
+++ b/forwarder/repeats.go
@@ -23,6 +23,8 @@
 	pace float64
 	// kept is a failed response that is passed on unless another send brings a better one; nil without one.
 	kept *plainResponse
+	// hedge says what became of the call's hedged send: "sent", "won", "denied" with the reason, or empty if none was due.
+	hedge string
 }
 
 // plainResponse is a whole response of a worker of a service without models.
@@ -86,12 +88,17 @@
 		return false
 	}
 	f.dependencies.Recorder.Count("failed requests repeated " + c.service.Name)
-	if c.kept == nil {
-		c.kept = response
-	} else {
+	f.keep(c, response)
+	return true
+}
+
+// keep keeps a failed response, if it is the call's first.
+func (f *Forwarder) keep(c *call, response *plainResponse) {
+	if c.kept != nil {
 		response.held.Release()
+		return
 	}
-	return true
+	c.kept = response
 }
 
 // repeatDenial returns why a call that got a failed response may not be sent once more; empty if it may. The budget is asked last, since asking
@@ -119,6 +126,15 @@
 	return ""
 }
 
+// checkRepeat returns the error with which a call ends whose last send did not run, if another send of it may have run and it may not be repeated any
+// more: its route may have changed since that was checked.
+func (f *Forwarder) checkRepeat(c *call) error {
+	if ran := c.ledger.MayHaveRun(); c.kept == nil && c.hedge == "" || ran == 0 || ran < c.route.MaxAttempts && f.mayRepeat(c) {
+		return nil
+	}
+	return newFailure(http.StatusBadGateway, "broken", "an earlier attempt may have run, and the request may not be repeated")
+}
+
 // chargesRepeat reports whether the tenant's allowance permits one more send of a call that may have run, and charges it. It is the call site of the
 // allowances of tenants (part 2 of docs/HARD-LOAD.md); without them, every send is permitted.
 func (f *Forwarder) chargesRepeat(*call) bool { return true }
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -15,14 +15,23 @@
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
-// send sends a request to a worker and records what the head of its response tells of the worker. A status that promises that the request has not run becomes a
-// *BrokenError: a worker that says so of a request is reported as a *NotRunError.
+// send sends a request to a worker and records what the head of its response tells of the worker. A status that promises that the request has not
+// run becomes a *BrokenError: a worker that says so of a request is reported as a *NotRunError.
 func (f *Forwarder) send(ctx context.Context, c *call, send Send) (*Response, error) {
 	response, err := f.dependencies.Send(ctx, c.Request, send)
 	if err != nil {
 		return nil, err
 	}
-	worker := send.Worker
+	if err := f.recordHead(c, send.Worker, response); err != nil {
+		_ = response.Body.Close() // Unread bytes are discarded.
+		return nil, err
+	}
+	return response, nil
+}
+
+// recordHead records what the head of the response to the last send tells of the worker. The error is a *BrokenError for a status that promises that
+// the request has not run.
+func (f *Forwarder) recordHead(c *call, worker *registrar.Worker, response *Response) error {
 	c.tries.respond(response)
 	f.reach.succeed(time.Now())
 	f.reportLoad(worker, response.Load)
@@ -30,11 +39,10 @@
 	f.observePause(c, worker, response.PauseS)
 	f.dependencies.Limiter.ObserveBrittle(time.Now(), worker.Service, worker.ID, response.Brittle)
 	if prover.Promises(response.Status) {
-		_ = response.Body.Close() // Unread bytes are discarded.
 		f.dependencies.Recorder.Count("refusals without a proof")
-		return nil, NewBrokenError(worker.ID, &UnprovedRefusalError{status: response.Status})
+		return NewBrokenError(worker.ID, &UnprovedRefusalError{status: response.Status})
 	}
-	return response, nil
+	return nil
 }
 
 // newSend returns the parameters of a send of a call to a worker, without urgency.
@@ -67,6 +75,9 @@
 	c.tries.begin(c.sends, worker)
 	c.sentAt, c.events = time.Now(), 0
 	c.worker, c.software, c.stateAgeMS = worker.ID, worker.Software, f.stateAge(worker).Milliseconds()
+	if c.pace > 0 {
+		f.dependencies.Recorder.Count("workers chosen by pace " + c.service.Name)
+	}
 	f.dependencies.Assessor.BeginSend(time.Now(), worker.ID)
 	perSecond, limited := f.dependencies.Limiter.PerSecond(worker.ID, worker.Incarnation)
 	if c.limitPerSecond = perSecond; limited {
--- a/forwarder/tries.go
+++ b/forwarder/tries.go
@@ -17,6 +17,8 @@
 type try struct {
 	// target is the send's number with worker and address, or the node.
 	target string
+	// number is the send's, 0 for a node.
+	number int
 	// evidence is what is known of the send; zero for a node.
 	evidence prover.Evidence
 	// outcome says how it ended, or is empty while it has not; answered is the request that its response names, if that is another one.
@@ -55,7 +57,7 @@
 
 // begin records that a send begins.
 func (t *tries) begin(number int, worker *registrar.Worker) {
-	t.add(try{target: fmt.Sprintf("%d %s %s", number, clip(worker.ID), clip(worker.Address)), evidence: prover.Unconnected(worker.Address, "")})
+	t.add(try{number: number, target: fmt.Sprintf("%d %s %s", number, clip(worker.ID), clip(worker.Address)), evidence: prover.Unconnected(worker.Address, "")})
 }
 
 // respond records the head of the response to the last send.
@@ -79,6 +81,9 @@
 // evidence returns what is known of the last send.
 func (t *tries) evidence() prover.Evidence { return t.last[len(t.last)-1].evidence }
 
+// number returns the number of the last send.
+func (t *tries) number() int { return t.last[len(t.last)-1].number }
+
 // pass records how a node that was asked to serve the call took that.
 func (t *tries) pass(node, outcome string) {
 	t.add(try{target: "node " + clip(node), outcome: outcome})
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -23,6 +23,7 @@
 	"github.com/acaciaproxy/acaciaproxy/fleetleader"
 	"github.com/acaciaproxy/acaciaproxy/fleettracker"
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
+	"github.com/acaciaproxy/acaciaproxy/hedger"
 	"github.com/acaciaproxy/acaciaproxy/leaseholder"
 	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/lingerer"
@@ -179,7 +180,7 @@
 		Carry: f.carry, Limiter: f.limiter, Streams: f.streamKeeper, FindStream: f.findStream, FindArchived: f.archiver.Find, ConfirmList: f.watcher.Confirm,
 		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
 		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
-		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry}, RepeatFailed: settings.RepeatsFailures(),
+		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry}, RepeatFailed: settings.RepeatsFailures(), Hedger: hedger.New(settings.HedgePercent()),
 	}, platform.PathReady)
 	return f, nil
 }
