--- a/forwarder/failure.go
+++ b/forwarder/failure.go
@@ -158,7 +158,7 @@
 	if c.Request != nil && c.Model != "" {
 		entry = entry.Str("model", c.Model).Str("adapter", c.Adapter)
 	}
-	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Int("runs", c.ledger.MayHaveRun()).Bool("promised", prover.Promises(failure.status)).Str("why", failure.message).Msg("request not answered")
+	entry.Bool("passed_on", c.carryTried).Bool("for_other", c.isCarried).Str("from_node", c.tries.from).Int("sends", c.sends).Strs("tries", c.tries.list()).Str("hedge", c.hedge).Int("runs", c.ledger.MayHaveRun()).Bool("promised", prover.Promises(failure.status)).Str("why", failure.message).Msg("request not answered")
 }
 
 func requestID(c *call) string {
--- a/forwarder/kinds_test.go
+++ b/forwarder/kinds_test.go
@@ -25,7 +25,7 @@
 		gomega.Expect(catalog.SetTenants(f.tenants)).To(gomega.Succeed())
 		f.tenants = nil // They are set before the first request.
 	}
-	if f.newKind == "" || f.sent == 0 {
+	if f.newKind == "" || f.sent < max(f.newKindFrom, 1) {
 		return catalog
 	}
 	var routes []cataloger.Route
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -24,6 +24,7 @@
 	"github.com/acaciaproxy/acaciaproxy/fleettracker"
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
 	"github.com/acaciaproxy/acaciaproxy/freshkeeper"
+	"github.com/acaciaproxy/acaciaproxy/hedger"
 	"github.com/acaciaproxy/acaciaproxy/leaseholder"
 	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/lingerer"
@@ -190,6 +191,7 @@
 		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
 		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
 		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry}, RepeatFailed: settings.RepeatsFailures(), Room: settings.WaitsForRoom(),
+		Hedger:     hedger.New(settings.HedgePercent()),
 		Keys:       forwarder.Keys{Fresh: f.keysFresh, Behind: f.fresh.Behind, ProofAge: f.proofAge, Remove: platform.RemoveKey},
 		Allowances: forwarder.Allowances{Take: f.allowances.take, Refund: f.allowances.refund},
 	}, platform.PathReady)
