--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -40,15 +40,20 @@
 	f := newFixture(nil, false)
 	f.server.Close()
 	catalog := f.dependencies.Catalog()
-	tenants := []cataloger.Tenant{{Name: "first"}, {Name: "second", Priority: 1}, {Name: "last", Priority: 30}}
-	gomega.Expect(catalog.SetTenants(tenants)).To(gomega.Succeed())
+	if tenant != "" {
+		tenants := []cataloger.Tenant{{Name: "first"}, {Name: "second", Priority: 1}, {Name: "last", Priority: 30}}
+		for i := range tenants {
+			tenants[i].Keys = []cataloger.Digest{cataloger.DigestOf(tenants[i].Name)}
+		}
+		gomega.Expect(catalog.SetTenants(tenants)).To(gomega.Succeed())
+	}
 	f.dependencies.Room = true
 	f.dependencies.Send = func(_ context.Context, _ *forwarder.Request, attempt forwarder.Send) (*forwarder.Response, error) {
 		return send(attempt)
 	}
 	f.dependencies.Decode = func(r *http.Request, arrived time.Time) (*forwarder.Request, error) {
 		request, err := decode(r, arrived)
-		request.Tenant = tenant
+		request.KeyDigest = digestOf(tenant)
 		return request, err
 	}
 	f.forwarder = forwarder.New(f.dependencies, "/ready")
