Allowances: buckets gain a part of the tolerance

Tokens expire at nodes, and half of the tolerance was held back for waits that the rule does not count. Change: each window and lifetime, buckets gain three eighths of the tolerance beside the rate; an eighth stays for clock rates.

--- a/quotakeeper/bounds.go
+++ b/quotakeeper/bounds.go
@@ -13,10 +13,12 @@
 	// minLifetime is the least lifetime of tokens; a call to a leader of another zone takes some milliseconds. Below it, the bound is
 	// exceeded by the rate times the difference.
 	minLifetime = 50 * time.Millisecond
-	// capacityPart and creditPart are the parts of the tolerance (overshoot of the burst, and slack) by which buckets are larger than the
-	// burst and which returned tokens may use. The rest covers the time from the admission of a request to its run.
+	// capacityPart, creditPart and ratePart are the parts of the tolerance (overshoot of the burst, and slack) by which buckets are larger than
+	// the burst, which returned tokens may use, and which buckets gain in addition in each window and lifetime, so that tokens that expire at
+	// nodes are not missing to callers. The rest covers the clock rates of nodes.
 	capacityPart = 0.25
 	creditPart   = 0.25
+	ratePart     = 0.375
 )
 
 // Allowance is the rate limit of a tenant over all nodes; there is no limit if RatePerS is 0.
@@ -60,6 +62,11 @@
 	return min((a.Burst+capacityPart*b.tolerance(a))/float64(b.zones), max(a.Burst, a.RatePerS))
 }
 
+// rate returns how many tokens one zone's bucket gains in a second.
+func (b Bounds) rate(a Allowance) float64 {
+	return (a.RatePerS + ratePart*b.tolerance(a)/(b.Window()+b.Lifetime()).Seconds()) / float64(b.zones)
+}
+
 // credit returns how many returned tokens one zone's leaders may put back in any time of a window and a lifetime.
 func (b Bounds) credit(a Allowance) float64 { return creditPart * b.tolerance(a) / float64(b.zones) }
 
--- a/quotakeeper/granter.go
+++ b/quotakeeper/granter.go
@@ -24,7 +24,7 @@
 // bucket is the token bucket of one tenant.
 type bucket struct {
 	allowance Allowance
-	// ratePerS is the zone's part of the rate.
+	// ratePerS is what the bucket gains in a second.
 	ratePerS float64
 	// level is at most capacity, as of refilledAt; credits are at most maxCredits, the returned tokens that may still be put back.
 	level, capacity     float64
@@ -112,7 +112,7 @@
 // configure sets the allowance. A lower one takes effect at once: what the bucket holds beyond it is lost.
 func (b *bucket) configure(bounds Bounds, allowed Allowance) {
 	b.allowance, b.capacity, b.maxCredits = allowed, bounds.capacity(allowed), bounds.credit(allowed)/2
-	b.ratePerS = allowed.RatePerS / float64(bounds.zones)
+	b.ratePerS = bounds.rate(allowed)
 	b.level, b.credits = min(b.level, b.capacity), min(b.credits, b.maxCredits)
 }
 
