Tests: crowds of uncontrolled callers against the system's own processes

Cause: a node holds all that its callers send, so a few hundred callers fill the memory of a small host (docs/HARD-LOAD.md, part 4).

The Makefile plays them serially (process-crowds). The product is not changed yet; the specs are red.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 TOOL = $(GO) tool -modfile=tools/go.mod
 
-.PHONY: build quickstart up test unit race process process-scenarios process-others soak format lint generate cases
+.PHONY: build quickstart up test unit race process process-scenarios process-others process-crowds soak format lint generate cases
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -53,14 +53,21 @@
 process: build
 	@echo "passed over as known red: $(KNOWN_RED)"
 	$(MAKE) -j2 process-scenarios process-others
-	ACACIA_PROCESS_TESTS=$(CURDIR)/bin ACACIA_KNOWN_RED="$(KNOWN_RED)" $(GO) test -v -count=1 -timeout 7m ./soaker $(SKIP_SPECS)
+	$(MAKE) process-crowds
+	ACACIA_PROCESS_TESTS=$(CURDIR)/bin ACACIA_KNOWN_RED="$(KNOWN_RED)" $(GO) test -v -count=1 -timeout 7m ./soaker -ginkgo.skip $(CROWDS) $(SKIP_SPECS)
 
 # The two halves of the tests of ./launcher, which process runs at the same time: the scenarios, and all others.
 process-scenarios:
 	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 8m ./launcher -ginkgo.focus scenario $(SKIP_SPECS)
 
 process-others:
-	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 8m ./launcher -ginkgo.skip scenario $(SKIP_SPECS)
+	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 8m ./launcher -ginkgo.skip scenario -ginkgo.skip $(CROWDS) $(SKIP_SPECS)
+
+# Runs the tests with crowds of uncontrolled callers, one at a time, since they measure memory; about a minute.
+CROWDS = "callers that send more than a node can hold"
+process-crowds:
+	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 3m ./launcher -ginkgo.focus $(CROWDS) $(SKIP_SPECS)
+	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 3m ./soaker -run TestSpecs -ginkgo.focus $(CROWDS) $(SKIP_SPECS)
 
 # Runs one seed of the soak test, which injects faults (docs/SOAK.md).
 SEED ?= 1
--- a/launcher/launcher.go
+++ b/launcher/launcher.go
@@ -31,6 +31,8 @@
 	Token string
 	// NodeCores limits the processor cores that each node uses; 0 means no limit.
 	NodeCores int
+	// MemoryMB and Descriptors are the settings "memory" and "descriptors" of the nodes; 0 for none.
+	MemoryMB, Descriptors int
 }
 
 // Set is a started set of processes. It is safe for concurrent use.
@@ -143,7 +145,7 @@
 	name := fmt.Sprintf("node-%s-%d", zone, number)
 	settings := map[string]any{
 		"name": name, "zone": zone, "callers": FreeAddress(), "operators": FreeAddress(), "nodes": FreeAddress(),
-		"platform": s.Platform().address, "drain": 30,
+		"platform": s.Platform().address, "drain": 30, "memory": s.spec.MemoryMB, "descriptors": s.spec.Descriptors,
 	}
 	if s.spec.Token != "" {
 		settings["token"] = s.spec.Token
--- a/soaker/environment.go
+++ b/soaker/environment.go
@@ -256,8 +256,8 @@
 		return err
 	}
 	n.settingsPath = filepath.Join(e.folder, n.name+".json")
-	text := fmt.Sprintf(`{"name":%q,"zone":%q,"form":"fleet","callers":%q,"ready":%q,"nodes":%q,"operators":%q,"platform":%q,"drain":%d,"quiet":3000,"ratio":%g,"slack":%d,"window":%d}`,
-		n.name, zone, n.callerAddress, n.readyAddress, n.peerAddress, n.operatorAddress, n.storeProxy.Address(), int(drainTime.Seconds()), retryRatio, retrySlack, retryWindowS)
+	text := fmt.Sprintf(`{"name":%q,"zone":%q,"form":"fleet","callers":%q,"ready":%q,"nodes":%q,"operators":%q,"platform":%q,"drain":%d,"quiet":3000,"ratio":%g,"slack":%d,"window":%d,"memory":%d,"descriptors":%d}`,
+		n.name, zone, n.callerAddress, n.readyAddress, n.peerAddress, n.operatorAddress, n.storeProxy.Address(), int(drainTime.Seconds()), retryRatio, retrySlack, retryWindowS, e.spec.MemoryMB, e.spec.Descriptors)
 	if err := os.WriteFile(n.settingsPath, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write settings of node %q: %w", n.name, err)
 	}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -32,6 +32,8 @@
 	Versions int
 	// SameModels makes all model workers start with the same models loaded.
 	SameModels bool
+	// MemoryMB and Descriptors are the settings "memory" and "descriptors" of the nodes; 0 for none.
+	MemoryMB, Descriptors int
 	// NamePrefix restricts the run to actions whose name begins with this prefix; empty allows all.
 	NamePrefix string
 }
