Limits of what callers can make a node hold

Cause: net/http and fasthttp bound the bytes of one head and one body, not what they become when parsed, nor all of them together, nor connections; the idle and header timeouts of the configuration were not used, and a caller that read nothing held a response for ever.

Change: package connlimiter. A listener bounds connections and closes the one that has waited longest for a request; its connections follow the framing of HTTP/1 before the server parses it, and bound heads by bytes and lines, all heads and all bodies together by accounts, the time for a head, the idle time, and the time that a caller may take for 64 KB of a response. The forwarder takes the space for a body as it arrives; bodies that make no progress are ended first. The addresses for readiness, operators and nodes and the own interface have the same limits. The runtime's soft memory limit is seven tenths of the setting "memory". Settings memory and descriptors apply to both forms.

--- a/adminserver/adminserver.go
+++ b/adminserver/adminserver.go
@@ -41,7 +41,7 @@
 
 // New returns a server that does not listen yet.
 func New(dependencies Dependencies) *Server {
-	s := &Server{dependencies: dependencies, app: fiber.New(fiber.Config{AppName: "acaciaproxy operators", Immutable: true})}
+	s := &Server{dependencies: dependencies, app: newApp("acaciaproxy operators")}
 	s.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok") })
 	s.app.Use(s.checkToken)
 	s.app.Use(pprof.New())
--- a/adminserver/metrics.go
+++ b/adminserver/metrics.go
@@ -8,7 +8,7 @@
 
 // NewMetrics returns a server that serves only health checks and metrics, and requires no token.
 func NewMetrics() *Server {
-	s := &Server{app: fiber.New(fiber.Config{AppName: "acaciaproxy metrics", Immutable: true})}
+	s := &Server{app: newApp("acaciaproxy metrics")}
 	s.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok") })
 	s.app.Get("/metrics", func(c fiber.Ctx) error {
 		c.Set(fiber.HeaderContentType, fiber.MIMETextPlain)
--- /dev/null
+++ b/connlimiter/connection.go
@@ -0,0 +1,355 @@
+package connlimiter
+
+import (
+	"container/list"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// writeTimeout is the time in which a caller must take writeBytes of a response.
+	writeTimeout = 30 * time.Second
+	writeBytes   = 64 << 10
+	// refusalTimeout bounds the write of a refusal, which fits into an empty socket buffer.
+	refusalTimeout = 100 * time.Millisecond
+	// lateTime is granted once after a timeout, to read what has arrived while the process did not run.
+	lateTime = 20 * time.Millisecond
+	// freeHeadBytes and freeHeadLines of each head need no space of the account of heads. Ordinary heads have less.
+	freeHeadBytes, freeHeadLines = 4 << 10, 64
+	// byteCost and lineCost are the bytes that a server holds for a byte and for a line of a head while it parses it, as measured with net/http and
+	// fasthttp.
+	byteCost, lineCost = 3, 256
+	// headStep is the step in which space for a head is taken.
+	headStep = 8 << 10
+	// chunkCost is what a byte of a chunked body costs while a server lets its buffer grow.
+	chunkCost = 3
+)
+
+// connection is a connection of a caller. Reads are sequential; everything else is safe for concurrent use.
+type connection struct {
+	net.Conn
+	listener *Listener
+	// The fields up to spaceMu are used by Read only, and by setIdle, which is called between reads.
+	scanner scanner
+	// refused is set once the connection is refused: it reads nothing more, and what the server writes is dropped.
+	refused bool
+	// inProgress is the number of heads that have ended and whose requests the server has not.
+	inProgress int
+	// pipelined is set when a head began before the request before it had ended.
+	pipelined bool
+	// doomed is set by a violation after a head that has ended, whose request must not get an answer from here. Nothing more is read then.
+	doomed bool
+	// bodyBytes is the number of bytes of the current body, progress that of those since it was recorded.
+	bodyBytes, progress int
+	// spaceMu guards head and body, the spaces that were taken, or nil.
+	spaceMu    sync.Mutex
+	head, body *Holding
+	// writeDeadline is the deadline of writes that was set last; it is used by Write only.
+	writeDeadline time.Time
+	// mu guards the three deadlines and stopped, which is set when a holding was ended.
+	mu                          sync.Mutex
+	serverDeadline, ownDeadline time.Time
+	stopped                     bool
+	// The fields below are guarded by the listener's lock. since is when the connection began to wait for a request.
+	since   time.Time
+	list    *list.List
+	place   *list.Element
+	removed bool
+}
+
+func newConnection(accepted net.Conn, l *Listener) *connection {
+	c := &connection{Conn: accepted, listener: l, since: time.Now()}
+	if l.port.HTTP {
+		_, _, idle := l.limiter.headLimits()
+		c.setOwnDeadline(c.since.Add(idle))
+	}
+	return c
+}
+
+// Read reads what the caller sends. It returns io.EOF once the connection is refused.
+func (c *connection) Read(buffer []byte) (int, error) {
+	if !c.listener.port.HTTP {
+		return c.Conn.Read(buffer)
+	}
+	if c.refused || c.doomed {
+		return 0, io.EOF
+	}
+	n, err := c.Conn.Read(buffer)
+	if errors.Is(err, os.ErrDeadlineExceeded) && n == 0 {
+		n, err = c.readLate(buffer)
+	}
+	if n == 0 {
+		return 0, err
+	}
+	if refusal := c.follow(buffer[:n]); refusal != nil {
+		return 0, refusal
+	}
+	return n, err
+}
+
+// readLate reads once more after a timeout of the connection's own, since bytes may have arrived while the process did not run. It ends the
+// connection if none have.
+func (c *connection) readLate(buffer []byte) (int, error) {
+	now := time.Now()
+	c.mu.Lock()
+	stopped := c.stopped
+	late := !c.ownDeadline.IsZero() && !now.Before(c.ownDeadline) && (c.serverDeadline.IsZero() || now.Before(c.serverDeadline))
+	var err error
+	if late && !stopped {
+		err = c.Conn.SetReadDeadline(now.Add(lateTime))
+	}
+	c.mu.Unlock()
+	if stopped {
+		return 0, c.refuse(http.StatusRequestTimeout, "stalled")
+	}
+	if !late || err != nil {
+		return 0, os.ErrDeadlineExceeded
+	}
+	n, err := c.Conn.Read(buffer)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.scanner.phase != phaseBetween {
+		c.listener.limiter.report(c.listener.port.Name, "head late", c.RemoteAddr().String())
+	}
+	return n, err
+}
+
+// follow counts bytes that were read, and takes the space for them. The error is that of Read if the request is refused.
+func (c *connection) follow(data []byte) error {
+	for len(data) > 0 {
+		before := c.scanner.phase
+		if before == phaseBetween {
+			c.scanner.maxBytes, _, _ = c.listener.limiter.headLimits()
+		}
+		n, body, headEnds, v := c.scanner.scan(data)
+		if before == phaseBetween && c.scanner.phase != phaseBetween {
+			c.beginHead()
+		}
+		if v != 0 && !c.mayAnswer() {
+			c.doomed = true
+			c.listener.limiter.report(c.listener.port.Name, causeOf(v), c.RemoteAddr().String())
+			return nil
+		}
+		if v != 0 {
+			return c.refuse(int(v), causeOf(v))
+		}
+		data = data[n:]
+		if err := c.takeSpace(body, headEnds); err != nil {
+			return err
+		}
+		if headEnds {
+			if err := c.endHead(); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// mayAnswer reports whether an answer now can only be taken for that to the request that is being read. Servers that read bodies by themselves have
+// not begun to serve it then.
+func (c *connection) mayAnswer() bool {
+	if c.listener.port.BodyLimit > 0 && c.scanner.inBody() {
+		return !c.pipelined && c.inProgress == 1
+	}
+	return !c.pipelined && c.inProgress == 0
+}
+
+// causeOf returns the name of a violation in metrics and log lines.
+func causeOf(v violation) string {
+	if v == violationLarge {
+		return "head large"
+	}
+	return "malformed"
+}
+
+// beginHead sets the time for a head and returns the space of the one before.
+func (c *connection) beginHead() {
+	c.pipelined = c.pipelined || c.inProgress > 0
+	if c.inProgress == 0 {
+		c.release()
+	}
+	_, timeout, _ := c.listener.limiter.headLimits()
+	c.setOwnDeadline(time.Now().Add(timeout))
+}
+
+// endHead records that the server has a request to serve. The error is that of Read if the request is refused.
+func (c *connection) endHead() error {
+	if c.head != nil {
+		if err := c.head.Keep(); err != nil {
+			return c.refuseSpace(err)
+		}
+	}
+	c.inProgress, c.bodyBytes, c.progress = c.inProgress+1, 0, 0
+	c.setOwnDeadline(time.Time{})
+	c.listener.mu.Lock()
+	c.unlist()
+	c.listener.mu.Unlock()
+	return c.takeBodySpace()
+}
+
+// setIdle records that the server waits for the next request.
+func (c *connection) setIdle() {
+	if c.inProgress = max(c.inProgress-1, 0); c.inProgress > 0 {
+		return // The head of another request has been read.
+	}
+	if c.listener.port.BodyLimit == 0 {
+		c.pipelined = false // Every response was sent; other servers may still hold one.
+	}
+	c.release()
+	if c.scanner.phase == phaseUnknown {
+		c.scanner.endRequest()
+	}
+	now := time.Now()
+	_, head, idle := c.listener.limiter.headLimits()
+	if c.scanner.phase == phaseHead {
+		idle = head
+	}
+	c.setOwnDeadline(now.Add(idle))
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	if c.place == nil && !c.removed {
+		c.since, c.list = now, c.listener.waiting
+		c.place = c.list.PushBack(c)
+	}
+}
+
+// takeSpace takes the space for the current head and, for servers that read bodies by themselves, for bytes of the body. The error is that of Read if
+// the request is refused.
+func (c *connection) takeSpace(body int, headEnds bool) error {
+	if c.scanner.phase == phaseHead || headEnds {
+		cost := int64(max(c.scanner.bytes-freeHeadBytes, 0)*byteCost + max(c.scanner.lines-freeHeadLines, 0)*lineCost)
+		if cost == 0 {
+			return nil
+		}
+		if c.head == nil {
+			c.setSpace(&c.head, c.listener.limiter.heads.Hold(c.stop))
+		}
+		if err := c.head.Grow((cost+headStep-1)/headStep*headStep, time.Time{}); err != nil {
+			return c.refuseSpace(err)
+		}
+		return nil
+	}
+	if body == 0 || c.body == nil {
+		return nil
+	}
+	c.bodyBytes, c.progress = c.bodyBytes+body, c.progress+body
+	if c.progress < freeBodyBytes && c.scanner.inBody() {
+		return nil
+	}
+	c.progress = 0
+	if c.scanner.length < 0 {
+		if err := c.body.Grow(int64(max(c.bodyBytes-freeBodyBytes, 0)*chunkCost), time.Time{}); err != nil {
+			return c.refuseSpace(err)
+		}
+	}
+	if c.scanner.inBody() {
+		c.body.Touch()
+		return nil
+	}
+	if err := c.body.Keep(); err != nil {
+		return c.refuseSpace(err)
+	}
+	return nil
+}
+
+// takeBodySpace takes the space for a body whose length the head has told, for servers that read bodies by themselves. The error is that of Read if
+// the request is refused.
+func (c *connection) takeBodySpace() error {
+	if c.listener.port.BodyLimit == 0 || !c.scanner.inBody() {
+		return nil
+	}
+	if c.body == nil {
+		c.setSpace(&c.body, c.listener.limiter.bodies.Hold(c.stop))
+	}
+	if length := c.scanner.length; length > freeBodyBytes && length <= int64(c.listener.port.BodyLimit) {
+		if err := c.body.Grow(roundUp(length), time.Time{}); err != nil { // The server allocates it at once.
+			return c.refuseSpace(err)
+		}
+	}
+	return nil
+}
+
+// setSpace sets head or body.
+func (c *connection) setSpace(space **Holding, holding *Holding) {
+	c.spaceMu.Lock()
+	defer c.spaceMu.Unlock()
+	*space = holding
+}
+
+// roundUp returns the next power of two, by which fasthttp allocates.
+func roundUp(size int64) int64 {
+	rounded := int64(1)
+	for rounded < size {
+		rounded *= 2
+	}
+	return rounded
+}
+
+// stop ends the read in progress because a holding was ended.
+func (c *connection) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopped = true
+	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // Fails only if the connection has ended.
+}
+
+// refuseSpace refuses a request for which there is no space.
+func (c *connection) refuseSpace(err error) error {
+	var stalled *StalledError
+	if errors.As(err, &stalled) {
+		return c.refuse(http.StatusRequestTimeout, "stalled")
+	}
+	return c.refuse(http.StatusServiceUnavailable, "space")
+}
+
+// refuse answers a request that has not been read whole, if the answer cannot be taken for that to another one, and ends the connection for the
+// server. It returns the error of Read.
+func (c *connection) refuse(status int, cause string) error {
+	if c.refused {
+		return io.EOF
+	}
+	if c.mayAnswer() {
+		retry := ""
+		if status == http.StatusServiceUnavailable {
+			retry = fmt.Sprintf("Retry-After: %.3f\r\n", float64(spaceRetryMS)/1000)
+		}
+		text := fmt.Sprintf("%d %s", status, http.StatusText(status))
+		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout)) // Fails only if the connection has ended, as the write does.
+		_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n"+
+			"%sContent-Length: %d\r\n\r\n%s", text, retry, len(text), text)
+	}
+	c.refused = true
+	c.release()
+	c.listener.limiter.report(c.listener.port.Name, cause, c.RemoteAddr().String())
+	return io.EOF
+}
+
+// release returns the space that was taken.
+func (c *connection) release() {
+	c.spaceMu.Lock()
+	defer c.spaceMu.Unlock()
+	c.head.Release()
+	c.body.Release()
+}
+
+// CloseWrite closes the sending side if the connection can do that.
+func (c *connection) CloseWrite() error {
+	if inner, can := c.Conn.(interface{ CloseWrite() error }); can {
+		return inner.CloseWrite()
+	}
+	return nil
+}
+
+// Close closes the connection and gives its place and its space to others.
+func (c *connection) Close() error {
+	c.listener.mu.Lock()
+	c.remove()
+	c.listener.mu.Unlock()
+	c.release() // At every call: the last one is that of the server, which reads no more.
+	return c.Conn.Close()
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -11,10 +11,8 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net"
 	"net/http"
-	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,6 +23,7 @@
 	"github.com/acaciaproxy/acaciaproxy/assessor"
 	"github.com/acaciaproxy/acaciaproxy/bufferer"
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/connlimiter"
 	"github.com/acaciaproxy/acaciaproxy/crashkeeper"
 	"github.com/acaciaproxy/acaciaproxy/demandcounter"
 	"github.com/acaciaproxy/acaciaproxy/fleettracker"
@@ -79,6 +78,8 @@
 	ConfirmList  func(deadline, since time.Time) bool
 	// Budget limits the sends beyond the first of each request.
 	Budget Budget
+	// Host is what the host has, by which the connections and bytes of callers are limited.
+	Host connlimiter.Host
 }
 
 // Budget is the retry budget of each service.
@@ -110,36 +111,48 @@
 	carried atomic.Int64
 	// space is shared by the responses that are held in memory.
 	space bufferer.Space
+	// limiter limits the connections of callers and what is held of their requests.
+	limiter *connlimiter.Limiter
 }
 
-// Limits of callers' connections. The configuration's idle timeout is shorter
-// than idleTimeout, so that callers close idle connections first.
-const (
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 120 * time.Second
-	maxHeaderBytes = 64 << 10
-)
+// maxHeaderBytes is more than any limit of heads; the limiter, which counts them, sets the limit in force and the timeouts.
+const maxHeaderBytes = 16 << 20
 
 // New returns a forwarder that does not listen yet; readyPath is the path of readiness checks.
 func New(dependencies Dependencies, readyPath string) *Forwarder {
 	f := &Forwarder{dependencies: dependencies, draining: make(chan struct{})}
 	f.life, f.endLife = context.WithCancel(context.Background())
+	f.limiter = connlimiter.New(dependencies.Host, f.headLimits, dependencies.Recorder.Count)
 	f.server = &http.Server{
-		Handler: f, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
-		DisableGeneralOptionsHandler: true,
+		Handler: f, MaxHeaderBytes: maxHeaderBytes, ConnState: connlimiter.ObserveState, DisableGeneralOptionsHandler: true,
 	}
 	readyMux := http.NewServeMux()
 	readyMux.HandleFunc(readyPath, f.handleReady)
-	f.readyServer = &http.Server{Handler: readyMux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout}
+	f.readyServer = &http.Server{Handler: readyMux, MaxHeaderBytes: maxHeaderBytes, ConnState: connlimiter.ObserveState}
 	return f
 }
 
+// headLimits returns the limits of heads by the configuration in force.
+func (f *Forwarder) headLimits() connlimiter.HeadLimits {
+	catalog := f.dependencies.Catalog()
+	if catalog == nil {
+		return connlimiter.HeadLimits{}
+	}
+	limits := catalog.Limits()
+	return connlimiter.HeadLimits{Bytes: limits.HeaderBytes, HeadMS: limits.HeaderTimeoutMS, IdleMS: limits.IdleTimeoutMS}
+}
+
+// Limiter returns the limiter of the connections of callers, by which those of others are limited too.
+func (f *Forwarder) Limiter() *connlimiter.Limiter { return f.limiter }
+
 // Serve serves callers' requests until Close is called.
-func (f *Forwarder) Serve(listener net.Listener) error { return serveUntilClosed(f.server, listener) }
+func (f *Forwarder) Serve(listener net.Listener) error {
+	return serveUntilClosed(f.server, f.limiter.Listen(listener, connlimiter.Port{Name: "callers", Connections: f.limiter.MaxCallers(), HTTP: true}))
+}
 
 // ServeReady serves readiness checks until Close is called.
 func (f *Forwarder) ServeReady(listener net.Listener) error {
-	return serveUntilClosed(f.readyServer, listener)
+	return serveUntilClosed(f.readyServer, f.limiter.Listen(listener, connlimiter.Port{Name: "ready", Connections: f.limiter.MaxOthers(), HTTP: true}))
 }
 
 func serveUntilClosed(server *http.Server, listener net.Listener) error {
@@ -175,6 +188,8 @@
 // call is one request in flight.
 type call struct {
 	*Request
+	// held is the space that the body takes until the call has ended; nil until it is read.
+	held    *connlimiter.Holding
 	catalog *cataloger.Catalog
 	route   *cataloger.Route
 	service *cataloger.Service
@@ -252,6 +267,7 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	c, err := f.admit(w, r, arrived)
+	defer c.held.Release()
 	if err != nil {
 		f.fail(w, r, c, err)
 		return
@@ -308,7 +324,7 @@
 	if c.service, found = c.catalog.Service(route.Service(hashFraction(c.ID))); !found {
 		return c, c.refuse("no_service", "the route's service is not configured", configurationRetry)
 	}
-	if c.Body, err = readBody(w, r, c.catalog.Limits().BodyBytes, c); err != nil {
+	if c.Body, err = f.readBody(w, r, c.catalog.Limits().BodyBytes, c); err != nil {
 		return c, err
 	}
 	if err := f.checkDrain(time.Now(), c); err != nil {
@@ -319,43 +335,6 @@
 	return c, f.checkCrashes(c)
 }
 
-// defaultBodyBytes limits bodies when the configuration sets no limit.
-const defaultBodyBytes = 8 << 20
-
-// readBody reads a call's body of at most limit bytes, which arrives by the call's deadline; a limit of 0 or less stands for defaultBodyBytes.
-func readBody(w http.ResponseWriter, r *http.Request, limit int, c *call) ([]byte, error) {
-	if limit <= 0 {
-		limit = defaultBodyBytes
-	}
-	tooLarge := newFailure(http.StatusRequestEntityTooLarge, "body_large", "the request's body is larger than the configuration allows")
-	if r.ContentLength > int64(limit) {
-		return nil, tooLarge
-	}
-	if r.Body == http.NoBody {
-		return []byte{}, nil
-	}
-	controller := http.NewResponseController(w)
-	if err := controller.SetReadDeadline(c.deadline); err != nil {
-		return nil, newFailure(http.StatusBadRequest, "body_broken", "the connection failed before the request's body arrived: "+err.Error())
-	}
-	body, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		failure := c.refuse("body_late", "the request's body did not arrive by its deadline", 0)
-		failure.status, failure.retryMS = http.StatusRequestTimeout, 0
-		return nil, failure
-	}
-	if err == nil {
-		err = controller.SetReadDeadline(time.Time{})
-	}
-	if err != nil {
-		return nil, newFailure(http.StatusBadRequest, "body_broken", "the request's body did not arrive whole: "+err.Error())
-	}
-	if len(body) > limit {
-		return nil, tooLarge
-	}
-	return body, nil
-}
-
 // serverHeaders lists the response headers that net/http sets itself.
 var serverHeaders = []string{"Content-Length", "Date"}
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -10,7 +10,6 @@
 import (
 	"errors"
 	"fmt"
-	"net"
 	"strconv"
 	"strings"
 	"sync"
@@ -26,6 +25,7 @@
 	"github.com/acaciaproxy/acaciaproxy/claimer"
 	"github.com/acaciaproxy/acaciaproxy/configfollower"
 	"github.com/acaciaproxy/acaciaproxy/configreader"
+	"github.com/acaciaproxy/acaciaproxy/connlimiter"
 	"github.com/acaciaproxy/acaciaproxy/crashreporter"
 	"github.com/acaciaproxy/acaciaproxy/engineclient"
 	"github.com/acaciaproxy/acaciaproxy/loadrequester"
@@ -92,6 +92,8 @@
 	budget retryBudget
 	// space is shared by the responses that are held in memory.
 	space bufferer.Space
+	// limiter limits the connections of callers and what is held of their requests.
+	limiter *connlimiter.Limiter
 	// mu guards engines, services and tenants.
 	mu sync.Mutex
 	// engines and services map addresses to clients.
@@ -114,6 +116,7 @@
 		BodyLimit:               dependencies.Settings.BodyLimit(),
 		ReadBufferSize:          dependencies.Settings.HeaderLimit(),
 		Concurrency:             dependencies.Settings.MaxConnections(),
+		ReduceMemoryUsage:       true, // Connections that wait for a request keep no buffers, whose space was returned.
 		ReadTimeout:             dependencies.Settings.ReadTimeout(),
 		IdleTimeout:             idleTimeout,
 		ErrorHandler:            g.handleError,
@@ -122,6 +125,9 @@
 		UnescapePath:            false,
 		DisableHeadAutoRegister: true,
 	})
+	g.app.Server().ConnState = connlimiter.ObserveFastState
+	host := connlimiter.Host{Memory: dependencies.Settings.Memory(), Descriptors: dependencies.Settings.Descriptors()}
+	g.limiter = connlimiter.New(host, g.headLimits, dependencies.Recorder.Count)
 	g.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok") })
 	g.app.Get("/readyz", g.handleReadiness)
 	g.app.Get("/v1/models", g.listModels)
@@ -134,11 +140,6 @@
 // idleTimeout is how long a caller's connection may stay open without a request.
 const idleTimeout = 75 * time.Second
 
-// Serve accepts connections from the listener until Stop is called.
-func (g *Gateway) Serve(listener net.Listener) error {
-	return g.app.Listener(listener, fiber.ListenConfig{DisableStartupMessage: true})
-}
-
 // Stop closes the listener and the connections. It fails when connections are
 // still open after shutdownTimeout.
 func (g *Gateway) Stop() error { return g.app.ShutdownWithTimeout(shutdownTimeout) }
--- a/launcher/uncontrolled_callers_test.go
+++ b/launcher/uncontrolled_callers_test.go
@@ -74,7 +74,8 @@
 	}
 	client := &http.Client{Timeout: 3 * time.Second}
 	for deadline := time.Now().Add(crowdEndTime); ; {
-		response, err := client.Post("http://"+node.address+"/v1/completions", "application/json", strings.NewReader(`{"model":"occupations","prompt":"x","max_tokens":4}`))
+		body := strings.NewReader(`{"model":"occupations","prompt":"x","max_tokens":4}`)
+		response, err := client.Post("http://"+node.address+"/v1/completions", "application/json", body)
 		if err == nil {
 			_ = response.Body.Close()
 			if response.StatusCode == http.StatusOK {
--- a/rawpeer/crowd.go
+++ b/rawpeer/crowd.go
@@ -13,7 +13,8 @@
 type Crowd struct {
 	// Callers is the number of connections.
 	Callers int
-	// Head is written first; NUMBER in it is replaced by the number of the caller. As many short header lines as Lines says follow, each with another name.
+	// Head is written first; NUMBER in it is replaced by the number of the caller. As many short header lines as Lines says follow, each with another
+	// name.
 	Head  string
 	Lines int
 	// Filler is written again and again after that, Bytes bytes altogether. With Chunk, it is written in chunks of that many bytes.
@@ -47,6 +48,11 @@
 	callers.Wait()
 }
 
+// Text returns what the first caller writes.
+func (c Crowd) Text() []byte {
+	return append([]byte(strings.ReplaceAll(c.Head, "NUMBER", "0")), c.body()...)
+}
+
 // body returns what each caller writes after the head.
 func (c Crowd) body() []byte {
 	var text []byte
--- a/server/server.go
+++ b/server/server.go
@@ -16,6 +16,7 @@
 	"github.com/acaciaproxy/acaciaproxy/adminserver"
 	"github.com/acaciaproxy/acaciaproxy/claimer"
 	"github.com/acaciaproxy/acaciaproxy/configfollower"
+	"github.com/acaciaproxy/acaciaproxy/connlimiter"
 	"github.com/acaciaproxy/acaciaproxy/crashreporter"
 	"github.com/acaciaproxy/acaciaproxy/elector"
 	"github.com/acaciaproxy/acaciaproxy/engineclient"
@@ -189,12 +190,16 @@
 	if err != nil {
 		return fmt.Errorf("listen for nodes: %w", err)
 	}
-	s.grpc = grpc.NewServer()
+	limiter := s.gateway.Limiter()
+	connlimiter.LimitHeap(s.settings.Memory())
+	s.grpc = newNodeServer()
 	nodewire.RegisterNodeServer(s.grpc, &nodeService{server: s})
 	failed := make(chan error, 3)
-	go func() { failed <- s.grpc.Serve(nodes) }()
-	go func() { failed <- s.adminServer.Serve(operators) }()
-	s.callers = lingerer.New(callers, lingerer.DefaultLimits())
+	go func() {
+		failed <- s.grpc.Serve(limiter.Listen(nodes, connlimiter.Port{Name: "nodes", Connections: limiter.MaxNodes()}))
+	}()
+	go func() { failed <- s.adminServer.Serve(limiter.Listen(operators, adminserver.Port(limiter))) }()
+	s.callers = lingerer.New(callers, lingerLimits(limiter))
 	go func() { failed <- s.gateway.Serve(s.callers) }()
 	s.startLoops()
 	log.Info().Str("node", s.settings.Name()).Str("zone", s.settings.Zone()).Str("callers", s.settings.Callers()).
--- a/settingsreader/settings.go
+++ b/settingsreader/settings.go
@@ -51,8 +51,8 @@
 	configreader.NewNumberField("quotaovershoot", 0, 1, 0.1, "fraction by which a tenant may exceed its allowance in a window, with form \"fleet\""),
 	configreader.NewNumberField("quotaslack", 0, 1e12, 0, "further tokens that a tenant may use in a window, with form \"fleet\""),
 	configreader.NewTextField("zones", false, "", "names of all availability zones, separated by commas, among which tenants' allowances are divided, with form \"fleet\""),
-	configreader.NewNumberField("memory", 0, 1e9, 0, "memory of this host in MiB, by which the bytes of callers are bounded; 0 if not known, with form \"fleet\""),
-	configreader.NewNumberField("descriptors", 0, 1e9, 0, "file descriptors of this host, by which connections are bounded; 0 if not known, with form \"fleet\""),
+	configreader.NewNumberField("memory", 0, 1e9, 0, "memory of this host in MiB, by which the bytes of callers are bounded; 0 if not known"),
+	configreader.NewNumberField("descriptors", 0, 1e9, 0, "file descriptors of this host, by which connections are bounded; 0 if not known"),
 	configreader.NewNumberField("hedge", 0, 100, 0, "hedged sends allowed per 100 requests of a service; 0 sends none, with form \"fleet\""),
 	configreader.NewNumberField("repeat", 0, 1, 0, "1 if an idempotent request that a worker answered with status 500 is sent to another worker, with form \"fleet\""),
 }
--- a/soaker/uncontrolled_callers_test.go
+++ b/soaker/uncontrolled_callers_test.go
@@ -63,7 +63,8 @@
 		e := startCrowdEnvironment(Spec{Nodes: 1, MemoryMB: crowdMemoryMB, Descriptors: crowdDescriptors})
 		var breaches []string
 		for _, n := range e.nodes[:1] {
-			for port, address := range map[string]string{"callers": n.callerAddress, "ready": n.readyAddress, "operators": n.operatorAddress, "nodes": n.peerAddress} {
+			addresses := map[string]string{"callers": n.callerAddress, "ready": n.readyAddress, "operators": n.operatorAddress, "nodes": n.peerAddress}
+			for port, address := range addresses {
 				var crowd sync.WaitGroup
 				crowd.Go(func() { rawpeer.Crowd{Callers: idleCallers}.Play(address, time.Now().Add(crowdTime/2)) })
 				time.Sleep(crowdTime / 4)
@@ -71,7 +72,8 @@
 				gomega.Expect(err).NotTo(gomega.HaveOccurred())
 				ginkgo.GinkgoWriter.Printf("%s: %d descriptors\n", port, len(entries))
 				if len(entries) > crowdDescriptors {
-					breaches = append(breaches, fmt.Sprintf("DESCRIPTORS: %d with %d connections to the address for %s", len(entries), idleCallers, port))
+					breach := fmt.Sprintf("DESCRIPTORS: %d with %d connections to the address for %s", len(entries), idleCallers, port)
+					breaches = append(breaches, breach)
 				}
 				crowd.Wait()
 				breaches = append(breaches, e.checkAfterCrowd(n, port)...)
@@ -113,7 +115,8 @@
 	}
 	client := &http.Client{Timeout: time.Second}
 	for deadline, number := time.Now().Add(crowdEndTime), 0; ; number++ {
-		result := fleetstandin.Send(client, n.callerAddress, fleetstandin.KindOnce, "/once/x", fmt.Sprintf("after-%s-%d", n.name, number), "", time.Second)
+		id := fmt.Sprintf("after-%s-%d", n.name, number)
+		result := fleetstandin.Send(client, n.callerAddress, fleetstandin.KindOnce, "/once/x", id, "", time.Second)
 		if result.Status == http.StatusOK {
 			return breaches
 		}
@@ -135,7 +138,8 @@
 		gomega.Expect(err).NotTo(gomega.HaveOccurred())
 		defer func() { _ = connection.Close() }()
 		calls.Go(func() {
-			stream, err := nodewire.NewFleetClient(connection).Carry(ctx, &nodewire.CarryRequest{Node: "crowd", Method: http.MethodPost, Target: "/once/x", Host: fleetstandin.Host, Body: body})
+			message := &nodewire.CarryRequest{Node: "crowd", Method: http.MethodPost, Target: "/once/x", Host: fleetstandin.Host, Body: body}
+			stream, err := nodewire.NewFleetClient(connection).Carry(ctx, message)
 			if err == nil {
 				_, _ = stream.Recv() // How the node answers does not matter.
 			}
