--- a/connlimiter/connection.go
+++ b/connlimiter/connection.go
@@ -50,8 +50,9 @@
 	// spaceMu guards head and body, the spaces that were taken, or nil.
 	spaceMu    sync.Mutex
 	head, body *Holding
-	// writeDeadline is the deadline of writes that was set last; it is used by Write only.
-	writeDeadline time.Time
+	// writeDeadline is the deadline of writes that was set last, serverWriteDeadline the one that the server has asked for; both are used by the goroutine
+	// that writes only.
+	writeDeadline, serverWriteDeadline time.Time
 	// mu guards the three deadlines and stopped, which is set when a holding was ended.
 	mu                          sync.Mutex
 	serverDeadline, ownDeadline time.Time
--- a/connlimiter/deadlines.go
+++ b/connlimiter/deadlines.go
@@ -17,8 +17,13 @@
 	written := 0
 	for {
 		now := time.Now()
-		if c.writeDeadline.Sub(now) < writeTimeout*3/4 { // Setting it at each write would cost more.
-			c.writeDeadline = now.Add(writeTimeout)
+		deadline := now.Add(writeTimeout)
+		if !c.serverWriteDeadline.IsZero() && c.serverWriteDeadline.Before(deadline) {
+			deadline = c.serverWriteDeadline
+		}
+		// Setting it at each write would cost more.
+		if !deadline.Equal(c.writeDeadline) && c.writeDeadline.Sub(now) < writeTimeout*3/4 {
+			c.writeDeadline = deadline
 			if err := c.Conn.SetWriteDeadline(c.writeDeadline); err != nil {
 				return written, err
 			}
@@ -34,12 +39,15 @@
 	}
 }
 
-// SetWriteDeadline does nothing on connections that carry HTTP/1, whose writes have a deadline of their own.
+// SetWriteDeadline sets the deadline of the server's writes. The connection's own deadline applies if it is earlier.
 func (c *connection) SetWriteDeadline(deadline time.Time) error {
-	if c.listener.port.HTTP {
-		return nil
+	if !c.listener.port.HTTP {
+		return c.Conn.SetWriteDeadline(deadline)
+	}
+	if !deadline.Equal(c.serverWriteDeadline) {
+		c.serverWriteDeadline, c.writeDeadline = deadline, time.Time{}
 	}
-	return c.Conn.SetWriteDeadline(deadline)
+	return nil
 }
 
 // SetReadDeadline sets the deadline of the server's reads. The connection's own deadline applies if it is earlier.
--- a/connlimiter/write_test.go
+++ b/connlimiter/write_test.go
@@ -31,6 +31,23 @@
 		g.Expect(time.Since(began)).To(gomega.BeNumerically("<=", writeTimeout))
 		g.Expect(errors.Join(c.Close(), caller.Close())).To(gomega.Succeed())
 	})
+	synctest.Test(t, func(t *testing.T) { // The server's deadline, although the caller reads.
+		g := gomega.NewWithT(t)
+		c, caller := pipe()
+		g.Expect(c.SetWriteDeadline(time.Now().Add(50 * time.Second))).To(gomega.Succeed())
+		go func() {
+			for range 2 {
+				time.Sleep(20 * time.Second)
+				_, _ = io.CopyN(io.Discard, caller, writeBytes) // A failure shows at the writer.
+			}
+		}()
+		began := time.Now()
+		n, err := c.Write(make([]byte, size))
+		g.Expect(errors.Is(err, os.ErrDeadlineExceeded)).To(gomega.BeTrue())
+		g.Expect(n).To(gomega.Equal(2 * writeBytes))
+		g.Expect(time.Since(began)).To(gomega.Equal(50 * time.Second))
+		g.Expect(errors.Join(c.Close(), caller.Close())).To(gomega.Succeed())
+	})
 	synctest.Test(t, func(t *testing.T) {
 		g := gomega.NewWithT(t)
 		c, caller := pipe()
--- a/forwarder/body.go
+++ b/forwarder/body.go
@@ -69,3 +69,20 @@
 	failure.status, failure.retryMS = http.StatusRequestTimeout, 0
 	return failure
 }
+
+// writeGrace is how long after its deadline a caller may still take the response.
+const writeGrace = 10 * time.Second
+
+// limitWrites bounds how long a response can be held for a caller that does not read it: callers stop to wait at the deadline.
+func limitWrites(w http.ResponseWriter, deadline time.Time) {
+	_ = http.NewResponseController(w).SetWriteDeadline(deadline.Add(writeGrace)) // Carried requests have none: their nodes end the call.
+}
+
+// holdCarried takes the space for the body of a request that another node passed on, which is in memory. It does not wait, since that node may ask another.
+func (f *Forwarder) holdCarried(r *http.Request) (*connlimiter.Holding, error) {
+	held := f.limiter.Bodies().Hold(func() {})
+	if err := held.Grow(r.ContentLength, time.Now()); err != nil {
+		return nil, err
+	}
+	return held, held.Keep()
+}
--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -163,7 +163,9 @@
 // set before the head of the response is written.
 func (f *Forwarder) ServeCarried(w http.ResponseWriter, r *http.Request, from string, once bool, outcome *CarriedOutcome) {
 	defer f.carried.Add(-1)
-	if f.carried.Add(1) > maxCarried {
+	held, err := f.holdCarried(r)
+	defer held.Release()
+	if f.carried.Add(1) > maxCarried || err != nil {
 		outcome.refused, outcome.untried = true, true
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -272,6 +272,7 @@
 		f.fail(w, r, c, err)
 		return
 	}
+	limitWrites(w, c.deadline)
 	f.dependencies.Recorder.Count("requests " + c.route.Name)
 	if c.service.RunsModels() && c.Model != "" {
 		err = f.serveModel(w, r, c)
--- a/launcher/uncontrolled_callers_test.go
+++ b/launcher/uncontrolled_callers_test.go
@@ -24,6 +24,8 @@
 	crowdEndTime = 15 * time.Second
 	// idleCallers is the number of connections that send nothing.
 	idleCallers = 1500
+	// ordinaryBytes is the size of the prompt of the ordinary request.
+	ordinaryBytes = 90000
 )
 
 // Guards against callers of the own interface that fill the memory or take all file descriptors of a host, which ends the node's process.
@@ -74,7 +76,8 @@
 	}
 	client := &http.Client{Timeout: 3 * time.Second}
 	for deadline := time.Now().Add(crowdEndTime); ; {
-		body := strings.NewReader(`{"model":"occupations","prompt":"x","max_tokens":4}`)
+		// It needs space that the crowd must have returned.
+		body := strings.NewReader(`{"model":"occupations","prompt":"` + strings.Repeat("x", ordinaryBytes) + `","max_tokens":4}`)
 		response, err := client.Post("http://"+node.address+"/v1/completions", "application/json", body)
 		if err == nil {
 			_ = response.Body.Close()
--- a/soaker/uncontrolled_callers_test.go
+++ b/soaker/uncontrolled_callers_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,6 +31,8 @@
 	crowdEndTime = 15 * time.Second
 	// idleCallers is the number of connections that send nothing.
 	idleCallers = 600
+	// ordinaryBytes is the size of the body of the ordinary request.
+	ordinaryBytes = 90000
 )
 
 // crowdCase is one entry of testdata/uncontrolled_callers.json.
@@ -115,8 +118,10 @@
 	}
 	client := &http.Client{Timeout: time.Second}
 	for deadline, number := time.Now().Add(crowdEndTime), 0; ; number++ {
-		id := fmt.Sprintf("after-%s-%d", n.name, number)
-		result := fleetstandin.Send(client, n.callerAddress, fleetstandin.KindOnce, "/once/x", id, "", time.Second)
+		result := fleetstandin.SendAttempt(client, n.callerAddress, fleetstandin.Attempt{
+			Kind: fleetstandin.KindOnce, Path: "/once/x", ID: fmt.Sprintf("after-%s-%d", n.name, number), Timeout: time.Second,
+			Body: strings.Repeat("x", ordinaryBytes), // It needs space that the crowd must have returned.
+		})
 		if result.Status == http.StatusOK {
 			return breaches
 		}
