Limits of callers: small bodies that stall do not keep all connections

Cause: a body within the free part of the account takes no space, so bodies of a few bytes that stop short kept their connections until their deadlines while new callers were turned away. A connection that was closed in favour of another at the moment when its head ended still had its request served.

Change: when no connection without a request is left, the body that has stalled longest is ended (408). A request on a connection that was just closed is not served.

--- a/connlimiter/account.go
+++ b/connlimiter/account.go
@@ -173,6 +173,14 @@
 	return spaceWait
 }
 
+// EndStalled ends the holding that has not grown for the longest time, unless it has grown lately, because its connection is needed for
+// another caller.
+func (a *Account) EndStalled() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.endStalled(time.Now(), nil)
+}
+
 // Touch records progress that needs no more space.
 func (h *Holding) Touch() {
 	h.account.mu.Lock()
@@ -233,6 +241,9 @@
 	if expected >= 0 {
 		capacity = int(min(expected+1, freeBodyBytes)) // One more, for the read that finds the end.
 	}
+	if err := h.Grow(0, deadline); err != nil { // From here on it can stall.
+		return nil, err
+	}
 	whole, touched := make([]byte, 0, capacity), 0
 	for {
 		if len(whole) == cap(whole) {
--- a/connlimiter/connection.go
+++ b/connlimiter/connection.go
@@ -50,8 +50,8 @@
 	// spaceMu guards head and body, the spaces that were taken, or nil.
 	spaceMu    sync.Mutex
 	head, body *Holding
-	// writeDeadline is the deadline of writes that was set last, serverWriteDeadline the one that the server has asked for; both are used by the goroutine
-	// that writes only.
+	// writeDeadline is the deadline of writes that was set last, serverWriteDeadline the one that the server has asked for; both are used by
+	// the goroutine that writes only.
 	writeDeadline, serverWriteDeadline time.Time
 	// mu guards the three deadlines and stopped, which is set when a holding was ended.
 	mu                          sync.Mutex
@@ -189,7 +189,13 @@
 	c.setOwnDeadline(time.Time{})
 	c.listener.mu.Lock()
 	c.unlist()
+	removed := c.removed
 	c.listener.mu.Unlock()
+	if removed { // It was closed in favour of another one just now; nobody would get the response.
+		c.refused = true
+		c.release()
+		return io.EOF
+	}
 	return c.takeBodySpace()
 }
 
@@ -267,10 +273,12 @@
 	if c.body == nil {
 		c.setSpace(&c.body, c.listener.limiter.bodies.Hold(c.stop))
 	}
+	size := int64(0)
 	if length := c.scanner.length; length > freeBodyBytes && length <= int64(c.listener.port.BodyLimit) {
-		if err := c.body.Grow(roundUp(length), time.Time{}); err != nil { // The server allocates it at once.
-			return c.refuseSpace(err)
-		}
+		size = roundUp(length) // The server allocates it at once.
+	}
+	if err := c.body.Grow(size, time.Time{}); err != nil {
+		return c.refuseSpace(err)
 	}
 	return nil
 }
--- a/connlimiter/connlimiter_test.go
+++ b/connlimiter/connlimiter_test.go
@@ -44,11 +44,14 @@
 	if r.URL.Path == "/slow" {
 		time.Sleep(300 * time.Millisecond)
 	}
-	n, err := io.Copy(io.Discard, r.Body)
+	controller := http.NewResponseController(w)
+	held := s.limiter.Bodies().Hold(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) }) // Fails only on a closed connection.
+	defer held.Release()
+	body, err := held.ReadAll(r.Body, r.ContentLength, 8<<20, time.Time{})
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	_, _ = fmt.Fprint(w, n) // The test reads it.
+	_, _ = fmt.Fprint(w, len(body)) // The test reads it.
 }
 
 func (s *testServer) dial(t *testing.T) net.Conn {
@@ -167,6 +170,22 @@
 	g.Expect(s.listener.Open()).To(gomega.BeNumerically("<=", 3))
 }
 
+// TestStalledConnections guards against small bodies that stop short of their end and keep all connections.
+func TestStalledConnections(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := start(t, connlimiter.Host{}, connlimiter.Port{Connections: 3}, connlimiter.HeadLimits{})
+	for range 3 {
+		_, err := fmt.Fprint(s.dial(t), "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhell")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	time.Sleep(600 * time.Millisecond)
+	g.Eventually(func() int {
+		connection := s.dial(t)
+		_, _ = fmt.Fprint(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n") // Fails when the connection is refused.
+		return status(bufio.NewReader(connection))
+	}, 2*time.Second, 50*time.Millisecond).Should(gomega.Equal(http.StatusOK))
+}
+
 // TestHeadSpace guards against many heads within the limits that fill the memory together, and against stalled ones that keep out others.
 func TestHeadSpace(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/connlimiter/listener.go
+++ b/connlimiter/listener.go
@@ -61,6 +61,7 @@
 		if admitted {
 			return c, nil
 		}
+		l.limiter.bodies.EndStalled() // Makes room for the next one.
 		l.limiter.report(l.port.Name, "connections", accepted.RemoteAddr().String())
 		_ = accepted.Close() // Nothing was read from it.
 	}
