--- a/server/fleet.go
+++ b/server/fleet.go
@@ -17,6 +17,7 @@
 	"github.com/acaciaproxy/acaciaproxy/assessor"
 	"github.com/acaciaproxy/acaciaproxy/attester"
 	"github.com/acaciaproxy/acaciaproxy/budgeter"
+	"github.com/acaciaproxy/acaciaproxy/connlimiter"
 	"github.com/acaciaproxy/acaciaproxy/crashkeeper"
 	"github.com/acaciaproxy/acaciaproxy/demandcounter"
 	"github.com/acaciaproxy/acaciaproxy/elector"
@@ -194,6 +195,7 @@
 		Hedger:     hedger.New(settings.HedgePercent()),
 		Keys:       forwarder.Keys{Fresh: f.keysFresh, Behind: f.fresh.Behind, ProofAge: f.proofAge, Remove: platform.RemoveKey},
 		Allowances: forwarder.Allowances{Take: f.allowances.take, Refund: f.allowances.refund},
+		Host:       connlimiter.Host{Memory: settings.Memory(), Descriptors: settings.Descriptors()},
 	}, platform.PathReady)
 	return f, nil
 }
@@ -337,14 +339,18 @@
 		}
 		listeners = append(listeners, listener)
 	}
-	f.callers = lingerer.New(listeners[0], lingerer.DefaultLimits())
-	f.grpc = grpc.NewServer()
+	limiter := f.forwarder.Limiter()
+	connlimiter.LimitHeap(f.settings.Memory())
+	f.callers = lingerer.New(listeners[0], lingerLimits(limiter))
+	f.grpc = newNodeServer()
 	nodewire.RegisterFleetServer(f.grpc, &fleetService{node: f})
 	failed := make(chan error, len(listeners))
 	go func() { failed <- f.forwarder.Serve(f.callers) }()
 	go func() { failed <- f.forwarder.ServeReady(listeners[1]) }()
-	go func() { failed <- f.grpc.Serve(listeners[2]) }()
-	go func() { failed <- f.metrics.Serve(listeners[3]) }()
+	go func() {
+		failed <- f.grpc.Serve(limiter.Listen(listeners[2], connlimiter.Port{Name: "nodes", Connections: limiter.MaxNodes()}))
+	}()
+	go func() { failed <- f.metrics.Serve(limiter.Listen(listeners[3], adminserver.Port(limiter))) }()
 	f.watcher.Run()
 	go f.watchKeys(stop)
 	f.crashKeeper.Run()
@@ -363,35 +369,3 @@
 		return nil
 	}
 }
-
-const (
-	// fleetBalancerDelay is how long the load balancer may take to stop sending connections: two checks, a second apart, and a reserve.
-	fleetBalancerDelay = 2500 * time.Millisecond
-	// killReserve is the time from the end of draining to the drain limit, at which the platform kills the process.
-	killReserve = 900 * time.Millisecond
-	// lingerTimeout bounds the wait of a stopping node for callers that are still sending requests that it has answered.
-	lingerTimeout = 300 * time.Millisecond
-)
-
-// stop drains the node: the readiness check fails, the lease is handed over,
-// the requests in flight end, and then the listeners close.
-func (f *FleetNode) stop() {
-	began := time.Now()
-	log.Info().Str("node", f.settings.Name()).Int64("in_flight", f.forwarder.InFlight()).Msg("node stops")
-	go f.handOver()
-	f.forwarder.Drain(began.Add(fleetBalancerDelay), began.Add(f.settings.DrainTimeout()-killReserve))
-	log.Info().Str("node", f.settings.Name()).Int64("in_flight", f.forwarder.InFlight()).Int64("after_ms", time.Since(began).Milliseconds()).Msg("node stopped")
-	f.forwarder.Close()
-	f.callers.Wait(time.Now().Add(lingerTimeout))
-	f.subscriber.Stop()
-	f.allowances.stop()
-	f.fleetLeader.Stop()
-	f.leaseholder.Stop()
-	f.watcher.Stop()
-	f.crashKeeper.Stop()
-	f.archiver.Stop()
-	f.grpc.Stop()
-	_ = f.metrics.Stop() // The process is about to exit, so a failure has no effect.
-	f.peers.Close()
-	f.workers.Close()
-}
