Soak: keys of tenants, rate limits, slow readers and short bodies

Cause: the fault soak knew no tenants, so that neither the revocation of keys nor the rate limits met kills, freezes and cuts over real processes. Keys are withdrawn and given out in new versions at any time. Checks: KEY, TENANT, REVOKED, DENIED by 401, QUOTA, and promises to requests without the end of their body, each with a test that it can fail. Attempts that a key or the tight limit may refuse do not count in RECOVER; a 401 does not count as a request in BUDGET.

--- a/soaker/callers.go
+++ b/soaker/callers.go
@@ -42,6 +42,7 @@
 	endedAt       time.Time
 	result        fleetstandin.Result
 	nodeStopped   bool // the node's process was signalled to stop before or during the request
+	credential    credential
 }
 
 // callers send requests and record the result of each.
@@ -54,6 +55,7 @@
 	mu            sync.Mutex
 	missedProbes  map[*node]int // failed readiness probes in a row
 	attempts      []*attempt
+	short         []*attempt // those that stopped short of the ends of their bodies
 	breaches      []string
 	faultsEndedAt time.Time
 }
@@ -63,7 +65,7 @@
 }
 
 func (c *callers) run() {
-	c.running.Add(7 + callerCount + len(c.environment.nodes))
+	c.running.Add(8 + callerCount + len(c.environment.nodes))
 	go c.watchReadiness()
 	for i := range callerCount {
 		go c.runCaller(i, rand.New(rand.NewPCG(c.random.Uint64(), uint64(i))))
@@ -77,6 +79,7 @@
 	go c.sendCrashingParts(rand.New(rand.NewPCG(c.random.Uint64(), callerCount+2)))
 	go c.sendParts(soundPartPause, rand.New(rand.NewPCG(c.random.Uint64(), callerCount+3)), c.environment.parts.sendSound)
 	go c.makeFaulty(rand.New(rand.NewPCG(c.random.Uint64(), callerCount+5)))
+	go c.stopShort(rand.New(rand.NewPCG(c.random.Uint64(), callerCount+6)))
 }
 
 // sleep waits for the duration of the pause and returns false if the load is stopped before the pause ends.
@@ -138,7 +141,7 @@
 			}
 			number++
 			kind := kinds[random.IntN(len(kinds))]
-			a := &attempt{id: fmt.Sprintf("c%d-%d", index, number), number: number, kind: kind, node: n}
+			a := &attempt{id: fmt.Sprintf("c%d-%d", index, number), number: number, kind: kind, node: n, credential: c.environment.tenants.draw(random)}
 			c.send(client, a, c.environment.models[random.IntN(len(c.environment.models))])
 			if a.result.Status == 0 {
 				break // The connection failed.
@@ -245,9 +248,9 @@
 	stoppedBefore, processBefore := a.node.stopping()
 	a.processNumber = processBefore
 	a.sentAt = time.Now()
-	a.result = fleetstandin.SendAttempt(client, a.node.callerAddress, fleetstandin.Attempt{
+	a.result = fleetstandin.SendAttempt(client, a.node.callerAddress, a.credential.apply(fleetstandin.Attempt{
 		Kind: a.kind, Path: "/" + string(a.kind) + "/x", ID: a.id, Model: model, Body: bodyOf(a.id, a.number), Timeout: requestTimeout,
-	})
+	}))
 	a.endedAt = time.Now()
 	stoppedAfter, processAfter := a.node.stopping()
 	a.nodeStopped = !stoppedBefore.IsZero() || !stoppedAfter.IsZero() || processAfter != processBefore
--- a/soaker/checks.go
+++ b/soaker/checks.go
@@ -25,7 +25,7 @@
 		if breach := c.breachOf(a); breach != "" {
 			breaches = append(breaches, fmt.Sprintf("%s (attempt %s at node %s, %s, sent %.1f s after the first)", breach, a.id, a.node.name, a.kind, a.sentAt.Sub(c.attempts[0].sentAt).Seconds()))
 		}
-		if a.sentAt.Sub(c.faultsEndedAt) > recoveryTime {
+		if a.sentAt.Sub(c.faultsEndedAt) > recoveryTime && !a.mayBeRefused() {
 			sent++
 			if a.result.Status == http.StatusOK {
 				answered++
@@ -40,6 +40,7 @@
 	breaches = append(breaches, checkCrashingRequests(e.record, fleetstandin.CausePart, e.hadNoFault)...)
 	breaches = append(breaches, checkRetries(e.record, c.sentAt())...)
 	breaches = append(breaches, e.checkDepartures()...)
+	breaches = append(breaches, c.checkTenants()...)
 	breaches = append(breaches, e.parts.blamed(e.record.Crashes(fleetstandin.CausePart))...)
 	return append(breaches, e.streams.check()...)
 }
@@ -58,7 +59,7 @@
 		return "DENIED: status 404"
 	case a.result.RetryAfter != "" && !isDelay(a.result.RetryAfter):
 		return fmt.Sprintf("RETRY: Retry-After %q is no time", a.result.RetryAfter)
-	case a.endedAt.Sub(a.sentAt) > requestTimeout+timeoutTolerance && c.environment.wasFaultFree(a.sentAt, a.endedAt):
+	case a.credential.readPause == 0 && a.endedAt.Sub(a.sentAt) > requestTimeout+timeoutTolerance && c.environment.wasFaultFree(a.sentAt, a.endedAt):
 		return fmt.Sprintf("LATE: its end came after %s", a.endedAt.Sub(a.sentAt).Round(time.Millisecond))
 	case a.result.Status == 0 && len(runs) > 0 && a.nodeStopped && c.environment.wasFaultFree(a.sentAt, a.endedAt):
 		return fmt.Sprintf("LOST: a planned stop cut it: %v", a.result.Cause)
--- a/soaker/environment.go
+++ b/soaker/environment.go
@@ -73,7 +73,9 @@
 	models       []string
 	parts        *partLoad
 	streams      *streamLoad
-	stopped      chan struct{}
+	// tenants holds the tenants' keys; nil if the configuration has no tenants.
+	tenants *tenantKeys
+	stopped chan struct{}
 	// mu guards the fields below.
 	mu sync.Mutex
 	// activeFaults counts the faults that have not ended; lastFaultChange is when a fault last started or ended.
@@ -84,6 +86,8 @@
 	// versions maps each configuration version to the time at which it was written.
 	versions      map[int]time.Time
 	newestVersion int
+	// configuration is the newest version's text.
+	configuration string
 	// workerStarts numbers the worker processes.
 	workerStarts int
 	// failures are breaches that callers do not see, and failures of the soak itself, each as "RULE: detail".
@@ -99,6 +103,9 @@
 	e.record = fleetstandin.NewRecord(e.faultFreeSince)
 	e.parts = &partLoad{environment: e}
 	e.streams = &streamLoad{environment: e}
+	if spec.Tenants {
+		e.tenants = newTenantKeys(spec.Seed)
+	}
 	for i := range modelCount {
 		e.models = append(e.models, fmt.Sprint("m", i))
 	}
@@ -151,7 +158,8 @@
 	defer e.mu.Unlock() // Held during the write, so that versions are written in ascending order.
 	e.newestVersion++
 	e.versions[e.newestVersion] = time.Now()
-	e.store.PutConfiguration(fleetstandin.Configuration(e.newestVersion, max(e.newestVersion-keptRoutes, 1), e.models))
+	e.configuration = fleetstandin.Configuration(e.newestVersion, max(e.newestVersion-keptRoutes, 1), e.models, e.tenants.configured()...)
+	e.store.PutConfiguration(e.configuration)
 }
 
 // restoreStore brings back a copy of the store, and writes the newest configuration again as the operator does.
@@ -159,7 +167,7 @@
 	e.mu.Lock()
 	defer e.mu.Unlock() // Held during the write, as by publishVersion.
 	e.store.Restore(copied)
-	e.store.PutConfiguration(fleetstandin.Configuration(e.newestVersion, max(e.newestVersion-keptRoutes, 1), e.models))
+	e.store.PutConfiguration(e.configuration)
 }
 
 // keptRoutes is how many earlier versions keep their route in the newest version.
@@ -256,8 +264,8 @@
 		return err
 	}
 	n.settingsPath = filepath.Join(e.folder, n.name+".json")
-	text := fmt.Sprintf(`{"name":%q,"zone":%q,"form":"fleet","callers":%q,"ready":%q,"nodes":%q,"operators":%q,"platform":%q,"drain":%d,"quiet":3000,"ratio":%g,"slack":%d,"window":%d}`,
-		n.name, zone, n.callerAddress, n.readyAddress, n.peerAddress, n.operatorAddress, n.storeProxy.Address(), int(drainTime.Seconds()), retryRatio, retrySlack, retryWindowS)
+	text := fmt.Sprintf(`{"name":%q,"zone":%q,"form":"fleet","callers":%q,"ready":%q,"nodes":%q,"operators":%q,"platform":%q,"drain":%d,"quiet":3000,"ratio":%g,"slack":%d,"window":%d%s}`,
+		n.name, zone, n.callerAddress, n.readyAddress, n.peerAddress, n.operatorAddress, n.storeProxy.Address(), int(drainTime.Seconds()), retryRatio, retrySlack, retryWindowS, e.tenants.settings())
 	if err := os.WriteFile(n.settingsPath, []byte(text), 0o600); err != nil {
 		return fmt.Errorf("write settings of node %q: %w", n.name, err)
 	}
--- a/soaker/retries.go
+++ b/soaker/retries.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/http"
 	"slices"
 	"time"
 
@@ -35,6 +36,9 @@
 func (c *callers) sentAt() map[string]map[string]time.Time {
 	sent := map[string]map[string]time.Time{}
 	for _, a := range c.attempts {
+		if a.result.Status == http.StatusUnauthorized {
+			continue // It gave the service nothing to do.
+		}
 		addSent(sent, a.kind, a.id, a.sentAt)
 	}
 	return sent
--- a/soaker/schedule.go
+++ b/soaker/schedule.go
@@ -29,12 +29,13 @@
 type schedule struct {
 	environment *environment
 	random      *rand.Rand
-	// additions draws the actions of startAddition, departures those of startDeparture, successions those of startSuccession; they are separate, so that they
+	// additions draws the actions of startAddition, departures those of startDeparture, successions those of startSuccession, withdrawals those of
+	// startWithdrawal; they are separate, so that they
 	// do not change which other actions a seed draws.
-	additions, departures, successions *rand.Rand
-	namePrefix                         string
-	startedAt                          time.Time
-	performed                          []string
+	additions, departures, successions, withdrawals *rand.Rand
+	namePrefix                                      string
+	startedAt                                       time.Time
+	performed                                       []string
 	// running counts the actions that have not ended.
 	running sync.WaitGroup
 	// mu guards reserved, which holds the nodes, the endpoints and the store that an action is running on.
@@ -42,8 +43,8 @@
 	reserved map[any]bool
 }
 
-func newSchedule(e *environment, random, additions, departures, successions *rand.Rand, namePrefix string) *schedule {
-	return &schedule{environment: e, random: random, additions: additions, departures: departures, successions: successions, namePrefix: namePrefix, startedAt: time.Now(), reserved: map[any]bool{}}
+func newSchedule(e *environment, random, additions, departures, successions, withdrawals *rand.Rand, namePrefix string) *schedule {
+	return &schedule{environment: e, random: random, additions: additions, departures: departures, successions: successions, withdrawals: withdrawals, namePrefix: namePrefix, startedAt: time.Now(), reserved: map[any]bool{}}
 }
 
 // Pauses between two actions are uniformly distributed. On average, one action in immediateShare follows the previous one without a pause.
@@ -52,10 +53,11 @@
 	longestPause   = 1800 * time.Millisecond
 	immediateShare = 4
 	// additionShare is the average number of draws of an action between two additions, departureShare between two departures,
-	// successionShare between two successions.
+	// successionShare between two successions, withdrawalShare between two withdrawals of keys.
 	additionShare   = 3
 	departureShare  = 3
 	successionShare = 2
+	withdrawalShare = 2
 )
 
 // A run alternates between faultPhase, in which all actions may start, and plannedPhase, in which only planned ones may.
@@ -86,6 +88,9 @@
 		if s.successions.IntN(successionShare) == 0 {
 			s.startSuccession()
 		}
+		if s.environment.tenants != nil && s.withdrawals.IntN(withdrawalShare) == 0 {
+			s.startWithdrawal()
+		}
 		if s.random.IntN(immediateShare) > 0 {
 			time.Sleep(shortestPause + time.Duration(s.random.Int64N(int64(longestPause-shortestPause))))
 		}
--- a/soaker/soaker.go
+++ b/soaker/soaker.go
@@ -32,6 +32,8 @@
 	Versions int
 	// SameModels makes all model workers start with the same models loaded.
 	SameModels bool
+	// Tenants gives the configuration tenants with keys and rate limits.
+	Tenants bool
 	// NamePrefix restricts the run to actions whose name begins with this prefix; empty allows all.
 	NamePrefix string
 }
@@ -88,6 +90,7 @@
 	if spec.Versions = soakVersions; spec.Other != "" {
 		spec.Versions = 1
 	}
+	spec.Tenants = spec.Other == "" && hasTenants(spec.Seed) // The other version may not know them.
 	e, err := newEnvironment(spec, folder)
 	if err != nil {
 		return nil, err
@@ -95,11 +98,11 @@
 	defer e.close()
 	callers := newCallers(e, rand.New(rand.NewPCG(spec.Seed, 1)))
 	callers.run()
-	actions := newSchedule(e, rand.New(rand.NewPCG(spec.Seed, 2)), rand.New(rand.NewPCG(spec.Seed, 3)), rand.New(rand.NewPCG(spec.Seed, 4)), rand.New(rand.NewPCG(spec.Seed, 5)), spec.NamePrefix).run(spec.Until)
+	actions := newSchedule(e, rand.New(rand.NewPCG(spec.Seed, 2)), rand.New(rand.NewPCG(spec.Seed, 3)), rand.New(rand.NewPCG(spec.Seed, 4)), rand.New(rand.NewPCG(spec.Seed, 5)), rand.New(rand.NewPCG(spec.Seed, 6)), spec.NamePrefix).run(spec.Until)
 	callers.continueWithoutFaults()
 	callers.stop()
 	report := &Report{Seed: spec.Seed, Actions: actions, Ends: callers.endCounts()}
-	report.Notes = e.starvationNotes()
+	report.Notes = append(e.starvationNotes(), callers.tenantNotes()...)
 	report.Breaches = append(append(report.Breaches, e.breaches()...), callers.check()...)
 	return report, nil
 }
