--- a/soaker/schedule.go
+++ b/soaker/schedule.go
@@ -53,11 +53,12 @@
 	longestPause   = 1800 * time.Millisecond
 	immediateShare = 4
 	// additionShare is the average number of draws of an action between two additions, departureShare between two departures,
-	// successionShare between two successions, withdrawalShare between two withdrawals of keys.
+	// successionShare between two successions, withdrawalShare between two withdrawals of keys
+	// beside those that follow departures.
 	additionShare   = 3
 	departureShare  = 3
 	successionShare = 2
-	withdrawalShare = 2
+	withdrawalShare = 4
 )
 
 // A run alternates between faultPhase, in which all actions may start, and plannedPhase, in which only planned ones may.
@@ -84,11 +85,12 @@
 		}
 		if s.departures.IntN(departureShare) == 0 {
 			s.startDeparture(deadline)
+			s.startWithdrawal() // Nodes and the store are away longer than the bound on keys.
 		}
 		if s.successions.IntN(successionShare) == 0 {
 			s.startSuccession()
 		}
-		if s.environment.tenants != nil && s.withdrawals.IntN(withdrawalShare) == 0 {
+		if s.withdrawals.IntN(withdrawalShare) == 0 {
 			s.startWithdrawal()
 		}
 		if s.random.IntN(immediateShare) > 0 {
--- a/soaker/tenant_checks.go
+++ b/soaker/tenant_checks.go
@@ -73,7 +73,7 @@
 	case len(runs) > 0 && !key.withdrawnAt.IsZero() && a.sentAt.Sub(key.withdrawnAt) > revoke:
 		return fmt.Sprintf("REVOKED: it ran though it was sent %s after its key was taken away", a.sentAt.Sub(key.withdrawnAt).Round(time.Millisecond))
 	case refused && key.validThroughout(a.sentAt, a.endedAt):
-		return "DENIED: status 401 though its key was valid"
+		return fmt.Sprintf("DENIED: status 401 though its key was valid, given out %s before", a.sentAt.Sub(key.givenAt).Round(time.Millisecond))
 	}
 	return ""
 }
--- a/soaker/tenants.go
+++ b/soaker/tenants.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -24,9 +26,13 @@
 // tightTenant has a limit far below what its callers send.
 const tightTenant = "tight"
 
-// soakTenants are the tenants without their keys.
+// soakTenants are the tenants without their keys. Half have no limit: while the store is away, a missing leader refuses the requests of
+// the others, whatever their keys.
 var soakTenants = []fleetstandin.Tenant{
-	{Name: "unlimited", Priority: 2}, {Name: "ample", RatePerS: 40000, Burst: 40000}, {Name: tightTenant, Priority: 1, RatePerS: 600, Burst: 600},
+	{Name: "unlimited", Priority: 2},
+	{Name: "other"},
+	{Name: "ample", RatePerS: 40000, Burst: 40000},
+	{Name: tightTenant, Priority: 1, RatePerS: 600, Burst: 600},
 }
 
 // hasTenants reports whether soaks of a seed have tenants: two of seven seeds do.
@@ -121,6 +127,9 @@
 // startWithdrawal starts an action in which a tenant loses a key. It gets another one in the same version or up to maxKeyPause later.
 func (s *schedule) startWithdrawal() {
 	e := s.environment
+	if e.tenants == nil || !strings.HasPrefix("key withdrawn", s.namePrefix) {
+		return
+	}
 	tenant := soakTenants[s.withdrawals.IntN(len(soakTenants))].Name
 	pause := time.Duration(s.withdrawals.Int64N(int64(maxKeyPause)))
 	atOnce := s.withdrawals.IntN(2) == 0
@@ -170,7 +179,7 @@
 	maxTokens      = 700
 	plainEvery     = 5 // names no tokens
 	// lastWithdrawn is how many of the keys that were withdrawn last are still sent.
-	lastWithdrawn = 4
+	lastWithdrawn = 6
 	unknownKey    = "key-of-no-tenant"
 )
 
@@ -186,6 +195,7 @@
 		return k.tenant == tenant && !k.givenAt.IsZero() && k.leavingAt.IsZero()
 	})
 	withdrawn := lo.Filter(t.keys, func(k *tenantKey, _ int) bool { return !k.withdrawnAt.IsZero() })
+	slices.SortFunc(withdrawn, func(a, b *tenantKey) int { return a.withdrawnAt.Compare(b.withdrawnAt) })
 	withdrawn = withdrawn[max(0, len(withdrawn)-lastWithdrawn):]
 	drawn := credential{keyed: true, tokens: minTokens + random.IntN(maxTokens-minTokens)}
 	if random.IntN(plainEvery) == 0 {
--- a/soaker/tenants_test.go
+++ b/soaker/tenants_test.go
@@ -113,8 +113,8 @@
 	g := gomega.NewWithT(t)
 	keys := newTenantKeys(7)
 	removed := keys.remove("ample")
-	g.Expect(keys.configured()[1].Keys).To(gomega.HaveLen(initialKeys - 1))
-	g.Expect(keys.configured()[1].Keys).NotTo(gomega.ContainElement(removed.text))
+	g.Expect(keys.configured()[2].Keys).To(gomega.HaveLen(initialKeys - 1))
+	g.Expect(keys.configured()[2].Keys).NotTo(gomega.ContainElement(removed.text))
 	keys.acknowledge(&removed.withdrawnAt)
 	random := rand.New(rand.NewPCG(7, 7))
 	seen := map[string]bool{}
