A request in flight survives that no configuration is in force

Cause: a starting node that finds its configuration older than those of its peers has none in force. Each send of a request that had arrived before asked that configuration whether the request may be repeated, and panicked; the caller's connection was closed, and with the setting room the request's place at its worker was never given back. Change: without a configuration in force, a request may not be repeated. Figures: the test ended with a nil pointer dereference before and passes.

--- a/forwarder/kinds_test.go
+++ b/forwarder/kinds_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"sync/atomic"
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
@@ -76,3 +77,22 @@
 		})
 	}
 })
+
+// Guards against a panic in a request that is in flight when a starting node finds that its configuration is outdated.
+var _ = ginkgo.It("a request is served although its configuration is not in force any more", func() {
+	f := newFixture([]scriptedSend{{Status: 200, Body: "a"}}, false)
+	f.server.Close()
+	catalog, calls := f.dependencies.Catalog(), atomic.Int64{}
+	f.dependencies.Catalog = func() *cataloger.Catalog {
+		if calls.Add(1) == 1 {
+			return catalog
+		}
+		return nil
+	}
+	f.forwarder = forwarder.New(f.dependencies, "/ready")
+	f.server = httptest.NewServer(f.forwarder)
+	defer f.server.Close()
+	response, err := http.DefaultTransport.RoundTrip(f.request("/idempotent/x", ""))
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+})
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -51,12 +51,15 @@
 }
 
 // mayRepeat reports whether a call may be sent again although a send of it may have run: its route allows that, by the configuration with which the call
-// arrived, by the newest one, and at the node that passed it on.
+// arrived, by the newest one, and at the node that passed it on. While no configuration is in force, it may not.
 func (f *Forwarder) mayRepeat(c *call) bool {
 	if c.once || !c.route.Retryable() {
 		return false
 	}
 	newest := f.dependencies.Catalog()
+	if newest == nil {
+		return false // A starting node's configuration has turned out to be older than those of its peers.
+	}
 	if newest.Version() == c.catalog.Version() {
 		return true
 	}
