A response does not wait for the tokens of a hedged send

Cause: the goroutine that serves a request asked the tenant's allowance for the tokens of a second send and waited for them, up to a quarter of the target latency, while the first send's response had arrived.

--- a/forwarder/hedges.go
+++ b/forwarder/hedges.go
@@ -23,8 +23,9 @@
 	cancel  context.CancelFunc
 	begunAt time.Time
 	hedged  bool
-	// headArrived is set once the head of a response has arrived.
+	// headArrived is set once the head of a response has arrived. Awaited ends with that, or with the send.
 	headArrived atomic.Bool
+	awaited     context.Context
 	// whole is the response; its Response is nil without a head. Err is the error of the send or of reading the body. Both are the goroutine's until
 	// the flight has ended.
 	whole *plainResponse
@@ -36,12 +37,14 @@
 	request, send := c.Request, f.newSend(c, worker)
 	endSend := f.beginSend(c, worker)
 	ctx, cancel := context.WithCancel(ctx)
+	awaited, endAwaited := context.WithCancel(ctx)
 	whole := &plainResponse{send: c.sendState(), held: f.space.Hold()}
-	started := &flight{worker: worker, endSend: endSend, cancel: cancel, begunAt: time.Now(), whole: whole}
+	started := &flight{worker: worker, endSend: endSend, cancel: cancel, begunAt: time.Now(), awaited: awaited, whole: whole}
 	go func() {
 		started.whole.Response, started.err = f.dependencies.Send(ctx, request, send)
+		started.headArrived.Store(started.err == nil)
+		endAwaited()
 		if started.err == nil {
-			started.headArrived.Store(true)
 			if !prover.Promises(started.whole.Status) { // Else it is not used.
 				started.whole.body, started.err = started.whole.held.ReadAll(started.whole.Body, bufferer.MaxResponseBytes)
 				if started.err != nil {
@@ -211,7 +214,9 @@
 				c.reached, c.retryAllowed = true, false // The first send may have reached its worker.
 				return f.allowRetry(time.Now(), c)
 			}},
-			{Reason: "allowance", Allows: func() bool { return f.chargesRepeat(c) }},
+			// The first response must not wait for the tokens of a send that it makes superfluous.
+			{Reason: "allowance", Allows: func() bool { return f.chargeRepeat(first.awaited, c) == nil }},
+			{Reason: "begun", Allows: func() bool { return first.awaited.Err() == nil }},
 		},
 	})
 	c.reached, c.retryAllowed = reached, retryAllowed
--- a/forwarder/hedges_test.go
+++ b/forwarder/hedges_test.go
@@ -1,8 +1,10 @@
 package forwarder_test
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -11,8 +13,10 @@
 
 	"github.com/acaciaproxy/acaciaproxy/assessor"
 	"github.com/acaciaproxy/acaciaproxy/casereader"
+	"github.com/acaciaproxy/acaciaproxy/cataloger"
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
 	"github.com/acaciaproxy/acaciaproxy/hedger"
+	"github.com/acaciaproxy/acaciaproxy/quotakeeper"
 )
 
 // Guards against a second send where none is allowed, a response that is lost beside a failed send, a promise that a send which may have run has not,
@@ -83,3 +87,42 @@
 		})
 	}
 })
+
+// slowTokens grants the first request's tokens at once and never the next one's.
+type slowTokens struct{ taken atomic.Int64 }
+
+func (t *slowTokens) take(ctx context.Context, _ *cataloger.Tenant, _ int64, _ time.Time) (*quotakeeper.Ticket, quotakeeper.Result, time.Time) {
+	if t.taken.Add(1) == 1 {
+		return nil, quotakeeper.Granted, time.Time{}
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+	}
+	return nil, quotakeeper.Unknown, time.Time{}
+}
+
+// Guards against a response that waits for the tokens of a second send, which it makes superfluous.
+var _ = ginkgo.It("a response does not wait for the tokens of a hedged send", func() {
+	h := hedger.New(100)
+	for range 60 {
+		h.Observe(time.Now(), "plain", "idempotent", 30*time.Millisecond)
+	}
+	var tokens slowTokens
+	f := newFixture([]scriptedSend{{AfterMS: 200, Status: 200, Body: "a"}}, false, func(dependencies *forwarder.Dependencies) {
+		dependencies.Hedger = h
+		dependencies.Allowances = forwarder.Allowances{Take: tokens.take, Refund: func(*quotakeeper.Ticket) {}}
+	})
+	defer f.server.Close()
+	f.tenants = []cataloger.Tenant{{Name: "t", Keys: []cataloger.Digest{cataloger.DigestOf("t")}, RatePerS: 1, Burst: 1}}
+	request := f.request("/idempotent/x", "")
+	request.Header.Set("Key", "t")
+	began := time.Now()
+	response, err := http.DefaultTransport.RoundTrip(request)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	body, err := io.ReadAll(response.Body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(string(body)).To(gomega.Equal("a"))
+	gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 800*time.Millisecond))
+	gomega.Expect(tokens.taken.Load()).To(gomega.BeEquivalentTo(2))
+})
