The write of a plain service's response ends too if its caller does not read

Cause: with the setting room, writes to callers of models end 1 s after the deadline, but those of responses of plain services did not. A caller that does not read keeps its response's part, up to 8 MB, of the 12 MB that all responses share, for as long as its connection lasts; two such callers leave no space to others. Change: the same bound there; without the setting nothing changes.

--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -42,6 +42,7 @@
 	if err := f.findOrigin(ctx, c); err != nil {
 		return err
 	}
+	defer f.boundWrites(w, c)()
 	defer func() { f.endTrial(c, time.Now().Add(crashNewsTime)) }()
 	response, carried, err := f.obtainPlain(ctx, w, c)
 	if carried {
--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -151,3 +151,33 @@
 	gomega.Expect(body.read.Load()).To(gomega.BeNumerically("<=", 8<<10))
 	gomega.Expect(f.recorder.CounterValue("slow readers")).To(gomega.BeEquivalentTo(1))
 })
+
+// deadlineWriter records the write deadline that is in force when the body is written.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	deadline, atWrite time.Time
+}
+
+func (w *deadlineWriter) SetWriteDeadline(deadline time.Time) error {
+	w.deadline = deadline
+	return nil
+}
+
+func (w *deadlineWriter) SetReadDeadline(time.Time) error { return nil }
+
+func (w *deadlineWriter) Write(data []byte) (int, error) {
+	w.atWrite = w.deadline
+	return len(data), nil
+}
+
+// Guards against a caller that does not read a plain service's response and keeps the space that all responses share.
+var _ = ginkgo.It("a plain service's response is written until soon after the deadline", func() {
+	f := newFixture([]scriptedSend{{Status: 200, Body: "a"}}, false, func(dependencies *forwarder.Dependencies) { dependencies.Room = true })
+	defer f.server.Close()
+	request := f.request("/once/x", "")
+	request.RequestURI = "/once/x"
+	writer := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+	f.forwarder.ServeHTTP(writer, request)
+	gomega.Expect(writer.atWrite).To(gomega.BeTemporally("~", time.Now().Add(2500*time.Millisecond), 500*time.Millisecond))
+	gomega.Expect(writer.deadline.IsZero()).To(gomega.BeTrue(), "the connection's next response is not bounded by it")
+})
--- a/forwarder/slow_readers.go
+++ b/forwarder/slow_readers.go
@@ -13,7 +13,8 @@
 
 // boundWrites ends writes to a caller that reads so slowly that its response is not written soon after the call's deadline, and returns the
 // function that lifts that bound. Without it, such a caller keeps its call and its place at the worker for as long as its connection lasts. What a
-// node holds for a slow reader is bounded all the time: the worker's response is read only when the part before was written.
+// node holds for a slow reader is bounded all the time: the worker's stream is read only when the part before was written, and a whole response takes the
+// space that all responses share, which its caller must not keep either.
 func (f *Forwarder) boundWrites(w http.ResponseWriter, c *call) (lift func()) {
 	if f.room == nil {
 		return func() {}
