A stream that goes on at another worker may wait for tokens and for room

Cause: the wait for a limited tenant's tokens and, with the setting room, that for a place ended at the start deadline, which is that of the first event. A stream that breaks off later than that (2 s at least after its arrival) was refused at once and cut off: with tokens on their way, and at holders that seemed full, where requests without the setting are sent. Change: once events were relayed, both waits end at the route's event timeout after the last one, as callers wait for it. The wait for a model stays as it was.

--- a/forwarder/allowance_test.go
+++ b/forwarder/allowance_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"strings"
 	"time"
@@ -79,3 +80,27 @@
 		})
 	}
 })
+
+// Guards against a stream that breaks off after its start deadline and is not taken up again, since it may not wait for tokens any more.
+var _ = ginkgo.It("a stream that goes on at another worker waits for tokens as a new request does", func() {
+	var waits []time.Duration
+	f := newFixture([]scriptedSend{{AfterMS: 2200, Status: 200, Body: "id:1\ndata:x\n\n", Cut: true}, {After: "1", Status: 200, Body: "id:2\ndata:y\n\n"}}, false,
+		func(dependencies *forwarder.Dependencies) {
+			take := func(_ context.Context, _ *cataloger.Tenant, _ int64, latest time.Time) (*quotakeeper.Ticket, quotakeeper.Result, time.Time) {
+				waits = append(waits, time.Until(latest))
+				return nil, quotakeeper.Granted, time.Time{}
+			}
+			dependencies.Allowances = forwarder.Allowances{Take: take, Refund: func(*quotakeeper.Ticket) {}}
+		})
+	defer f.server.Close()
+	f.tenants = []cataloger.Tenant{{Name: "t", Keys: []cataloger.Digest{cataloger.DigestOf("t")}, RatePerS: 1, Burst: 1}}
+	request := f.request("/longresumable/x", "m")
+	request.Header.Set("Key", "t")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	body, err := io.ReadAll(response.Body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(string(body)).To(gomega.ContainSubstring("id:2"))
+	gomega.Expect(waits).To(gomega.HaveLen(2))
+	gomega.Expect(waits[1]).To(gomega.BeNumerically(">", 0))
+})
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -212,6 +212,8 @@
 	sentAt       time.Time
 	events       int
 	firstEventAt time.Time
+	// lastEventAt is when the last event of any send arrived; zero before the first.
+	lastEventAt time.Time
 	// slot is that of the last send or, before it, the one that it was granted; nil unless the worker is brittle.
 	slot *limiter.Slot
 	// place is the call's place in the queue of its model, then the place at a worker that it was given; nil without either.
@@ -253,6 +255,18 @@
 	return c.deadline
 }
 
+// eventDeadline returns when the next event must be sent to the caller: for a stream that goes on at another worker, the end of the route's event timeout
+// after the last one, or the deadline if that is earlier; before its first event, the start deadline.
+func (c *call) eventDeadline() time.Time {
+	if c.lastEventAt.IsZero() {
+		return c.startDeadline()
+	}
+	if latest := c.lastEventAt.Add(c.route.EventTimeout()); latest.Before(c.deadline) {
+		return latest
+	}
+	return c.deadline
+}
+
 // modelKey returns the key of the model and adapter that the call needs loaded.
 func (c *call) modelKey() demandcounter.Key {
 	return demandcounter.Key{Service: c.service.Name, Model: c.Model, Adapter: c.Adapter}
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -182,6 +182,7 @@
 		route("once", cataloger.KindOnce, "plain", false), route("idempotent", cataloger.KindIdempotent, "plain", false),
 		route("stream", cataloger.KindStream, "models", false), route("resumable", cataloger.KindStream, "models", true),
 		lasting(route("lasting", cataloger.KindOnce, "plain", false)), lasting(route("lastingstream", cataloger.KindStream, "models", false)),
+		lasting(route("longresumable", cataloger.KindStream, "models", true)),
 	}, []cataloger.Service{
 		{Name: "plain"}, {Name: "models", MemoryMB: 1000, Models: map[string]cataloger.Model{"m": {Name: "m"}, "cold": {Name: "cold"}, "huge": {Name: "huge", MemoryMB: 990, AdapterMB: 20}}},
 	}, cataloger.Limits{BodyBytes: 100})
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -183,8 +183,11 @@
 }
 
 // latestStart returns until when a call may wait for the start of its response.
-func (f *Forwarder) latestStart(c *call) time.Time {
-	latest := c.startDeadline().Add(-responseReserve)
+func (f *Forwarder) latestStart(c *call) time.Time { return f.latestFor(c.startDeadline()) }
+
+// latestFor returns until when a call may wait whose next event, or response, must begin by a time.
+func (f *Forwarder) latestFor(due time.Time) time.Time {
+	latest := due.Add(-responseReserve)
 	if d := f.drain.Load(); d != nil && d.endsAt.Add(-streamReserve).Before(latest) {
 		return d.endsAt.Add(-streamReserve)
 	}
--- a/forwarder/room.go
+++ b/forwarder/room.go
@@ -113,7 +113,7 @@
 	}
 	return scheduler.Request{
 		Tenant: c.Tenant, Route: c.route.Name, Rank: rank, PromptTokens: c.PromptTokens,
-		ArrivedAt: c.arrived, DueAt: c.arrived.Add(c.route.TargetLatency()), LatestStart: f.latestStart(c),
+		ArrivedAt: c.arrived, DueAt: c.arrived.Add(c.route.TargetLatency()), LatestStart: f.latestFor(c.eventDeadline()),
 	}
 }
 
@@ -290,7 +290,7 @@
 	if c.place.worker != nil {
 		return nil
 	}
-	c.place.ticket.Request().LatestStart = f.latestStart(c)
+	c.place.ticket.Request().LatestStart = f.latestFor(c.eventDeadline())
 	retryAt, late := c.place.queue.queue.Late(now, c.place.ticket, moreAt, rand.Float64())
 	if !late {
 		return nil
--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -181,3 +181,31 @@
 	gomega.Expect(writer.atWrite).To(gomega.BeTemporally("~", time.Now().Add(2500*time.Millisecond), 500*time.Millisecond))
 	gomega.Expect(writer.deadline.IsZero()).To(gomega.BeTrue(), "the connection's next response is not bounded by it")
 })
+
+// Guards against a stream that breaks off after its start deadline and is refused at once, since it may not wait for room any more.
+var _ = ginkgo.It("a stream that goes on at another worker waits for room as a new request does", func() {
+	var sends atomic.Int64
+	var f *fixture
+	f = newRoomFixture("first", func(send forwarder.Send) (*forwarder.Response, error) {
+		header := http.Header{"Content-Type": {"text/event-stream"}}
+		if sends.Add(1) == 1 {
+			time.Sleep(2200 * time.Millisecond)
+			now := time.Now()
+			for _, worker := range []string{"m1", "m2"} {
+				announcement := fleettracker.Announcement{Worker: worker, Zone: "z", ReceivedAt: now, Running: 9, Units: []fleettracker.Unit{{Model: "m"}}}
+				f.tracker.ApplyAnnouncements(now, "z", 1, []fleettracker.Announcement{announcement}, false)
+			}
+			return &forwarder.Response{Status: 200, Header: header, Body: io.NopCloser(&brokenBody{strings.NewReader("id:1\ndata:x\n\n")})}, nil
+		}
+		gomega.Expect(send.ResumeAfter).To(gomega.Equal("1"))
+		return &forwarder.Response{Status: 200, Header: header, Body: io.NopCloser(strings.NewReader("id:2\ndata:y\n\n"))}, nil
+	})
+	defer f.server.Close()
+	request := f.request("/longresumable/x", "m")
+	request.Header.Set("Key", "first")
+	response, err := http.DefaultTransport.RoundTrip(request)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	body, err := io.ReadAll(response.Body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(string(body)).To(gomega.ContainSubstring("id:2"))
+})
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -62,7 +62,7 @@
 	if c.events < begunEvents && c.events+count >= begunEvents {
 		f.dependencies.Crashes.Answered(now, c.ID, c.fingerprints[1:])
 	}
-	c.events += count
+	c.events, c.lastEventAt = c.events+count, now
 }
 
 // recordAnswer records that a worker has responded to a call to the end.
