One caller's count of tokens neither cheapens its request nor moves its route's share

Cause: callers name the tokens of their requests, and the counts were taken as they are. With a count below 0, or with two whose sum exceeds 64 bits, a request of any size cost 1 of its tenant's allowance. In the queue of the setting room, one such count gave the route that waited all further places, and one beyond any prompt none, until nobody waited. Change: counts below 0 stand for 0, the sum is limited to the largest number, and a request counts for 200,000 prompt tokens at most in its share (the longest prompts have 37,000).

--- a/cataloger/tenant.go
+++ b/cataloger/tenant.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"fmt"
+	"math"
 	"sort"
 
 	"github.com/samber/lo"
@@ -35,13 +36,14 @@
 // Limited reports whether the tenant has an allowance.
 func (t *Tenant) Limited() bool { return t.RatePerS > 0 }
 
-// Cost returns what a request costs of the allowance. Counted is set if the request names its tokens.
+// Cost returns what a request costs of the allowance. Counted is set if the request names its tokens; a count below 0 stands for 0.
 func (t *Tenant) Cost(promptTokens, maxResponseTokens int, counted bool) int64 {
 	switch {
 	case !t.Metered:
 		return 1
 	case counted:
-		return max(int64(promptTokens)+int64(maxResponseTokens), 1)
+		prompt, response := max(int64(promptTokens), 0), max(int64(maxResponseTokens), 0)
+		return max(prompt+min(response, math.MaxInt64-prompt), 1)
 	default:
 		return max(t.PlainTokens, 1)
 	}
--- a/scheduler/queue.go
+++ b/scheduler/queue.go
@@ -20,6 +20,9 @@
 	longPrompt = 4000
 	// placeTokens is the number of prompt tokens that keep a worker busy for as long as a short response keeps a place.
 	placeTokens = 12000
+	// maxTokens is the number of prompt tokens up to which a request costs more, several times that of the longest prompts: the callers name the counts,
+	// and one wrong count must not take its flow all places, or give it all.
+	maxTokens = 200_000
 	// restTime is how long no request must have waited for the next one to begin anew: one that a worker rejected comes back sooner.
 	restTime = 500 * time.Millisecond
 	// minPause and maxPause bound the pause between two sends of a queue while workers reject its requests.
@@ -51,7 +54,9 @@
 func (r *Request) isLong() bool { return r.PromptTokens >= longPrompt }
 
 // cost is what the request takes of its flow's share, in places.
-func (r *Request) cost() float64 { return 1 + float64(r.PromptTokens)/placeTokens }
+func (r *Request) cost() float64 {
+	return 1 + float64(min(max(r.PromptTokens, 0), maxTokens))/placeTokens
+}
 
 // Ticket is a request's place in a queue.
 type Ticket struct {
