A request that may not wait for tokens any more is not called too large

Cause: the largest cost that a request may have took off the rate times the time by which its wait was over, so that a request whose body arrived after its start deadline was refused as one that its tenant's allowance never covers, without Retry-After. Change: a wait that is over counts as none. Figures: the test got result 3 (too large) before and gets 4 (unknown).

--- a/quotakeeper/bounds.go
+++ b/quotakeeper/bounds.go
@@ -73,7 +73,7 @@
 // Largest returns the largest cost that a request may have which waits for some time: what all buckets hold and gain until then, or until
 // the first of its tokens expire.
 func (b Bounds) Largest(a Allowance, wait time.Duration) int64 {
-	return int64(float64(b.zones)*b.capacity(a) + a.RatePerS*min(wait, b.Lifetime()).Seconds())
+	return int64(float64(b.zones)*b.capacity(a) + a.RatePerS*max(min(wait, b.Lifetime()), 0).Seconds())
 }
 
 // Request is what a node asks a leader for one tenant.
