A request waits for tokens only as long as it could still be sent

Cause: the wait for a tenant's tokens ended at the request's deadline, and up to 50 ms later. What was granted then was spent on a send that could not end in time; a failed response that is kept meanwhile (setting repeat) reached its caller after the deadline. Change: the wait ends 35 ms before the deadline, the least time of a send and of the way back.

--- a/forwarder/allowance.go
+++ b/forwarder/allowance.go
@@ -51,7 +51,7 @@
 	}
 	now := time.Now()
 	latest := now.Add(max(c.route.TargetLatency()/allowancePart, minAllowanceWait))
-	if last := c.eventDeadline(); last.Before(latest) {
+	if last := c.eventDeadline().Add(-minResendTime - returnReserve); last.Before(latest) { // A send must follow.
 		latest = last
 	}
 	cost := tenant.Cost(c.PromptTokens, c.MaxResponseTokens, c.TokensCounted)
--- a/forwarder/allowance_test.go
+++ b/forwarder/allowance_test.go
@@ -104,3 +104,29 @@
 	gomega.Expect(waits).To(gomega.HaveLen(2))
 	gomega.Expect(waits[1]).To(gomega.BeNumerically(">", 0))
 })
+
+// Guards against a request, or a failed response that is kept meanwhile, that waits for tokens until it is too late for a send and for its caller.
+var _ = ginkgo.It("a request waits for tokens only as long as it could still be sent", func() {
+	var latest time.Time
+	f := newFixture([]scriptedSend{{Status: 200, Body: "a"}}, false, func(dependencies *forwarder.Dependencies) {
+		catalog := cataloger.New(1, []cataloger.Route{{
+			Name: "slow", Host: "h", Prefix: "/slow/", Kind: cataloger.KindIdempotent, TimeoutMS: 300, TargetLatencyMS: 2000, MaxAttempts: 2,
+			Shares: []cataloger.Share{{Service: "plain", Weight: 1}},
+		}}, []cataloger.Service{{Name: "plain"}}, cataloger.Limits{BodyBytes: 100})
+		tenants := []cataloger.Tenant{{Name: "t", Keys: []cataloger.Digest{cataloger.DigestOf("t")}, RatePerS: 1, Burst: 1}}
+		gomega.Expect(catalog.SetTenants(tenants)).To(gomega.Succeed())
+		dependencies.Catalog = func() *cataloger.Catalog { return catalog }
+		take := func(_ context.Context, _ *cataloger.Tenant, _ int64, until time.Time) (*quotakeeper.Ticket, quotakeeper.Result, time.Time) {
+			latest = until
+			return nil, quotakeeper.Granted, time.Time{}
+		}
+		dependencies.Allowances = forwarder.Allowances{Take: take, Refund: func(*quotakeeper.Ticket) {}}
+	})
+	defer f.server.Close()
+	request := f.request("/slow/x", "")
+	request.Header.Set("Key", "t")
+	began := time.Now()
+	_, err := http.DefaultTransport.RoundTrip(request)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(latest.Sub(began)).To(gomega.BeNumerically("~", 265*time.Millisecond, 25*time.Millisecond), "35 ms are left for the send")
+})
