A send that was not written tells nothing of its worker

Cause: a hedged send whose key was not accepted any more at its first byte was recorded like a refusal by its worker: the node counted as having a way to the workers again although nothing had been sent, and the call avoided that worker for 10 s. Change: such a send only ends its trial.

--- a/forwarder/hedges_test.go
+++ b/forwarder/hedges_test.go
@@ -126,3 +126,24 @@
 	gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 800*time.Millisecond))
 	gomega.Expect(tokens.taken.Load()).To(gomega.BeEquivalentTo(2))
 })
+
+// Guards against a send that was not written, since its key was not accepted any more, being taken for a response of its worker.
+var _ = ginkgo.It("a hedged send that was not written does not count as a way to the workers", func() {
+	h := hedger.New(100)
+	for range 60 {
+		h.Observe(time.Now(), "plain", "idempotent", 30*time.Millisecond)
+	}
+	unreachable := scriptedSend{NotRun: "unreachable"}
+	sends := []scriptedSend{unreachable, unreachable, {AfterMS: 9000}, {NotRun: "uncleared"}, unreachable, unreachable}
+	f := newFixture(sends, false, func(dependencies *forwarder.Dependencies) { dependencies.Hedger = h })
+	defer f.server.Close()
+	statuses := []int{}
+	for _, path := range []string{"/idempotent/x", "/idempotent/x", "/stream/x"} {
+		response, err := http.DefaultTransport.RoundTrip(f.request(path, lo.Ternary(path == "/stream/x", "m", "")))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		statuses = append(statuses, response.StatusCode)
+		time.Sleep(lo.Ternary(len(statuses) == 1, 1100*time.Millisecond, 0)) // The plain service's workers are left out for 1 s.
+	}
+	gomega.Expect(statuses).To(gomega.Equal([]int{503, 504, 503}))
+	gomega.Expect(f.forwarder.CutOff()).To(gomega.BeTrue())
+})
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -302,6 +302,10 @@
 // recordNotRun records what a worker that certainly did not run a call tells of itself.
 func (f *Forwarder) recordNotRun(ctx context.Context, c *call, worker *registrar.Worker, notRun *NotRunError) {
 	now := time.Now()
+	if notRun.reason == ReasonUncleared { // Nothing was sent, which tells nothing of the worker.
+		f.endTrial(c, now)
+		return
+	}
 	f.reportLoad(worker, notRun.load)
 	f.observePause(c, worker, notRun.pauseS)
 	if notRun.reason != ReasonReplaced {
