--- a/forwarder/hedges_test.go
+++ b/forwarder/hedges_test.go
@@ -1,8 +1,10 @@
 package forwarder_test
 
 import (
+	"context"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -11,8 +13,10 @@
 
 	"github.com/acaciaproxy/acaciaproxy/assessor"
 	"github.com/acaciaproxy/acaciaproxy/casereader"
+	"github.com/acaciaproxy/acaciaproxy/cataloger"
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
 	"github.com/acaciaproxy/acaciaproxy/hedger"
+	"github.com/acaciaproxy/acaciaproxy/quotakeeper"
 )
 
 // Guards against a second send where none is allowed, a response that is lost beside a failed send, a promise that a send which may have run has not,
@@ -83,3 +87,63 @@
 		})
 	}
 })
+
+// slowTokens grants the first request's tokens at once and never the next one's.
+type slowTokens struct{ taken atomic.Int64 }
+
+func (t *slowTokens) take(ctx context.Context, _ *cataloger.Tenant, _ int64, _ time.Time) (*quotakeeper.Ticket, quotakeeper.Result, time.Time) {
+	if t.taken.Add(1) == 1 {
+		return nil, quotakeeper.Granted, time.Time{}
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Second):
+	}
+	return nil, quotakeeper.Unknown, time.Time{}
+}
+
+// Guards against a response that waits for the tokens of a second send, which it makes superfluous.
+var _ = ginkgo.It("a response does not wait for the tokens of a hedged send", func() {
+	h := hedger.New(100)
+	for range 60 {
+		h.Observe(time.Now(), "plain", "idempotent", 30*time.Millisecond)
+	}
+	var tokens slowTokens
+	f := newFixture([]scriptedSend{{AfterMS: 200, Status: 200, Body: "a"}}, false, func(dependencies *forwarder.Dependencies) {
+		dependencies.Hedger = h
+		dependencies.Allowances = forwarder.Allowances{Take: tokens.take, Refund: func(*quotakeeper.Ticket) {}}
+	})
+	defer f.server.Close()
+	f.tenants = []cataloger.Tenant{{Name: "t", Keys: []cataloger.Digest{cataloger.DigestOf("t")}, RatePerS: 1, Burst: 1}}
+	request := f.request("/idempotent/x", "")
+	request.Header.Set("Key", "t")
+	began := time.Now()
+	response, err := http.DefaultTransport.RoundTrip(request)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	body, err := io.ReadAll(response.Body)
+	gomega.Expect(err).NotTo(gomega.HaveOccurred())
+	gomega.Expect(string(body)).To(gomega.Equal("a"))
+	gomega.Expect(time.Since(began)).To(gomega.BeNumerically("<", 800*time.Millisecond))
+	gomega.Expect(tokens.taken.Load()).To(gomega.BeEquivalentTo(2))
+})
+
+// Guards against a send that was not written, since its key was not accepted any more, being taken for a response of its worker.
+var _ = ginkgo.It("a hedged send that was not written does not count as a way to the workers", func() {
+	h := hedger.New(100)
+	for range 60 {
+		h.Observe(time.Now(), "plain", "idempotent", 30*time.Millisecond)
+	}
+	unreachable := scriptedSend{NotRun: "unreachable"}
+	sends := []scriptedSend{unreachable, unreachable, {AfterMS: 9000}, {NotRun: "uncleared"}, unreachable, unreachable}
+	f := newFixture(sends, false, func(dependencies *forwarder.Dependencies) { dependencies.Hedger = h })
+	defer f.server.Close()
+	statuses := []int{}
+	for _, path := range []string{"/idempotent/x", "/idempotent/x", "/stream/x"} {
+		response, err := http.DefaultTransport.RoundTrip(f.request(path, lo.Ternary(path == "/stream/x", "m", "")))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		statuses = append(statuses, response.StatusCode)
+		time.Sleep(lo.Ternary(len(statuses) == 1, 1100*time.Millisecond, 0)) // The plain service's workers are left out for 1 s.
+	}
+	gomega.Expect(statuses).To(gomega.Equal([]int{503, 504, 503}))
+	gomega.Expect(f.forwarder.CutOff()).To(gomega.BeTrue())
+})
