--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 	$(GO) test $(OTHER_PACKAGES)
 
 # Runs the race detector on the packages in which goroutines share state.
-RACE_PACKAGES = $(shell $(GO) list ./attester ./bufferer ./connlimiter ./prover ./dialer ./engineclient ./serviceclient ./platformclient ./claimer ./queuer ./publisher ./fleetleader ./forwarder ./leaseholder ./fleettracker ./watcher ./assessor \
+RACE_PACKAGES = $(shell $(GO) list ./freshkeeper ./hedger ./scheduler ./attester ./bufferer ./connlimiter ./prover ./dialer ./engineclient ./serviceclient ./platformclient ./claimer ./queuer ./publisher ./fleetleader ./forwarder ./leaseholder ./fleettracker ./watcher ./assessor \
 	./budgeter ./crashkeeper ./demandcounter ./limiter ./registrar ./streamkeeper ./trier ./logger ./platform)
 # Name in KNOWN-RED.txt of the race detector's run over the tests with a fake clock.
 RACE_SERVER = race detector on ./server
