A request for a plain service waits for its trial until its deadline only

Cause: a request that may crash workers and whose trial is denied waits up to 500 ms. If its deadline came before, it was held on, and since the end of its context ended each pause, it asked again without one. Change: it is refused at its deadline.

--- a/forwarder/trials.go
+++ b/forwarder/trials.go
@@ -32,11 +32,15 @@
 	c.trial = nil
 }
 
-// awaitTrial waits for a moment before a call asks for its trial again. It returns the error with which the call ends if it has waited until latest.
+// awaitTrial waits for a moment before a call asks for its trial again. It returns the error with which the call ends if it has waited until latest or until
+// its deadline.
 func (f *Forwarder) awaitTrial(ctx context.Context, c *call, latest time.Time) error {
-	if !time.Now().Before(latest) {
+	refuse := func() error {
 		return c.refuse("suspected", "requests like this one may crash workers and are sent one at a time", suspectedRetry)
 	}
+	if !time.Now().Before(latest) {
+		return refuse()
+	}
 	if !c.suspected {
 		c.suspected = true
 		f.dependencies.Recorder.Count("held for trial " + c.route.Name)
@@ -47,6 +51,7 @@
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return f.endWait(c)
 		}
+		return refuse()
 	case <-time.After(trialPollInterval):
 	}
 	return nil
