Verb where: where a request would go at a node now, and why not elsewhere

Cause: operators could only learn after the fact, from log lines, why a request was refused, held or sent to one worker of a service.

Change: GET /where at the operators' address of nodes with form "fleet", and the verb `acaciaproxy where`. The answer has the route, priority and urgency, the refusal with its code, what the request would wait for, and each worker of the service with its chance or one reason. A tenant is given by name. The functions that serve requests are split where they decided and changed state at once; a tenant's tokens and the queue of waiting requests are played on copies. Serving is meant to be unchanged.

Not covered by a test: a request that is passed to another node, the wait for a leader, workers that count as brittle.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -187,6 +187,18 @@
 	return services
 }
 
+// Route returns a route by its name.
+func (c *Catalog) Route(name string) (*Route, bool) {
+	for _, hostRoutes := range c.byHost {
+		for _, route := range hostRoutes {
+			if route.Name == name {
+				return route, true
+			}
+		}
+	}
+	return nil, false
+}
+
 // Find returns the route of a host, with or without a port, that has the longest prefix of the path.
 func (c *Catalog) Find(host, path string) (*Route, bool) {
 	if name, _, hasPort := strings.Cut(host, ":"); hasPort {
--- a/commander/commander.go
+++ b/commander/commander.go
@@ -47,7 +47,8 @@
 // verbs returns all verbs in the order of the help page.
 func verbs() []verb {
 	return []verb{
-		verbServe(), verbCheck(), verbDiff(), verbPublish(), verbShow(), verbExplain(), verbStatus(), verbTrace(), verbReport(), verbVersion(), verbHelp(),
+		verbServe(), verbCheck(), verbDiff(), verbPublish(), verbShow(), verbExplain(), verbWhere(), verbStatus(), verbTrace(),
+		verbReport(), verbVersion(), verbHelp(),
 	}
 }
 
--- a/commander/docs_test.go
+++ b/commander/docs_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"os"
+	"slices"
 	"strings"
 
 	"github.com/onsi/ginkgo/v2"
@@ -11,7 +12,7 @@
 
 // pages are documents with output of commands: the code block after each marker
 // comment must equal what the marker's command prints. With -update the blocks
-// are rewritten.
+// are rewritten. The word ADDRESS in a marker stands for the address of a node that gives recorded answers.
 var pages = []string{"../docs/COMMANDS.md", "../docs/OPERATIONS.md"}
 
 const (
@@ -48,7 +49,11 @@
 		_, rest, found = strings.Cut(rest, fence)
 		gomega.Expect(found).To(gomega.BeTrue())
 		var output bytes.Buffer
-		gomega.Expect(Main(strings.Fields(command), &output, &output)).To(gomega.Equal(ExitSuccess), command)
+		words := strings.Fields(command)
+		if i := slices.Index(words, "ADDRESS"); i >= 0 {
+			words[i] = startRecordedNode()
+		}
+		gomega.Expect(Main(words, &output, &output)).To(gomega.Equal(ExitSuccess), command)
 		updated.WriteString(commandMarker + command + markerEnd + fence + output.String() + fence + rest)
 	}
 	return updated.String()
--- a/crashkeeper/verdict.go
+++ b/crashkeeper/verdict.go
@@ -112,6 +112,13 @@
 	return verdict
 }
 
+// Look returns what Check does, and renews no crashes.
+func (k *Keeper) Look(now time.Time, fingerprints []string) Verdict {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return k.check(now, fingerprints)
+}
+
 // check returns what Check does. The caller holds mu.
 func (k *Keeper) check(now time.Time, fingerprints []string) (most Verdict) {
 	for _, fingerprint := range fingerprints {
--- a/forwarder/allowance.go
+++ b/forwarder/allowance.go
@@ -17,6 +17,8 @@
 	Take func(ctx context.Context, tenant *cataloger.Tenant, cost int64, latest time.Time) (
 		charge *quotakeeper.Ticket, result quotakeeper.Result, retryAt time.Time,
 	)
+	// Look returns what Take would by what this node knows, and spends nothing; quotakeeper.Waiting stands for a question to the leaders.
+	Look func(tenant *cataloger.Tenant, cost int64, latest time.Time) (result quotakeeper.Result, retryAt time.Time)
 	// Refund takes back the tokens of a send that certainly has not run.
 	Refund func(charge *quotakeeper.Ticket)
 }
@@ -42,19 +44,11 @@
 func (f *Forwarder) chargeRepeat(ctx context.Context, c *call) error { return f.takeTokens(ctx, c) }
 
 func (f *Forwarder) takeTokens(ctx context.Context, c *call) error {
-	if c.Tenant == "" || f.dependencies.Allowances.Take == nil {
-		return nil
-	}
-	tenant, found := c.catalog.TenantByName(c.Tenant)
-	if !found || !tenant.Limited() {
-		return nil
-	}
 	now := time.Now()
-	latest := now.Add(max(c.route.TargetLatency()/allowancePart, minAllowanceWait))
-	if last := c.startDeadline(); last.Before(latest) {
-		latest = last
+	tenant, cost, latest := c.tokensNeeded(now)
+	if tenant == nil || f.dependencies.Allowances.Take == nil {
+		return nil
 	}
-	cost := tenant.Cost(c.PromptTokens, c.MaxResponseTokens, c.TokensCounted)
 	charge, result, retryAt := f.dependencies.Allowances.Take(ctx, tenant, cost, latest)
 	if result == quotakeeper.Granted {
 		c.charges = append(c.charges, charge)
@@ -67,6 +61,19 @@
 	return failure
 }
 
+// tokensNeeded returns what a call costs of the allowance of its tenant and until when it may wait for that; tenant is nil if there is no limit.
+func (c *call) tokensNeeded(now time.Time) (tenant *cataloger.Tenant, cost int64, latest time.Time) {
+	tenant, found := c.catalog.TenantByName(c.Tenant)
+	if c.Tenant == "" || !found || !tenant.Limited() {
+		return nil, 0, time.Time{}
+	}
+	latest = now.Add(max(c.route.TargetLatency()/allowancePart, minAllowanceWait))
+	if last := c.startDeadline(); last.Before(latest) {
+		latest = last
+	}
+	return tenant, tenant.Cost(c.PromptTokens, c.MaxResponseTokens, c.TokensCounted), latest
+}
+
 // refuseAllowance returns the refusal of a call whose tokens were not granted.
 func (f *Forwarder) refuseAllowance(c *call, result quotakeeper.Result, retryAt time.Time) *FailureError {
 	if f.life.Err() != nil {
--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -102,14 +102,18 @@
 func (r *reach) carries(now time.Time) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.cut {
+	if r.cut && !now.Before(r.probeAt) {
+		r.probeAt = now.Add(reachPause)
 		return false
 	}
-	if now.Before(r.probeAt) {
-		return true
-	}
-	r.probeAt = now.Add(reachPause)
-	return false
+	return r.cut
+}
+
+// wouldCarry returns what carries would, and changes nothing.
+func (r *reach) wouldCarry(now time.Time) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.cut && now.Before(r.probeAt)
 }
 
 // cutOffError ends the choice of a worker for a call that is to be passed to another node.
--- a/forwarder/drain.go
+++ b/forwarder/drain.go
@@ -62,14 +62,8 @@
 	if d == nil {
 		return nil
 	}
-	reserve := plainReserve
-	if c.route.Kind == cataloger.KindStream {
-		reserve = streamReserve
-	}
+	accepted, late := d.accepts(now, c)
 	remaining := d.endsAt.Sub(now)
-	late := now.Sub(d.beganAt) > lateAfter || c.isCarried
-	endsInTime := !c.deadline.After(d.endsAt)
-	accepted := remaining >= reserve && (!late || endsInTime)
 	logger.Info("request during drain").Str("request", c.ID).Str("route", c.route.Name).Bool("accepted", accepted).Bool("late", late).
 		Int64("left_ms", c.deadline.Sub(now).Milliseconds()).Int64("drain_left_ms", remaining.Milliseconds()).
 		Bool("for_other", c.isCarried).Msg("request during drain")
@@ -79,6 +73,17 @@
 	return nil
 }
 
+// accepts reports whether a call is accepted during the drain, and whether it comes so late that it must certainly end in time.
+func (d *drain) accepts(now time.Time, c *call) (accepted, late bool) {
+	reserve := plainReserve
+	if c.route.Kind == cataloger.KindStream {
+		reserve = streamReserve
+	}
+	late = now.Sub(d.beganAt) > lateAfter || c.isCarried
+	endsInTime := !c.deadline.After(d.endsAt)
+	return d.endsAt.Sub(now) >= reserve && (!late || endsInTime), late
+}
+
 // newStopping returns the refusal of a request that this node cannot answer before it stops.
 func newStopping(c *call) *FailureError {
 	return c.refuse("stopping", "this node stops before the request could be answered", drainRetry)
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -15,7 +15,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -309,27 +308,14 @@
 	if c.Request, err = f.dependencies.Decode(r, arrived); err != nil {
 		return c, err
 	}
-	if c.catalog == nil {
-		return c, c.refuse("no_configuration", "no configuration is known yet", configurationRetry)
-	}
-	if !f.dependencies.CrashesKnown() {
-		return c, c.refuse("no_crashes", "it is not known yet which requests crash workers", configurationRetry)
-	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	route, found := c.catalog.Find(r.Host, path)
-	if !found {
-		return c, newFailure(http.StatusNotFound, "no_route", "no route leads here")
-	}
-	c.route = route
-	c.deadline = arrived.Add(route.Timeout())
-	if !c.Deadline.IsZero() && c.Deadline.Before(c.deadline) {
-		c.deadline = c.Deadline
+	if err = f.findRoute(c, ""); err != nil {
+		return c, err
 	}
 	if err = f.admitKey(r, c); err != nil {
 		return c, err
 	}
-	if c.service, found = c.catalog.Service(route.Service(hashFraction(c.ID))); !found {
-		return c, c.refuse("no_service", "the route's service is not configured", configurationRetry)
+	if err = c.findService(c.route.Service(hashFraction(c.ID))); err != nil {
+		return c, err
 	}
 	if c.Body, err = readBody(w, r, c.catalog.Limits().BodyBytes, c); err != nil {
 		return c, err
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -34,13 +34,8 @@
 		f.dependencies.Budget.CountRequest(c.arrived, c.service.Name)
 		f.dependencies.DemandCounter.CountArrival(c.modelKey())
 	}
-	model, known := c.service.Models[c.Model]
-	if !known {
-		// Not a 404, since a newer configuration may have the model.
-		return c.refuse("no_model", "the service has no such model", configurationRetry)
-	}
-	if needed := model.MemoryMB + lo.Ternary(c.Adapter == "", 0, model.AdapterMB); c.service.MemoryMB > 0 && needed > c.service.MemoryMB {
-		return c.refuse("too_large", fmt.Sprintf("the model and the adapter need %.0f MB; a worker of the service has %.0f MB", needed, c.service.MemoryMB), configurationRetry)
+	if err := c.checkModel(); err != nil {
+		return err
 	}
 	if err := f.findOrigin(ctx, c); err != nil {
 		return err
@@ -74,6 +69,20 @@
 	}
 }
 
+// checkModel returns the error with which a call for a model ends that no worker can ever have loaded.
+func (c *call) checkModel() error {
+	model, known := c.service.Models[c.Model]
+	if !known {
+		// Not a 404, since a newer configuration may have the model.
+		return c.refuse("no_model", "the service has no such model", configurationRetry)
+	}
+	if needed := model.MemoryMB + lo.Ternary(c.Adapter == "", 0, model.AdapterMB); c.service.MemoryMB > 0 && needed > c.service.MemoryMB {
+		message := fmt.Sprintf("the model and the adapter need %.0f MB; a worker of the service has %.0f MB", needed, c.service.MemoryMB)
+		return c.refuse("too_large", message, configurationRetry)
+	}
+	return nil
+}
+
 // sendModel sends a request to a worker and relays the response.
 func (f *Forwarder) sendModel(ctx context.Context, c *call, worker *registrar.Worker, relay *relay) error {
 	send := f.newSend(c, worker)
@@ -193,33 +202,40 @@
 
 // checkWait returns nil if a call may go on waiting for its model, else the error with which it ends.
 func (f *Forwarder) checkWait(now, began time.Time, c *call, holders []fleettracker.Holder) error {
+	expected, estimated := f.estimateReady(now, c, holders)
+	if estimated && c.expectedReadyAt.IsZero() && now.Before(f.latestStart(c)) {
+		c.expectedReadyAt = expected
+	}
+	isLack, err := f.judgeWait(now, began, c, holders)
+	if isLack {
+		f.dependencies.DemandCounter.CountRefusal(c.modelKey())
+	}
+	return err
+}
+
+// judgeWait returns what checkWait does; isLack is set if the call ends for lack of workers, which leaders are told.
+func (f *Forwarder) judgeWait(now, began time.Time, c *call, holders []fleettracker.Holder) (isLack bool, err error) {
 	latest := f.latestStart(c)
 	if !now.Before(latest) {
-		f.dependencies.DemandCounter.CountRefusal(c.modelKey())
-		return c.refuse("not_loaded", "the model was not loaded in time", notLoadedRetry)
+		return true, c.refuse("not_loaded", "the model was not loaded in time", notLoadedRetry)
 	}
 	expected, estimated := f.estimateReady(now, c, holders)
-	if estimated && c.expectedReadyAt.IsZero() {
-		c.expectedReadyAt = expected
-	}
 	if first, blocked := f.blockedUntil(now, holders); blocked && first.retryAt.After(latest) && !estimated {
-		f.dependencies.DemandCounter.CountRefusal(c.modelKey())
-		return c.refuse(first.code, refusalMessages[first.code], first.retryAt.Sub(now))
+		return true, c.refuse(first.code, refusalMessages[first.code], first.retryAt.Sub(now))
 	}
 	if estimated && expected.After(latest) {
-		f.dependencies.DemandCounter.CountRefusal(c.modelKey())
-		return c.refuse("loads_late", "the model will not be loaded in time", expected.Sub(now))
+		return true, c.refuse("loads_late", "the model will not be loaded in time", expected.Sub(now))
 	}
 	if estimated || len(f.dependencies.Tracker.LiveZones(now)) > 0 {
-		return nil
+		return false, nil
 	}
 	if f.dependencies.Isolated() {
-		return c.refuse("isolated", "this node is cut off; another may load the model", isolatedRetry)
+		return false, c.refuse("isolated", "this node is cut off; another may load the model", isolatedRetry)
 	}
 	if now.Sub(began) > noLeaderWait {
-		return c.refuse("no_leader", "no leader is known that could load the model", notLoadedRetry)
+		return false, c.refuse("no_leader", "no leader is known that could load the model", notLoadedRetry)
 	}
-	return nil
+	return false, nil
 }
 
 // blockedUntil returns the verdict that ends first of the workers that have the model loaded, and whether none of these may be sent a request
--- a/forwarder/model_choice.go
+++ b/forwarder/model_choice.go
@@ -65,13 +65,15 @@
 	affinity, otherWorkerCost := f.affinityWorker(c, holders)
 	for i := range holders {
 		holder := &holders[i]
-		if !holder.ReadyAt.IsZero() || !holder.HasAdapter || now.Before(c.avoidUntil[holder.Worker.ID]) {
+		if now.Before(c.avoidUntil[holder.Worker.ID]) {
 			continue
 		}
-		cost, usable := f.modelCost(now, holder)
-		if !usable {
+		verdict, obstacle := f.judgeHolder(now, holder)
+		if obstacle != "" {
 			continue
 		}
+		_, cost := f.modelCost(now, holder, &verdict)
+		cost += rand.Float64() * modelCostJitter
 		if holder.Worker.ID != affinity {
 			cost += otherWorkerCost
 		}
@@ -83,18 +85,27 @@
 	return best
 }
 
-// modelCost returns the cost of a worker from its load, zone and penalty; a worker that is not usable gets no requests.
-func (f *Forwarder) modelCost(now time.Time, holder *fleettracker.Holder) (cost float64, usable bool) {
-	verdict := f.judge(now, holder.Worker, holder.Running)
-	if !verdict.usable {
-		return 0, false
+// judgeHolder returns why a worker must not be sent requests for a model and adapter, and an empty obstacle if it may. The verdict is the zero one
+// if it does not have them loaded.
+func (f *Forwarder) judgeHolder(now time.Time, holder *fleettracker.Holder) (verdict, obstacle) {
+	switch {
+	case !holder.ReadyAt.IsZero():
+		return verdict{}, obstacleLoading
+	case !holder.HasAdapter:
+		return verdict{}, obstacleNoAdapter
 	}
-	load := max(holder.Running+verdict.RecentSends, verdict.Running)
-	cost = float64(load)*modelRequestCost + rand.Float64()*modelCostJitter + f.standingCost(now, holder.Worker, &verdict)
+	judged := f.judge(now, holder.Worker, holder.Running)
+	return judged, judged.obstacle()
+}
+
+// modelCost returns the load of a worker, and its cost from that, its zone and its penalty without the random term.
+func (f *Forwarder) modelCost(now time.Time, holder *fleettracker.Holder, verdict *verdict) (load int, cost float64) {
+	load = max(holder.Running+verdict.RecentSends, verdict.Running)
+	cost = float64(load)*modelRequestCost + f.standingCost(now, holder.Worker, verdict)
 	if load >= holder.Worker.Slots {
 		cost += modelFullCost
 	}
-	return cost, true
+	return load, cost
 }
 
 // standingCost returns the part of a worker's cost that does not depend on its load.
--- a/forwarder/origins.go
+++ b/forwarder/origins.go
@@ -159,5 +159,10 @@
 // refuseVersion returns the error with which a call ends whose stream can go on nowhere: no worker of its version has the model or is loading it.
 func (f *Forwarder) refuseVersion(c *call) error {
 	f.dependencies.DemandCounter.CountRefusal(c.modelKey())
+	return c.versionRefusal()
+}
+
+// versionRefusal returns that error.
+func (c *call) versionRefusal() *FailureError {
 	return c.refuse("version_not_loaded", "no worker of the software version that began the stream has the model", notLoadedRetry)
 }
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -156,11 +156,8 @@
 	var candidates []selector.Candidate
 	var blocked verdict // The one that ends first, of workers that are not usable; its time is zero without one.
 	for _, worker := range f.dependencies.Workers.Fleet().OfService(c.service.Name) {
-		if worker.Leaving || !f.matches(c, worker) {
-			continue
-		}
-		verdict := f.judge(now, worker, -1)
-		if !verdict.usable {
+		verdict, obstacle := f.judgePlain(now, c, worker)
+		if obstacle != "" {
 			blocked = blocked.orEarlier(verdict)
 			continue
 		}
@@ -173,10 +170,28 @@
 		c.pace = candidates[chosen].Pace
 		return workers[chosen], nil
 	}
+	return nil, c.refusePlain(now, blocked)
+}
+
+// refusePlain returns the error of a call that no worker can take; blocked is the verdict that ends first, if one has a time.
+func (c *call) refusePlain(now time.Time, blocked verdict) error {
 	if !blocked.retryAt.IsZero() {
-		return nil, c.refuse(blocked.code, refusalMessages[blocked.code], blocked.retryAt.Sub(now))
+		return c.refuse(blocked.code, refusalMessages[blocked.code], blocked.retryAt.Sub(now))
 	}
-	return nil, c.refuse("no_worker", "no worker of the service takes requests now", busyRetry)
+	return c.refuse("no_worker", "no worker of the service takes requests now", busyRetry)
+}
+
+// judgePlain returns why a worker of the call's service must not be sent the call, and an empty obstacle if it may. The verdict is the zero one if
+// the call may not be sent there at any time.
+func (f *Forwarder) judgePlain(now time.Time, c *call, worker *registrar.Worker) (verdict, obstacle) {
+	switch {
+	case worker.Leaving:
+		return verdict{}, obstacleLeaving
+	case !f.matches(c, worker):
+		return verdict{}, obstacleSoftware
+	}
+	judged := f.judge(now, worker, -1)
+	return judged, judged.obstacle()
 }
 
 // plainCandidate returns a worker with its load and pace, and the cost of its zone, penalty and limit.
--- a/forwarder/room.go
+++ b/forwarder/room.go
@@ -135,11 +135,8 @@
 	affinity, otherWorkerCost := f.affinityWorker(c, holders)
 	for i := range holders {
 		holder := &holders[i]
-		if !holder.ReadyAt.IsZero() || !holder.HasAdapter {
-			continue
-		}
-		verdict := f.judge(now, holder.Worker, holder.Running)
-		if !verdict.usable {
+		verdict, obstacle := f.judgeHolder(now, holder)
+		if obstacle != "" {
 			continue
 		}
 		known := scheduler.Known{Slots: holder.Worker.Slots, Reported: verdict.ReportedLoad, ReportedAt: verdict.ReportedAt}
@@ -295,7 +292,12 @@
 	if !late {
 		return nil
 	}
-	return c.refuse(codeFull, "the workers that have the model are full, and the request cannot be served in time", retryAt.Sub(now))
+	return c.refuseFull(retryAt.Sub(now))
+}
+
+// refuseFull returns the refusal of a call that would wait for a place for too long.
+func (c *call) refuseFull(retry time.Duration) *FailureError {
+	return c.refuse(codeFull, "the workers that have the model are full, and the request cannot be served in time", retry)
 }
 
 // codeFull is the code of refusals because workers are full.
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -41,7 +41,12 @@
 			Int("sends", c.sends).Int64("after_ms", time.Since(c.arrived).Milliseconds()).Bool("refused", verdict.Refused).Strs("suspects", verdict.Suspects).Msg("request checked for crashes")
 	}
 	c.crashVerdict = verdict
-	if !verdict.Refused {
+	return c.refuseCrashes()
+}
+
+// refuseCrashes returns the error with which a call ends if its crashVerdict is that it must not be sent.
+func (c *call) refuseCrashes() error {
+	if !c.crashVerdict.Refused {
 		return nil
 	}
 	const message = "this request or a part of its prompt was running at workers that crashed"
--- a/forwarder/tenants.go
+++ b/forwarder/tenants.go
@@ -66,32 +66,42 @@
 
 // judgeKey checks a call's key by the newest configuration. If tenant is not empty, the key must be that of the tenant with this name.
 func (f *Forwarder) judgeKey(c *call, tenant string) (verdict keyVerdict, name string) {
-	catalog := f.dependencies.Catalog()
+	catalog, verdict := f.judgeRoute(c)
+	if verdict != "" {
+		return verdict, ""
+	}
+	if c.KeyDigest.IsZero() {
+		return keyMissing, ""
+	}
+	owner, found := catalog.Tenant(c.KeyDigest)
+	if !found || tenant != "" && tenant != owner.Name {
+		return keyUnknown, ""
+	}
+	return keyAccepted, owner.Name
+}
+
+// judgeRoute returns the result of a check of a call's key as far as it does not depend on the key, or an empty one and the configuration that must
+// have the key.
+func (f *Forwarder) judgeRoute(c *call) (catalog *cataloger.Catalog, verdict keyVerdict) {
+	catalog = f.dependencies.Catalog()
 	if catalog == nil && c.catalog.HasTenants() {
-		return keyStale, ""
+		return nil, keyStale
 	}
 	if catalog == nil || !catalog.HasTenants() {
-		return keyUnneeded, ""
+		return nil, keyUnneeded
 	}
 	fresh := f.dependencies.Keys.Fresh()
 	// Freshness is that of the newest configuration, so that the configuration is loaded after it.
 	if catalog = f.dependencies.Catalog(); catalog == nil {
-		return keyStale, ""
+		return nil, keyStale
 	}
 	if c.isPublic(catalog) {
-		return keyPublic, ""
+		return nil, keyPublic
 	}
 	if !fresh {
-		return keyStale, ""
-	}
-	if c.KeyDigest.IsZero() {
-		return keyMissing, ""
-	}
-	owner, found := catalog.Tenant(c.KeyDigest)
-	if !found || tenant != "" && tenant != owner.Name {
-		return keyUnknown, ""
+		return nil, keyStale
 	}
-	return keyAccepted, owner.Name
+	return catalog, ""
 }
 
 // isPublic reports whether a call needs no key by a configuration; a route that this does not have any more is judged as when the call arrived.
@@ -154,23 +164,26 @@
 		f.dependencies.Keys.Remove(c.Header)
 		c.keyRemoved = true
 	}
+	if verdict == keyAccepted && c.Tenant == "" {
+		c.Tenant = name
+	}
+	return verdict, f.keyError(c, verdict)
+}
+
+// keyError returns the error with which a call ends for the result of a check of its key; nil if it may be sent.
+func (f *Forwarder) keyError(c *call, verdict keyVerdict) error {
 	switch verdict {
-	case keyAccepted:
-		if c.Tenant == "" {
-			c.Tenant = name
-		}
-		return verdict, nil
 	case keyStale:
-		return verdict, c.refuse("keys_stale", "this node cannot show that its keys are recent enough; another may", configurationRetry)
+		return c.refuse("keys_stale", "this node cannot show that its keys are recent enough; another may", configurationRetry)
 	case keyMissing:
-		return verdict, c.refuseKey("the route needs a key of a tenant")
+		return c.refuseKey("the route needs a key of a tenant")
 	case keyUnknown:
 		if f.dependencies.Keys.Behind() {
-			return verdict, c.refuse("keys_stale", "the key is not known here, and another node has a newer configuration", configurationRetry)
+			return c.refuse("keys_stale", "the key is not known here, and another node has a newer configuration", configurationRetry)
 		}
-		return verdict, c.refuseKey("the key is of no tenant")
+		return c.refuseKey("the key is of no tenant")
 	default:
-		return verdict, nil
+		return nil
 	}
 }
 
--- a/forwarder/usable.go
+++ b/forwarder/usable.go
@@ -20,6 +20,31 @@
 	code    string
 }
 
+// obstacle is why a worker gets no request.
+type obstacle string
+
+// Obstacles, as operators are shown them; that of a verdict with a code is the code.
+const (
+	obstacleLeaving   obstacle = "leaving"
+	obstacleSoftware  obstacle = "other software version"
+	obstacleExcluded  obstacle = "excluded"
+	obstacleNoModel   obstacle = "no model"
+	obstacleNoAdapter obstacle = "no adapter"
+	obstacleLoading   obstacle = "loading"
+)
+
+// obstacle returns why a worker that is not usable gets no request, and an empty text for one that is.
+func (v *verdict) obstacle() obstacle {
+	switch {
+	case v.usable:
+		return ""
+	case v.code != "":
+		return obstacle(v.code)
+	default:
+		return obstacleExcluded
+	}
+}
+
 // orEarlier returns another verdict instead if that ends earlier; a verdict without a time never does.
 func (v verdict) orEarlier(other verdict) verdict {
 	if !other.retryAt.IsZero() && (v.retryAt.IsZero() || other.retryAt.Before(v.retryAt)) {
--- a/quotakeeper/rules_test.go
+++ b/quotakeeper/rules_test.go
@@ -83,6 +83,7 @@
 	RetryAtMS int64
 }
 
+// Also guards against a Look that differs from Admit or changes what the node holds.
 var _ = ginkgo.Describe("a node's tokens", func() {
 	var cases []struct {
 		Name  string
@@ -98,7 +99,18 @@
 				now := time.UnixMilli(step.AtMS)
 				if step.Admit > 0 {
 					allowance := quotakeeper.Allowance{RatePerS: 30_000, Burst: 30_000}
-					tickets = append(tickets, keeper.Admit(now, "t", allowance, step.Admit, now.Add(100*time.Millisecond)))
+					latest := now.Add(100 * time.Millisecond)
+					keeper.Look(now, "t", allowance, 2*step.Admit, latest)
+					foreseen, foreseenAt := keeper.Look(now, "t", allowance, step.Admit, latest)
+					ticket := keeper.Admit(now, "t", allowance, step.Admit, latest)
+					select {
+					case <-ticket.Done():
+						result, retryAt := ticket.Result()
+						gomega.Expect([]any{foreseen, foreseenAt}).To(gomega.Equal([]any{result, retryAt}), "Look of step %d", i)
+					default:
+						gomega.Expect(foreseen).To(gomega.Equal(quotakeeper.Waiting), "Look of step %d", i)
+					}
+					tickets = append(tickets, ticket)
 				}
 				if step.Refund > 0 {
 					keeper.Refund(now, tickets[step.Refund-1])
--- a/scheduler/backlog.go
+++ b/scheduler/backlog.go
@@ -64,18 +64,23 @@
 	if !now.Before(latest) {
 		return q.RetryAt(now, moreAt, draw), true
 	}
+	startAt, known := q.startAt(now, ticket)
+	if !known || !moreAt.IsZero() && !moreAt.After(latest) || !startAt.After(latest) {
+		return time.Time{}, false
+	}
+	return q.RetryAt(now, moreAt, draw), true
+}
+
+// startAt returns the earliest time at which a waiting request is expected to get a place, and whether that is known.
+func (q *Queue) startAt(now time.Time, ticket *Ticket) (at time.Time, known bool) {
 	perSecond, known := q.rate(now, all)
-	if !known || !moreAt.IsZero() && !moreAt.After(latest) {
+	if !known {
 		return time.Time{}, false
 	}
 	// The first in turn may get a place at any moment. Requests that are yet to come go before others too: the rate of the flow has that.
 	ahead, ofFlow := q.ahead(ticket)
 	ofFlowPerSecond, _ := q.rate(now, func(f flow) bool { return f == ticket.request.flow() })
-	startAt := now.Add(seconds(max(float64(ahead)/perSecond, float64(ofFlow)/ofFlowPerSecond)))
-	if !startAt.After(latest) {
-		return time.Time{}, false
-	}
-	return q.RetryAt(now, moreAt, draw), true
+	return now.Add(seconds(max(float64(ahead)/perSecond, float64(ofFlow)/ofFlowPerSecond))), true
 }
 
 // RetryAt returns when a request that is refused now should be retried: when those that wait have got places, or further workers have the model.
--- a/scheduler/choice.go
+++ b/scheduler/choice.go
@@ -52,21 +52,9 @@
 // Choose returns the index of the worker for a request, or -1 if all are full. Each worker's chance is proportional to its expected free places, so
 // that nodes with the same stale figures spread their requests as the workers have places. Draw is a random number in [0, 1).
 func Choose(now time.Time, candidates []Candidate, draw float64) int {
-	least, total, averageUse := math.Inf(1), 0.0, use(candidates)
-	weights := make([]float64, len(candidates))
-	for i := range candidates {
-		if weights[i] = candidates[i].free(now, averageUse); weights[i] > 0 {
-			least = min(least, candidates[i].Cost)
-		}
-	}
-	for i := range candidates {
-		if weights[i] > 0 {
-			weights[i] *= math.Exp((least - candidates[i].Cost) / costScale)
-			total += weights[i]
-		}
-	}
+	weights := Weights(now, candidates)
 	last := -1
-	draw *= total
+	draw *= lo.Sum(weights)
 	for i, weight := range weights {
 		if weight == 0 {
 			continue
@@ -80,6 +68,23 @@
 	return last
 }
 
+// Weights returns the weights by which Choose draws; that of a worker that is full is 0.
+func Weights(now time.Time, candidates []Candidate) []float64 {
+	least, averageUse := math.Inf(1), use(candidates)
+	weights := make([]float64, len(candidates))
+	for i := range candidates {
+		if weights[i] = candidates[i].free(now, averageUse); weights[i] > 0 {
+			least = min(least, candidates[i].Cost)
+		}
+	}
+	for i := range candidates {
+		if weights[i] > 0 {
+			weights[i] *= math.Exp((least - candidates[i].Cost) / costScale)
+		}
+	}
+	return weights
+}
+
 // ChoosePassed returns the index of a worker at which a request of this node has left its place, or -1.
 func ChoosePassed(_ time.Time, candidates []Candidate, _ float64) int {
 	return slices.IndexFunc(candidates, func(c Candidate) bool { return c.Passed && !c.Closed })
--- a/selector/selector.go
+++ b/selector/selector.go
@@ -22,6 +22,8 @@
 const (
 	// usualPace is the pace of a worker at which work takes as long as usual.
 	usualPace = 100.0
+	// Spread bounds the random term of Select.
+	Spread = 1.0
 	// fullCost is added when all slots of the worker are taken; it exceeds the surcharge of another zone, so that a free worker there is preferred.
 	fullCost = 8.0
 )
@@ -44,16 +46,22 @@
 // Where a worker names a pace, reports of loads count by their age. Reports that count in full draw requests to a slow worker: its own expire
 // first, since its responses are rare, and without one it seems idle.
 func Select(candidates []Candidate, random func() float64) int {
-	paced := lo.SomeBy(candidates, func(candidate Candidate) bool { return candidate.Pace > 0 })
 	best, bestCost := -1, 0.0
-	for i, candidate := range candidates {
-		load := float64(candidate.Load)
-		if paced {
-			load = candidate.RecentLoad
-		}
-		if cost := candidate.cost(load) + random(); best < 0 || cost < bestCost {
+	for i, cost := range Costs(candidates) {
+		if cost += random() * Spread; best < 0 || cost < bestCost {
 			best, bestCost = i, cost
 		}
 	}
 	return best
 }
+
+// Costs returns the costs of the candidates without the random term.
+func Costs(candidates []Candidate) []float64 {
+	paced := lo.SomeBy(candidates, func(candidate Candidate) bool { return candidate.Pace > 0 })
+	return lo.Map(candidates, func(candidate Candidate, _ int) float64 {
+		if paced {
+			return candidate.cost(candidate.RecentLoad)
+		}
+		return candidate.cost(float64(candidate.Load))
+	})
+}
--- a/selector/selector_test.go
+++ b/selector/selector_test.go
@@ -141,3 +141,20 @@
 		}
 	}
 }
+
+// Guards against chances that operators are shown and Select does not keep.
+func TestChances(t *testing.T) {
+	g := gomega.NewWithT(t)
+	random := rand.New(rand.NewPCG(1, 1))
+	candidates := []selector.Candidate{
+		{Load: 1, Slots: 8}, {Load: 1, Slots: 8, Surcharge: 0.3}, {Load: 1, Slots: 8, Surcharge: 0.8}, {Load: 3, Slots: 8},
+	}
+	const draws = 40_000
+	chosen := make([]float64, len(candidates))
+	for range draws {
+		chosen[selector.Select(candidates, random.Float64)] += 1.0 / draws
+	}
+	for i, chance := range selector.Chances(selector.Costs(candidates), selector.Spread) {
+		g.Expect(chance).To(gomega.BeNumerically("~", chosen[i], 0.01), "candidate %d", i)
+	}
+}
--- a/server/allowances.go
+++ b/server/allowances.go
@@ -181,6 +181,13 @@
 	return ticket, result, time.Now().Add(retryAt.Sub(timekeeper.Now()))
 }
 
+// look returns what take would by what this node knows, as forwarder.Allowances describes.
+func (a *allowances) look(tenant *cataloger.Tenant, cost int64, latest time.Time) (quotakeeper.Result, time.Time) {
+	now := timekeeper.Now()
+	result, retryAt := a.keeper.Look(now, tenant.Name, allowanceOf(tenant), cost, now.Add(time.Until(latest)))
+	return result, time.Now().Add(retryAt.Sub(now))
+}
+
 // refund takes back tokens of a request that has not run.
 func (a *allowances) refund(ticket *quotakeeper.Ticket) { a.keeper.Refund(timekeeper.Now(), ticket) }
 
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -146,8 +146,9 @@
 	settings := do.MustInvoke[*settingsreader.Settings](i)
 	f := &FleetNode{
 		settings: settings, fresh: do.MustInvoke[*freshkeeper.Keeper](i), workerList: do.MustInvoke[*registrar.Registrar](i), recorder: do.MustInvoke[*recorder.Recorder](i), watcher: do.MustInvoke[*watcher.Watcher](i), crashKeeper: do.MustInvoke[*crashkeeper.Keeper](i), fleetTracker: do.MustInvoke[*fleettracker.Tracker](i),
-		granter: limiter.NewGranter(), slotGranter: limiter.NewSlotGranter(), arbiter: trier.NewArbiter(), peers: do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), metrics: adminserver.NewMetrics(), streamKeeper: streamkeeper.New(),
+		granter: limiter.NewGranter(), slotGranter: limiter.NewSlotGranter(), arbiter: trier.NewArbiter(), peers: do.MustInvoke[*peerclient.Pool](i), workers: do.MustInvoke[*platform.Workers](i), streamKeeper: streamkeeper.New(),
 	}
+	f.metrics = adminserver.NewMetrics(f.where)
 	f.allowances = newAllowances(f)
 	f.limiter = limiter.New(f.askPermits, func() int { return f.subscriber.Nodes() }, do.MustInvoke[*recorder.Recorder](i).Count)
 	f.limiter.ReserveBy(limiter.Reservations{Reserve: f.reserveSlots, Later: tellLater})
@@ -193,7 +194,7 @@
 		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry}, RepeatFailed: settings.RepeatsFailures(), Room: settings.WaitsForRoom(),
 		Hedger:     hedger.New(settings.HedgePercent()),
 		Keys:       forwarder.Keys{Fresh: f.keysFresh, Behind: f.fresh.Behind, ProofAge: f.proofAge, Remove: platform.RemoveKey},
-		Allowances: forwarder.Allowances{Take: f.allowances.take, Refund: f.allowances.refund},
+		Allowances: forwarder.Allowances{Take: f.allowances.take, Look: f.allowances.look, Refund: f.allowances.refund},
 	}, platform.PathReady)
 	return f, nil
 }
