--- a/connlimiter/connection.go
+++ b/connlimiter/connection.go
@@ -16,8 +16,9 @@
 	// writeTimeout is the time in which a caller must take writeBytes of a response.
 	writeTimeout = 30 * time.Second
 	writeBytes   = 64 << 10
-	// refusalTimeout bounds the write of a refusal, which fits into an empty socket buffer.
-	refusalTimeout = 100 * time.Millisecond
+	// refusalTimeout bounds the write of a refusal, which fits into an empty socket buffer. 100 ms lost refusals where the process waited for a processor
+	// between setting the deadline and the write.
+	refusalTimeout = 2 * time.Second
 	// lateTime is granted once after a timeout, to read what has arrived while the process did not run.
 	lateTime = 20 * time.Millisecond
 	// freeHeadBytes and freeHeadLines of each head need no space of the account of heads. Ordinary heads have less.
@@ -329,8 +330,11 @@
 		}
 		text := fmt.Sprintf("%d %s", status, http.StatusText(status))
 		_ = c.Conn.SetWriteDeadline(time.Now().Add(refusalTimeout)) // Fails only if the connection has ended, as the write does.
-		_, _ = fmt.Fprintf(c.Conn, "HTTP/1.1 %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n"+
+		_, err := fmt.Fprintf(c.Conn, "HTTP/1.1 %s\r\nContent-Type: text/plain; charset=utf-8\r\nConnection: close\r\n"+
 			"%sContent-Length: %d\r\n\r\n%s", text, retry, len(text), text)
+		if err != nil {
+			c.listener.limiter.report(c.listener.port.Name, "refusal not written", c.RemoteAddr().String())
+		}
 	}
 	c.refused = true
 	c.release()
