Test: the age of a proof is asked once there is one

Change: the test waits for the first proof; the bound of 300 ms and the 2 s are as before. The product refuses keys in that instant, as it must.

--- a/watcher/proofs_test.go
+++ b/watcher/proofs_test.go
@@ -59,6 +59,8 @@
 			return configuration, err
 		}
 		run(revoke)
+		proven := func() bool { _, proven := keeper.Age(timekeeper.Now()); return proven }
+		gomega.Eventually(proven, time.Second).Should(gomega.BeTrue()) // A node may be ready an instant before the first proof is recorded.
 		age := func() time.Duration { age, _ := keeper.Age(timekeeper.Now()); return age }
 		gomega.Consistently(age, 2*time.Second, 5*time.Millisecond).Should(gomega.BeNumerically(">=", 300*time.Millisecond))
 	})
