--- a/fleetleader/inquiry.go
+++ b/fleetleader/inquiry.go
@@ -17,8 +17,11 @@
 	// expected end, where the worker's news or another known end are likely to come first.
 	inquiryGrowth = 0.25
 	overdueGrowth = 1
-	// endMargin is added to each known end, since the worker's timer and the response to the order may be late.
-	endMargin = 2 * time.Millisecond
+	// endMargin is added to each known end, since the worker's timer and the response to the order may be late. A repetition that comes too early is
+	// followed by one after minInquiryPause if the end was the first one, and else only at the next end, which may be seconds later: so the margin of
+	// the ends of shared loads is larger.
+	endMargin       = 2 * time.Millisecond
+	sharedEndMargin = 15 * time.Millisecond
 	// idleUnloadTime is about how long a worker takes to unload a model for which no request runs; no order can be accepted before.
 	idleUnloadTime = 50 * time.Millisecond
 	// lateAfter is the time after the first known end from which on the order counts as late.
@@ -103,18 +106,18 @@
 // fixed at the start of a load: n loads at once take n/c times as long if c are served at full speed.
 func loadEnds(acceptedAt time.Time, model cataloger.Model, tier placer.Tier) []time.Time {
 	var ends []time.Time
-	add := func(ms float64) {
-		ends = append(ends, acceptedAt.Add(time.Duration(ms*float64(time.Millisecond))+endMargin))
+	add := func(ms float64, margin time.Duration) {
+		ends = append(ends, acceptedAt.Add(time.Duration(ms*float64(time.Millisecond))+margin))
 	}
 	times := loadTimesMS(model)
 	for _, farther := range []placer.Tier{placer.TierMemory, placer.TierDisk, placer.TierStore} {
 		if farther >= tier {
-			add(times[farther])
+			add(times[farther], endMargin)
 		}
 	}
 	for _, share := range storeShares {
 		for loads := share + 1; loads <= share*storeLoadFactor; loads++ {
-			add(model.StoreMS * float64(loads) / float64(share))
+			add(model.StoreMS*float64(loads)/float64(share), sharedEndMargin)
 		}
 	}
 	slices.SortFunc(ends, time.Time.Compare)
