A model that only passed-on requests waited for stops counting as wanted when they have ended

Cause: arrivals of passed-on requests are counted at the node that the caller reached, so that their key was in a node's counts only while one of them waited. A node sends its leaders what has changed in the counts; a key that vanished was not sent, and the leaders held it for wanted until the node was restarted. Models that requests wait for are never unloaded. Change: a key is kept once a request has waited for it. The test fails without it.

--- a/demandcounter/demandcounter.go
+++ b/demandcounter/demandcounter.go
@@ -73,6 +73,9 @@
 func (c *Counter) StartWaiting(key Key, due time.Time) (end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	if _, found := c.requests[key]; !found {
+		c.requests[key] = 0 // Arrivals of passed-on requests are counted elsewhere.
+	}
 	c.lastNumber++
 	number := c.lastNumber
 	if c.waiting[key] == nil {
@@ -118,8 +121,8 @@
 	return c.changed
 }
 
-// Snapshot returns a copy of all counts. A key is kept once a request for it has arrived; a RunKey is present only
-// while requests run.
+// Snapshot returns a copy of all counts. A key is kept once a request for it has arrived or waited, so that a reader of changes sees that none waits
+// any more; a RunKey is present only while requests run.
 func (c *Counter) Snapshot() (map[Key]Demand, map[RunKey]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/demandcounter/demandcounter_test.go
+++ b/demandcounter/demandcounter_test.go
@@ -41,4 +41,14 @@
 		gomega.Expect(demands[key]).To(gomega.Equal(demandcounter.Demand{Requests: 1}))
 		gomega.Expect(runs).To(gomega.BeEmpty())
 	})
+
+	// Guards against a model that counts as wanted for good at the leaders, which are sent changes only, after a passed-on request has waited for it:
+	// arrivals of these are counted at the node that the caller reached.
+	ginkgo.It("contain a key that was only waited for when nothing waits any more", func() {
+		counter := demandcounter.New()
+		key := demandcounter.Key{Service: "s", Model: "m"}
+		counter.StartWaiting(key, time.Now())()
+		demands, _ := counter.Snapshot()
+		gomega.Expect(demands).To(gomega.HaveKeyWithValue(key, demandcounter.Demand{}))
+	})
 })
