Replicas leave loads from the weight store to models in high demand that no worker has

Cause: the weight store serves one or two loads at full speed, and three are started at first. Replicas of overloaded models took all of them, since their value counts the requests that their holders serve already. Change: a replica leaves one load to each such model, and the last of several in any case.

--- a/placer/placer.go
+++ b/placer/placer.go
@@ -10,6 +10,7 @@
 	"math"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/samber/lo"
 )
 
 // builder holds the intermediate results of one call of Plan.
@@ -28,6 +29,8 @@
 	assigned map[string]bool
 	// storeLoadsLeft is how many more loads from the weight store this leader may start, storeSlotsLeft how many all leaders may.
 	storeLoadsLeft, storeSlotsLeft int
+	// unservedStoreLoads is how many models in high demand that no worker has loaded must come from the weight store.
+	unservedStoreLoads int
 	// copyCounts holds how many usable workers have a copy of each model that was asked for.
 	copyCounts map[string]int
 	// copyLosses holds what copyLossPerS returns for each worker that was asked for, by ID, as it was when first asked.
@@ -54,7 +57,11 @@
 		b.smallestModelMB = min(b.smallestModelMB, model.MemoryMB)
 	}
 	b.countHolders()
-	for _, load := range b.desiredLoads() {
+	loads := b.desiredLoads()
+	b.unservedStoreLoads = lo.CountBy(loads, func(load desiredLoad) bool {
+		return !load.isReplica && load.rank() == rankHot && load.nearestTier == TierStore
+	})
+	for _, load := range loads {
 		if !b.assign(load) && !load.isReplica && load.demand.Waiting > 0 {
 			b.addWait(load)
 		}
@@ -116,13 +123,17 @@
 
 // mayUseStore reports whether a desired load may start from the weight store. One in high demand may if no reachable worker
 // can load a copy soon. Any other must have waited for a worker with a copy, and leaves the last of several
-// concurrent loads to models in high demand; a replica that is not in high demand is never loaded from there.
+// concurrent loads to models in high demand; a replica that is not in high demand is never loaded from there. A replica in high demand leaves
+// a load to each model in high demand that no worker has, whose requests are all refused meanwhile, and the last of several in any case.
 func (b *builder) mayUseStore(load *desiredLoad) bool {
 	patienceMS := storePatience * load.model.TierMS[TierStore]
+	reserved := min(b.input.Limits.MaxConcurrentStoreLoads-1, 1)
 	if load.rank() == rankHot {
+		if load.isReplica && b.storeSlotsLeft <= max(reserved, b.unservedStoreLoads) {
+			return false
+		}
 		return load.nearestTier == TierStore || load.copyBusyMS > patienceMS
 	}
-	reserved := min(b.input.Limits.MaxConcurrentStoreLoads-1, 1)
 	return load.nearestTier == TierStore && !load.isReplica && max(load.demand.WaitedMS, load.demand.UnservedMS) >= patienceMS && b.storeSlotsLeft > reserved
 }
 
