A model in high demand that no worker has need not wait for the end of a load from the weight store

Cause: while as many loads were in progress as the limit allows, a model whose only copy had gone waited for the end of one, up to 20 s. A load's time is fixed at its start, so that one more does not slow those in progress. Change: such a model may start one load beyond the limit. The allowance by loads a second is counted by itself.

--- a/fleetleader/plan.go
+++ b/fleetleader/plan.go
@@ -78,7 +78,7 @@
 	input := placer.Input{
 		Models: placerModels(service), Workers: l.placerWorkers(now, service, fleet), Demands: l.demands(now, service),
 		Skipped: map[string]bool{}, Limits: placer.Limits{
-			AllowedStoreLoads: l.allowedStoreLoads(now, service, running), MaxConcurrentStoreLoads: l.storeThrottle.limit, StoreLoadsInProgress: running,
+			AllowedStoreLoads: l.allowedStoreLoads(now, service), MaxConcurrentStoreLoads: l.storeThrottle.limit, StoreLoadsInProgress: running,
 			TargetRunsPerHolder: l.runsPerHolder(fleet),
 		},
 	}
@@ -323,13 +323,13 @@
 }
 
 // allowedStoreLoads returns how many loads from the weight store this zone may
-// start now; it may be negative. Each zone has an equal share of the service's
-// LoadsPerS. The caller holds mu.
-func (l *Leader) allowedStoreLoads(now time.Time, service *cataloger.Service, running int) int {
+// start now by the service's LoadsPerS, of which each zone has an equal share; it
+// may be negative. The caller holds mu.
+func (l *Leader) allowedStoreLoads(now time.Time, service *cataloger.Service) int {
 	l.storeLoadStarts = lo.Filter(l.storeLoadStarts, func(at time.Time, _ int) bool { return now.Sub(at) < storeWindow })
 	zones := lo.Uniq(lo.Map(l.dependencies.Workers.Fleet().OfService(service.Name), func(w *registrar.Worker, _ int) string { return w.Zone }))
 	share := service.LoadsPerS * storeWindow.Seconds() / float64(max(len(zones), 1))
-	return min(l.storeThrottle.limit-running, int(share)-len(l.storeLoadStarts))
+	return int(share) - len(l.storeLoadStarts)
 }
 
 // startMove starts the goroutine that executes a move. From now on, the victims' memory counts as free and the model's
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -97,12 +97,12 @@
 func (b *builder) assign(load desiredLoad) bool {
 	var best *Move
 	bestCost := math.Inf(1)
-	mayUseStore := b.mayUseStore(&load)
+	mayUseStore := b.mayUseStore(&load) && b.storeSlots(&load) > 0
 	for _, worker := range b.available {
 		if b.assigned[worker.ID] || hasLoaded(worker, load.model.Name) {
 			continue
 		}
-		if worker.tier(load.model.Name) == TierStore && (!mayUseStore || b.storeSlotsLeft <= 0 || worker.Own && b.storeLoadsLeft <= 0) {
+		if worker.tier(load.model.Name) == TierStore && (!mayUseStore || worker.Own && b.storeLoadsLeft <= 0) {
 			continue
 		}
 		move, cost, possible := b.moveCost(worker, load)
@@ -117,6 +117,18 @@
 	return true
 }
 
+// extraStoreLoads is how many loads beyond the limit models in high demand that no worker has may start. The time of a load is fixed when it starts,
+// by the loads in progress then: one that starts as the third of a store that serves two at full speed ends before one that waits for half a load.
+const extraStoreLoads = 1
+
+// storeSlots returns how many loads from the weight store all leaders may start for desired loads like this one.
+func (b *builder) storeSlots(load *desiredLoad) int {
+	if load.isReplica || load.rank() != rankHot {
+		return b.storeSlotsLeft
+	}
+	return b.storeSlotsLeft + extraStoreLoads
+}
+
 // storePatience is how long a model waits for a copy, or for models in higher demand, before the weight store is occupied for it, as
 // a share of the time that the store takes for it.
 const storePatience = 1.0 / 8
--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -30,12 +30,13 @@
 }
 
 // planCase is an input of Plan and the moves expected for it, in their order. Places are the workers, StoreLoads is
-// Limits.AllowedStoreLoads, and Passed holds the IDs of the skipped workers.
+// Limits.AllowedStoreLoads, InProgress Limits.StoreLoadsInProgress, and Passed holds the IDs of the skipped workers.
 type planCase struct {
 	Name       string
 	Places     []workerCase
 	Demands    []placer.Demand
 	StoreLoads int
+	InProgress int
 	Passed     []string
 	Moves      []expectedMove
 	// Waits maps models to their expected Wait.ReadyMS; other waits are not checked.
@@ -71,7 +72,7 @@
 func newInput(c planCase) placer.Input {
 	input := placer.Input{
 		Models: map[string]placer.Model{}, Demands: c.Demands, Skipped: map[string]bool{},
-		Limits: placer.Limits{AllowedStoreLoads: c.StoreLoads, MaxConcurrentStoreLoads: 2, TargetRunsPerHolder: 10},
+		Limits: placer.Limits{AllowedStoreLoads: c.StoreLoads, MaxConcurrentStoreLoads: 2, StoreLoadsInProgress: c.InProgress, TargetRunsPerHolder: 10},
 	}
 	for _, id := range c.Passed {
 		input.Skipped[id] = true
