Nodes do not count as cut off from all workers because a quarter of the workers crashes

Evidence: a new spec, "a node that streams arrive at is not cut off when some workers crash, and sends requests to the others", fails before: cut off after three of five crashed workers, the request was passed on. Change: the forwarder asks cutdetector instead of its own type reach, reports sends, heads, bytes of bodies and broken responses to it, and adds the doubt to the cost of workers. Workers that a request did not reach count as crashed once bytes came from their zone; three that did not are reason to pass the request on, as before. The head of a hedged send's response counts when it arrives, not when the send is evaluated.

--- a/forwarder/carry.go
+++ b/forwarder/carry.go
@@ -6,25 +6,20 @@
 	"fmt"
 	"io"
 	"net/http"
-	"sync"
 	"time"
 
-	"github.com/phuslu/log"
 	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/prover"
-	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
 const (
-	// cutWorkers is the number of different workers that must fail as unreachable, with no response of any in between, for the node to count as cut off. Those
-	// that are listed with one address count as one: at most one of them is there.
-	cutWorkers = 3
-	// reachPause is the time between two requests that a node which is cut off still sends to workers itself, to notice the end of the cut.
-	reachPause = 500 * time.Millisecond
 	// unreachableWorkers is the number of different workers that must have been unreachable for a request to be passed on while the node does not count as cut off.
 	unreachableWorkers = 2
+	// giveUpWorkers is the number of different workers after which it is passed on although there are others, so that it does not wait until it is
+	// settled whether the node is cut off.
+	giveUpWorkers = 3
 	// maxCarriedBody bounds the body of a request that is carried.
 	maxCarriedBody = 256 << 10
 	// maxCarried bounds the requests that a node serves for others at the same time.
@@ -41,81 +36,6 @@
 	Body io.ReadCloser
 }
 
-// reach is what a node knows of its path to the workers.
-type reach struct {
-	// mu guards everything below.
-	mu sync.Mutex
-	// failed are the addresses of the workers that were unreachable since the last response of any.
-	failed map[string]bool
-	// cut is set while the node counts as cut off, since cutAt.
-	cut   bool
-	cutAt time.Time
-	// probeAt is when the next request is sent to workers although the node is cut off.
-	probeAt time.Time
-}
-
-// fail records that the worker at an address was unreachable; workers is the number of addresses of workers that the node knows.
-func (r *reach) fail(now time.Time, address string, workers int) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.failed == nil {
-		r.failed = map[string]bool{}
-	}
-	if len(r.failed) < cutWorkers {
-		r.failed[address] = true
-	}
-	if !r.cut && len(r.failed) >= min(cutWorkers, workers) {
-		r.cut, r.cutAt, r.probeAt = true, now, now.Add(reachPause)
-		log.Warn().Str("dependency", "workers").Int("unreachable", len(r.failed)).Int("workers", workers).Msg("cut off from all workers")
-	}
-}
-
-// succeed records a response of a worker.
-func (r *reach) succeed(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cut {
-		log.Info().Str("dependency", "workers").Int64("after_ms", now.Sub(r.cutAt).Milliseconds()).Msg("workers reached again")
-	}
-	r.cut = false
-	clear(r.failed)
-}
-
-// isCut reports whether the node is cut off.
-func (r *reach) isCut() bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.cut
-}
-
-// CutOff reports whether this node reaches no worker.
-func (f *Forwarder) CutOff() bool { return f.reach.isCut() }
-
-// failures returns the number of workers that were unreachable since the last response of any, cutWorkers at most.
-func (r *reach) failures() int {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return len(r.failed)
-}
-
-// carries reports whether a request should be carried at once, which is so while the node is cut off but for one request in reachPause.
-func (r *reach) carries(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if r.cut && !now.Before(r.probeAt) {
-		r.probeAt = now.Add(reachPause)
-		return false
-	}
-	return r.cut
-}
-
-// wouldCarry returns what carries would, and changes nothing.
-func (r *reach) wouldCarry(now time.Time) bool {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.cut && now.Before(r.probeAt)
-}
-
 // cutOffError ends the choice of a worker for a call that is to be passed to another node.
 type cutOffError struct{}
 
@@ -124,18 +44,6 @@
 	return "this node reaches no worker that could serve the request"
 }
 
-// knownAddresses returns the number of addresses of listed workers.
-func (f *Forwarder) knownAddresses() int {
-	return len(lo.UniqBy(f.dependencies.Workers.Fleet().All(), func(worker *registrar.Worker) string { return worker.Address }))
-}
-
-// lacksPath reports whether a call that no worker can be chosen for may be served by way of another node: this one is cut off, or did not reach a worker for it.
-// A single worker that is unreachable is more likely to have ended.
-func (f *Forwarder) lacksPath(c *call) bool {
-	unreachable := len(lo.Uniq(c.unreachable))
-	return f.reach.isCut() || unreachable >= unreachableWorkers || unreachable > 0 && f.reach.failures() >= unreachableWorkers
-}
-
 // refuseCutOff returns the refusal of a call that this node cannot send to any worker.
 func (f *Forwarder) refuseCutOff(c *call) error {
 	return c.refuse("cut_off", "this node reaches no worker; another may", cutRetry)
@@ -209,7 +117,7 @@
 		node = response.Node
 		c.tries.pass(node, outcomeOfCarry(response, err))
 	}
-	logger.Info("request passed to another node").Str("request", c.ID).Str("node", node).Strs("unreachable", c.unreachable).Bool("reached", c.reached).Int64("left_ms", time.Until(c.deadline).Milliseconds()).Err(err).Msg("request passed to another node")
+	logger.Info("request passed to another node").Str("request", c.ID).Str("node", node).Strs("unreachable", c.unreachableAddresses()).Bool("reached", c.reached).Int64("left_ms", time.Until(c.deadline).Milliseconds()).Err(err).Msg("request passed to another node")
 	if errors.As(err, &notRun) {
 		c.ledger.Prove(notRun.proof)
 		f.dependencies.Recorder.Count("requests no node took")
--- a/forwarder/carry_test.go
+++ b/forwarder/carry_test.go
@@ -128,6 +128,61 @@
 	})
 })
 
+// tickingBody is a stream whose events arrive one by one until its context ends.
+type tickingBody struct {
+	ctx  context.Context
+	next int
+}
+
+func (b *tickingBody) Read(buffer []byte) (int, error) {
+	select {
+	case <-b.ctx.Done():
+		return 0, b.ctx.Err()
+	case <-time.After(5 * time.Millisecond):
+		b.next++
+		return copy(buffer, fmt.Sprintf("id:%d\n\n", b.next)), nil
+	}
+}
+
+func (*tickingBody) Close() error { return nil }
+
+// Guards against a node that counts as cut off, and passes its requests on, because workers crashed while streams of others went on.
+var _ = ginkgo.Describe("a node that streams arrive at", func() {
+	ginkgo.It("is not cut off when some workers crash, and sends requests to the others", func() {
+		sent := 0
+		f := newFixture(nil, false, func(dependencies *forwarder.Dependencies) {
+			dependencies.Send = func(ctx context.Context, _ *forwarder.Request, send forwarder.Send) (*forwarder.Response, error) {
+				if send.Worker.Service == "models" {
+					header := http.Header{"Content-Type": {"text/event-stream"}}
+					return &forwarder.Response{Status: http.StatusOK, Header: header, Body: &tickingBody{ctx: ctx}}, nil
+				}
+				time.Sleep(60 * time.Millisecond)
+				if sent++; sent <= 5 {
+					return nil, forwarder.NewNotRunError(prover.Unsent(), send.Worker.ID, forwarder.ReasonUnreachable, 0, nil)
+				}
+				return &forwarder.Response{Status: http.StatusOK, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("ok"))}, nil
+			}
+		})
+		defer f.server.Close()
+		f.carrier = "answer"
+		f.list.Apply(time.Now(), lo.Times(6, func(i int) registrar.Change {
+			worker := registrar.Worker{ID: fmt.Sprint("q", i), Service: "plain", Zone: "z", Address: fmt.Sprint("127.0.0.1:", 10+i), Software: "v1", Slots: 8}
+			worker.SeenAt, worker.RowVersion = time.Now(), 2
+			return registrar.Change{Worker: worker}
+		}))
+		stream, err := http.DefaultTransport.RoundTrip(f.request("/lastingstream/x", "m"))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		defer func() { _ = stream.Body.Close() }()
+		go func() { _, _ = io.Copy(io.Discard, stream.Body) }() // Ends when the body is closed.
+		response, err := http.DefaultTransport.RoundTrip(f.request("/once/x", ""))
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		gomega.Expect(f.forwarder.CutOff()).To(gomega.BeFalse())
+		gomega.Expect(fmt.Sprint(response.StatusCode, f.carriedCount, sent)).To(gomega.Equal("200 0 6"), "status, passed on, sent")
+	})
+})
+
 // carriedRecorder is a recorder that allows a deadline for the body.
 type carriedRecorder struct{ *httptest.ResponseRecorder }
 
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -24,6 +24,7 @@
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
 	"github.com/acaciaproxy/acaciaproxy/connlimiter"
 	"github.com/acaciaproxy/acaciaproxy/crashkeeper"
+	"github.com/acaciaproxy/acaciaproxy/cutdetector"
 	"github.com/acaciaproxy/acaciaproxy/demandcounter"
 	"github.com/acaciaproxy/acaciaproxy/fleettracker"
 	"github.com/acaciaproxy/acaciaproxy/hedger"
@@ -110,7 +111,7 @@
 	// broken holds the sends that broke for an unknown reason.
 	broken brokenSends
 	// reach is the node's path to the workers; carried counts the requests that it serves for other nodes.
-	reach   reach
+	reach   *cutdetector.Detector
 	carried atomic.Int64
 	// space is shared by the responses that are held in memory. Room holds the requests that wait while workers are full; nil without.
 	space bufferer.Space
@@ -124,7 +125,10 @@
 
 // New returns a forwarder that does not listen yet; readyPath is the path of readiness checks.
 func New(dependencies Dependencies, readyPath string) *Forwarder {
-	f := &Forwarder{dependencies: dependencies, draining: make(chan struct{}), room: newRoom(dependencies.Room)}
+	f := &Forwarder{
+		dependencies: dependencies, draining: make(chan struct{}), room: newRoom(dependencies.Room),
+		reach: cutdetector.New(dependencies.Zone, dependencies.Recorder.Count),
+	}
 	f.life, f.endLife = context.WithCancel(context.Background())
 	f.limiter = connlimiter.New(dependencies.Host, f.headLimits, dependencies.Recorder.Count)
 	f.server = &http.Server{
@@ -249,9 +253,10 @@
 	lastEventID string
 	// once is set if another node passed the call on and it must run once by the configuration there.
 	once bool
-	// isCarried is set if another node passed the call on, carryTried once this node has tried to. Unreachable are the addresses of the workers that sends did not reach.
+	// isCarried is set if another node passed the call on, carryTried once this node has tried to. Unreachable are the sends that did not reach
+	// their workers.
 	isCarried, carryTried bool
-	unreachable           []string
+	unreachable           []loss
 	// keyRemoved is set once the caller's key was removed from the headers.
 	keyRemoved bool
 	// heldMS is the time waited for the model, firstByteMS the time from the last send to the head of its response, in milliseconds.
--- a/forwarder/hedges.go
+++ b/forwarder/hedges.go
@@ -45,6 +45,7 @@
 		started.headArrived.Store(started.err == nil)
 		endAwaited()
 		if started.err == nil {
+			f.hear(worker, started.whole.Response)
 			if !prover.Promises(started.whole.Status) { // Else it is not used.
 				started.whole.body, started.err = started.whole.held.ReadAll(started.whole.Body, bufferer.MaxResponseBytes)
 				if started.err != nil {
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -133,7 +133,7 @@
 		}
 		viewChanged := f.dependencies.Tracker.Changed()
 		now := time.Now()
-		if c.mayCarry() && f.reach.carries(now) {
+		if f.carriesNow(now, c) {
 			return nil, &cutOffError{}
 		}
 		holders := f.matching(c, f.dependencies.Tracker.Holders(now, c.service.Name, c.Model, c.Adapter))
--- a/forwarder/model_choice.go
+++ b/forwarder/model_choice.go
@@ -26,6 +26,8 @@
 	minAffinityTokens = 1000
 	// modelCutOffCost is added for a worker in a zone that seems cut off.
 	modelCutOffCost = 150.0
+	// modelDoubtCost is multiplied by the doubt whether the worker can be reached, which is 0 while all are.
+	modelDoubtCost = 300.0
 	// modelLimitedCost is added for a worker that names a limit, so that others with the model take what they can.
 	modelLimitedCost = 120.0
 	// modelFullCost is added when all slots of the worker are taken.
@@ -110,7 +112,7 @@
 
 // standingCost returns the part of a worker's cost that does not depend on its load.
 func (f *Forwarder) standingCost(now time.Time, worker *registrar.Worker, verdict *verdict) float64 {
-	cost := verdict.Penalty * modelPenaltyCost
+	cost := verdict.Penalty*modelPenaltyCost + modelDoubtCost*f.reach.Doubt(now, whereIs(worker))
 	if worker.Zone != f.dependencies.Zone {
 		cost += modelRemoteCost
 	}
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -23,6 +23,8 @@
 	plainPenaltyCost = 40.0
 	// plainCutOffCost is added for a worker in a zone that seems cut off.
 	plainCutOffCost = 20.0
+	// plainDoubtCost is multiplied by the doubt whether the worker can be reached, which is 0 while all are.
+	plainDoubtCost = 30.0
 	// plainLimitedCost is added for a worker that names a limit, so that the others take what they can.
 	plainLimitedCost = 12.0
 )
@@ -65,7 +67,7 @@
 			return nil, false, err
 		}
 		worker, err := f.choosePlainWorker(c)
-		if c.mayCarry() && (err != nil && f.lacksPath(c) || f.reach.carries(time.Now())) {
+		if c.mayCarry() && err != nil && f.lacksPath(c) || f.carriesNow(time.Now(), c) {
 			if done, err := f.carry(ctx, w, c); done {
 				return nil, true, err
 			}
@@ -202,6 +204,7 @@
 		RecentLoad: max(verdict.DecayedLoad+float64(verdict.RecentSends), float64(verdict.Running)),
 		Slots:      worker.Slots, Pace: verdict.Pace, Surcharge: verdict.Penalty * plainPenaltyCost,
 	}
+	candidate.Surcharge += plainDoubtCost * f.reach.Doubt(now, whereIs(worker))
 	if worker.Zone != f.dependencies.Zone {
 		candidate.Surcharge += plainRemoteCost
 	}
@@ -241,6 +244,9 @@
 		return f.handleNotRun(ctx, c, worker, notRun)
 	}
 	c.avoidUntil[worker.ID] = now.Add(avoidBroken)
+	if ctx.Err() == nil {
+		f.reach.Break(whereIs(worker))
+	}
 	if ctx.Err() != nil {
 		f.endTrial(c, now.Add(crashNewsTime))
 		f.logNoCrash(c, worker, ctx.Err().Error())
@@ -342,8 +348,7 @@
 		c.avoidUntil[worker.ID] = now.Add(avoidFull)
 	case ReasonUnreachable:
 		if ctx.Err() == nil { // Else the call has ended while it was connecting.
-			c.unreachable = append(c.unreachable, worker.Address)
-			f.reach.fail(now, worker.Address, f.knownAddresses())
+			f.recordLoss(now, c, worker)
 		}
 		f.dependencies.Assessor.MarkUnreachable(now, worker.ID)
 		c.avoidUntil[worker.ID] = now.Add(avoidUnreachable)
@@ -351,6 +356,6 @@
 		c.avoidUntil[worker.ID] = now.Add(avoidBroken)
 	}
 	if notRun.reason != ReasonUnreachable {
-		f.reach.succeed(now)
+		f.reach.Hear(now, whereIs(worker))
 	}
 }
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -22,6 +22,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.hear(send.Worker, response)
 	if err := f.recordHead(c, send.Worker, response); err != nil {
 		_ = response.Body.Close() // Unread bytes are discarded.
 		return nil, err
@@ -33,7 +34,6 @@
 // the request has not run.
 func (f *Forwarder) recordHead(c *call, worker *registrar.Worker, response *Response) error {
 	c.tries.respond(response)
-	f.reach.succeed(time.Now())
 	f.reportLoad(worker, response.Load)
 	f.observeLimit(c, worker, response.PerSecond)
 	f.observePause(c, worker, response.PauseS)
@@ -82,6 +82,7 @@
 		f.dependencies.Recorder.Count("workers chosen by pace " + c.service.Name)
 	}
 	f.dependencies.Assessor.BeginSend(time.Now(), worker.ID)
+	f.reach.Try(c.sentAt, whereIs(worker))
 	perSecond, limited := f.dependencies.Limiter.PerSecond(worker.ID, worker.Incarnation)
 	if c.limitPerSecond = perSecond; limited {
 		f.dependencies.Recorder.Count("sends to limited workers")
--- a/forwarder/where_workers.go
+++ b/forwarder/where_workers.go
@@ -99,7 +99,7 @@
 	found.costs = selector.Costs(candidates)
 	found.chances = selector.Chances(found.costs, selector.Spread)
 	f.listOptions(d, workers, obstacles, &found)
-	d.PassedOn = c.mayCarry() && (len(candidates) == 0 && f.lacksPath(c) || f.reach.wouldCarry(now))
+	d.PassedOn = c.mayCarry() && (len(candidates) == 0 && f.lacksPath(c) || f.reach.WouldCarry(now))
 	if len(candidates) == 0 && !d.PassedOn {
 		return c.refusePlain(now, first)
 	}
@@ -125,7 +125,7 @@
 	holders := f.matching(c, all)
 	workers := f.dependencies.Workers.Fleet().OfService(c.service.Name)
 	obstacles := f.modelObstacles(now, c, workers, all)
-	if d.PassedOn = c.mayCarry() && f.reach.wouldCarry(now); c.origin != nil && len(holders) == 0 && !d.PassedOn {
+	if d.PassedOn = c.mayCarry() && f.reach.WouldCarry(now); c.origin != nil && len(holders) == 0 && !d.PassedOn {
 		f.listOptions(d, workers, obstacles, &choice{})
 		return c.versionRefusal()
 	}
