The retry budget of the forwarder's test fixture is guarded by a lock

Cause: requests that run at the same time decreased fixture.retries without one. Change: a lock of its own, since mu is held while other nodes refuse a request.

--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -131,8 +131,10 @@
 	keys *keyPlayer
 	// newKindFrom is the number of the send with which that version is in force, the first if it is 0.
 	newKindFrom int
-	// retries is the number of retries that the budget still allows, -1 for any number.
+	// retries is the number of retries that the budget still allows, -1 for any number; retriesMu guards it while requests run. It is not mu, which is
+	// held while other nodes refuse a request.
 	retries      int
+	retriesMu    sync.Mutex
 	carriedCount int
 	// mu guards sends and sent.
 	mu    sync.Mutex
@@ -218,6 +220,8 @@
 
 // allowRetry uses one of the retries of the fixture's budget.
 func (f *fixture) allowRetry(time.Time, string) (allowed bool, left float64) {
+	f.retriesMu.Lock()
+	defer f.retriesMu.Unlock()
 	if f.retries == 0 {
 		return false, 0
 	}
