Orders without a response are repeated, and reports decide what became of them

Cause: the leader waited 800 ms for the response to an order, then abandoned the move, read a report 250 ms later and planned again.

After a conflict, a report that is newer than the first attempt decides. Since a report does not name the order that a worker is busy with, the leader counts an order without a response only when the worker responds to a repetition that it is in the ordered state.

--- a/fleetleader/adapt.go
+++ b/fleetleader/adapt.go
@@ -150,17 +150,18 @@
 	w := l.workerOf(state)
 	var err error
 	var before Order
-	order := Order{Model: key.model, Adapter: key.adapter}
-	for _, next := range append(victims, order) {
-		if err = l.sendWithRetry(epoch, state, w, next, before); err != nil {
+	var sending *delivery
+	for _, next := range append(victims, Order{Model: key.model, Adapter: key.adapter}) {
+		sending = newDelivery(next)
+		if err = l.sendWithRetry(epoch, state, w, sending, before); err != nil {
 			break
 		}
 		before = next
 	}
-	if err == nil {
+	if err == nil && !sending.done {
 		ordered := time.Now()
 		time.Sleep(adapterFirstWait)
-		err = l.awaitDone(epoch, state, w, order, newInquiry(ordered, ordered.Add(adapterFirstWait+adapterTimeout), nil))
+		err = l.awaitDone(epoch, state, w, sending, newInquiry(ordered, ordered.Add(adapterFirstWait+adapterTimeout), nil))
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/fleetleader/conflict_test.go
+++ b/fleetleader/conflict_test.go
@@ -22,7 +22,7 @@
 		w.mu.Unlock()
 		past := time.Now().Add(-time.Second)
 		asking := &inquiry{deadline: past, reportAt: past}
-		err := z.leader.waitAfterConflict(state, state.worker, Order{Model: "m0"}, asking)
+		err := z.leader.waitAfterConflict(state, state.worker, newDelivery(Order{Model: "m0"}), asking)
 		var failed *OrderError
 		gomega.Expect(errors.As(err, &failed)).To(gomega.BeTrue())
 		gomega.Expect(failed.stillBusy).To(gomega.BeTrue())
--- a/fleetleader/fleetleader_test.go
+++ b/fleetleader/fleetleader_test.go
@@ -67,14 +67,69 @@
 	executedAt           time.Time
 	// lostShare is the share of orders whose response is lost, lateShare the share of those that are executed late.
 	lostShare, lateShare float64
+	// loads counts the accepted loads of models.
+	loads int
+	// fates are what happens to the orders, repeated from the first on after the last; empty without a script.
+	fates []fate
 }
 
-func (w *fakeWorker) handleOrder(order Order, check func() error) (Outcome, error) {
+// fate is what happens to one order. A lost response is awaited until the sender's deadline.
+type fate struct {
+	// Lost is set if no response arrives, Executed if the worker handles the order nevertheless, LateMS milliseconds after it was sent. Closed is set if
+	// the worker closes the connection without a response, Refused if no connection can be opened. DelayMS is the time until a response that is not lost.
+	Lost, Executed, Closed, Refused bool
+	LateMS, DelayMS                 int
+}
+
+// handleOrder handles an order as the script of fates or the shares of lost and late orders say.
+func (w *fakeWorker) handleOrder(ctx context.Context, order Order, check func() error) (Outcome, error) {
+	w.mu.Lock()
+	next := fate{}
+	if len(w.fates) > 0 {
+		next = w.fates[w.orderCalls%len(w.fates)]
+	}
+	if !next.Lost {
+		outcome, err := w.handleAnswered(order, check)
+		w.mu.Unlock()
+		if next.DelayMS == 0 {
+			return outcome, err
+		}
+		select {
+		case <-ctx.Done():
+			return OutcomeUnknown, ctx.Err()
+		case <-time.After(time.Duration(next.DelayMS) * time.Millisecond):
+			return outcome, err
+		}
+	}
+	if next.Refused {
+		w.orderCalls++
+		w.mu.Unlock()
+		return OutcomeUnknown, errors.New("connection refused")
+	}
+	if err := check(); err != nil {
+		w.mu.Unlock()
+		return OutcomeUnknown, err
+	}
+	w.orderCalls++
+	w.mu.Unlock()
+	if next.Executed {
+		time.AfterFunc(time.Duration(next.LateMS)*time.Millisecond, func() {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.execute(order)
+		})
+	}
+	if !next.Closed {
+		<-ctx.Done()
+	}
+	return OutcomeUnknown, errors.New("answer lost")
+}
+
+// handleAnswered handles an order whose response is lost only by the shares; the caller holds mu.
+func (w *fakeWorker) handleAnswered(order Order, check func() error) (Outcome, error) {
 	if err := check(); err != nil {
 		return OutcomeUnknown, err
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	w.orderCalls++
 	if w.random.Float64() < w.lostShare {
 		if w.random.Float64() < w.lateShare {
@@ -151,6 +206,7 @@
 	w.busy = true
 	duration := w.unloadTime
 	if !order.Unload {
+		w.loads++
 		duration = w.loadTime
 		if w.evicted {
 			duration = fakeStoreLoad
@@ -228,14 +284,11 @@
 
 func newFakeZone(count int, lostShare, lateShare float64) *fakeZone {
 	z := &fakeZone{workers: map[string]*fakeWorker{}, leading: true}
-	models := map[string]cataloger.Model{}
+	catalog := fakeCatalog(20)
 	onDisk := map[string]bool{}
-	for i := range 6 {
-		name := fmt.Sprintf("m%d", i)
-		models[name] = cataloger.Model{Name: name, MemoryMB: fakeModelMB, AdapterMB: fakeAdapterMB, StoreMS: fakeStoreMS, DiskMS: 20, MemoryMS: 20}
+	for name := range catalog.Services()[0].Models {
 		onDisk[name] = true
 	}
-	catalog := cataloger.New(1, nil, []cataloger.Service{{Name: "s", Models: models, MemoryMB: fakeMemoryMB, AdapterSlots: fakeAdapterSlots, LoadsPerS: 10}}, cataloger.Limits{})
 	list := registrar.New()
 	for i := range count {
 		id := fmt.Sprintf("w%d", i)
@@ -249,14 +302,25 @@
 		LimitsSince:     func(first int64) ([]*nodewire.WorkerLimit, int64) { return nil, first }, Limited: func(string, int64) bool { return false },
 		Node: "n", Zone: "z", Catalog: func() *cataloger.Catalog { return catalog }, Workers: list, Tracker: fleettracker.New(list), ListFreshness: readNow, Recorder: recorder.New(),
 		Lease: Lease{Leading: z.leaseState, QuietRemaining: z.quietRemaining, Leases: func() []*nodewire.LeaseView { return nil }, CheckOrder: z.checkOrder},
-		SendOrder: func(_ context.Context, w *registrar.Worker, order Order, check func() error) (Outcome, error) {
-			return z.workers[w.ID].handleOrder(order, check)
+		SendOrder: func(ctx context.Context, w *registrar.Worker, order Order, check func() error) (Outcome, error) {
+			return z.workers[w.ID].handleOrder(ctx, order, check)
 		},
 		ReadReport: func(_ context.Context, w *registrar.Worker) (Report, error) { return z.workers[w.ID].report(), nil },
 	})
 	return z
 }
 
+// fakeCatalog returns the catalog of a service with models whose loads from a copy should take a time.
+func fakeCatalog(copyMS float64) *cataloger.Catalog {
+	models := map[string]cataloger.Model{}
+	for i := range 6 {
+		name := fmt.Sprintf("m%d", i)
+		models[name] = cataloger.Model{Name: name, MemoryMB: fakeModelMB, AdapterMB: fakeAdapterMB, StoreMS: fakeStoreMS, DiskMS: copyMS, MemoryMS: copyMS}
+	}
+	service := cataloger.Service{Name: "s", Models: models, MemoryMB: fakeMemoryMB, AdapterSlots: fakeAdapterSlots, LoadsPerS: 10}
+	return cataloger.New(1, nil, []cataloger.Service{service}, cataloger.Limits{})
+}
+
 // readNow returns the freshness of a list that was read just now.
 func readNow(now time.Time) Freshness { return Freshness{ReadAt: now} }
 
@@ -494,7 +558,11 @@
 
 // runRandomDemand sends random demand to a zone and reports whether a worker's memory was overcommitted.
 func runRandomDemand(random *rand.Rand) bool {
-	z := newFakeZone(2, random.Float64()*0.5, 0.5+random.Float64()/2)
+	return newFakeZone(2, random.Float64()*0.5, 0.5+random.Float64()/2).playRandomDemand(random)
+}
+
+// playRandomDemand runs the zone's leader with random demand and reports whether a worker's memory was overcommitted.
+func (z *fakeZone) playRandomDemand(random *rand.Rand) bool {
 	z.leader.Run()
 	defer z.leader.Stop()
 	for deadline := time.Now().Add(randomDuration); time.Now().Before(deadline); {
--- a/fleetleader/inquiry.go
+++ b/fleetleader/inquiry.go
@@ -59,6 +59,13 @@
 	return asking
 }
 
+// reportBy makes the first report be read at a time if it would be read later.
+func (q *inquiry) reportBy(at time.Time) {
+	if at.Before(q.reportAt) {
+		q.reportAt = at
+	}
+}
+
 // nextAt returns when to repeat the order after a repetition that found it unfinished: at the next known end, and in
 // pauses that grow after the first one or without any.
 func (q *inquiry) nextAt(now time.Time) time.Time {
--- a/fleetleader/swap.go
+++ b/fleetleader/swap.go
@@ -15,7 +15,7 @@
 
 // Timing of orders.
 const (
-	// orderTimeout is how long the response to an order is awaited.
+	// orderTimeout is how long the response to an order and its repetitions is awaited.
 	orderTimeout = 800 * time.Millisecond
 	// reportTimeout is how long a report is awaited.
 	reportTimeout = 800 * time.Millisecond
@@ -67,18 +67,19 @@
 	var before Order
 	for _, victim := range move.Victims {
 		unload := Order{Unload: true, Model: victim}
-		if err := l.sendWithRetry(epoch, state, w, unload, before); err != nil {
+		if err := l.sendWithRetry(epoch, state, w, newDelivery(unload), before); err != nil {
 			l.failMove(epoch, state, err)
 			return
 		}
 		before = unload
 	}
-	if err := l.orderLoad(epoch, state, w, model, move, before); err != nil {
+	sending := newDelivery(Order{Model: model.Name})
+	if err := l.orderLoad(epoch, state, w, model, move, sending, before); err != nil {
 		l.failMove(epoch, state, err)
 		return
 	}
-	ordered := time.Now()
-	if err := l.awaitLoad(epoch, state, w, model, move.Tier); err != nil {
+	ordered := sending.startedAt(time.Now())
+	if err := l.awaitLoad(epoch, state, w, model, move.Tier, sending); err != nil {
 		l.failMove(epoch, state, err)
 		return
 	}
@@ -141,26 +142,22 @@
 	l.endMove(now, state)
 }
 
-// sendOrder sends an order with the worker's current order count, which rises if
-// the worker accepts the order. The worker does not count an order again if it is
-// repeated while the worker executes it; repeated marks such a repetition.
-func (l *Leader) sendOrder(epoch int64, state *workerState, w *registrar.Worker, order Order, repeated bool) (Outcome, error) {
+// sendOrder sends an order with the worker's current order count, again if no response arrives. The count rises once it is certain that the worker
+// has accepted the order; the worker does not count an order again that is repeated while it executes it.
+func (l *Leader) sendOrder(epoch int64, state *workerState, w *registrar.Worker, sending *delivery) (Outcome, error) {
 	state.orderMu.Lock()
 	defer state.orderMu.Unlock()
+	order := sending.order
 	l.mu.Lock()
 	if l.epoch != epoch {
 		l.mu.Unlock()
 		return OutcomeRefused, &OrderError{order: order, outcome: OutcomeRefused}
 	}
 	order.Holder, order.Fence, order.ExpectedOrderCount = l.dependencies.Node, epoch, state.orderCount
+	sending.follow(state.orderCount, state.incarnation)
 	l.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), orderTimeout)
-	defer cancel()
-	outcome, err := l.dependencies.SendOrder(ctx, w, order, func() error { return l.dependencies.Lease.CheckOrder(epoch) })
-	l.dependencies.Recorder.Count("orders " + outcome.String())
-	// A worker unloads an adapter immediately: it responds that it is already in the ordered state, but counts the order.
-	counted := outcome == OutcomeAccepted || outcome == OutcomeAlreadyDone && order.Unload && order.Adapter != ""
-	if counted && !repeated {
+	outcome, err := l.deliver(epoch, w, order, sending)
+	if sending.receive(time.Now(), outcome) {
 		l.mu.Lock()
 		state.orderCount++
 		state.changedAt = time.Now()
@@ -173,8 +170,9 @@
 }
 
 // sendWithRetry sends an order, retrying for up to unloadTimeout while the worker is busy with the order before, which
-// unloads a model or an adapter; busyWith is that order, or the zero value.
-func (l *Leader) sendWithRetry(epoch int64, state *workerState, w *registrar.Worker, order, busyWith Order) error {
+// unloads a model or an adapter; busyWith is that order, or the zero value. An unload that may have been accepted without a response is repeated
+// until the worker responds that it is done, as the next order needs its memory; a load may still be in progress.
+func (l *Leader) sendWithRetry(epoch int64, state *workerState, w *registrar.Worker, sending *delivery, busyWith Order) error {
 	began := time.Now()
 	asking := newInquiry(began, began.Add(unloadTimeout), nil)
 	if busyWith.Unload && busyWith.Adapter == "" {
@@ -182,22 +180,32 @@
 	}
 	for {
 		l.expectNews(state, busyWith)
-		outcome, err := l.sendOrder(epoch, state, w, order, false)
+		outcome, err := l.sendOrder(epoch, state, w, sending)
 		if err != nil {
 			return err
 		}
 		if outcome != OutcomeConflict {
 			return nil
 		}
-		if err := l.waitAfterConflict(state, w, order, asking); err != nil {
+		accepted := !sending.acceptedAt.IsZero()
+		if err := l.waitAfterConflict(state, w, sending, asking); err != nil {
 			return err
 		}
+		if sending.acceptedAt.IsZero() || accepted {
+			continue
+		}
+		if !sending.order.Unload {
+			return nil
+		}
+		busyWith, asking.deadline = sending.order, time.Now().Add(unloadTimeout)
 	}
 }
 
 // orderLoad orders a move's load after the order before, which unloads the last of its victims, and updates when it should end.
-func (l *Leader) orderLoad(epoch int64, state *workerState, w *registrar.Worker, model cataloger.Model, move placer.Move, before Order) error {
-	if err := l.sendWithRetry(epoch, state, w, Order{Model: model.Name}, before); err != nil {
+func (l *Leader) orderLoad(
+	epoch int64, state *workerState, w *registrar.Worker, model cataloger.Model, move placer.Move, sending *delivery, before Order,
+) error {
+	if err := l.sendWithRetry(epoch, state, w, sending, before); err != nil {
 		return err
 	}
 	l.mu.Lock()
@@ -206,7 +214,7 @@
 	if move.Tier == placer.TierStore {
 		takes = max(takes, move.LoadMS)
 	}
-	state.readyAt = time.Now().Add(time.Duration(takes) * time.Millisecond)
+	state.readyAt = sending.startedAt(time.Now()).Add(time.Duration(takes) * time.Millisecond)
 	l.markChanged(w.ID, model.Name)
 	l.notifyFollowers()
 	return nil
@@ -215,13 +223,19 @@
 // maxReportAge is how old the state in a report may be.
 const maxReportAge = 250 * time.Millisecond // The platform specifies a few hundred milliseconds.
 
-// waitAfterConflict waits before an order is repeated; it returns an error if the order must not be repeated.
-func (l *Leader) waitAfterConflict(state *workerState, w *registrar.Worker, order Order, asking *inquiry) error {
+// waitAfterConflict waits before an order is repeated; it returns an error if the order must not be repeated. It returns at once if a report newly
+// proves that the order was accepted and no unload is in progress.
+func (l *Leader) waitAfterConflict(state *workerState, w *registrar.Worker, sending *delivery, asking *inquiry) error {
+	order := sending.order
 	l.mu.Lock()
 	order.ExpectedOrderCount = state.orderCount
-	incarnation := state.incarnation
+	sending.follow(state.orderCount, state.incarnation)
 	l.mu.Unlock()
 	now := time.Now()
+	if sending.uncertain() && sending.acceptedAt.IsZero() {
+		// The report decides what the conflict is due to, and is read as soon as it must be newer than the first attempt.
+		asking.reportBy(sending.unansweredAt.Add(maxReportAge))
+	}
 	if now.After(asking.reportAt) {
 		asking.reportAt = now.Add(conflictReportPause)
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
@@ -230,10 +244,16 @@
 		if err != nil {
 			return &OrderError{order: order, outcome: OutcomeConflict, cause: err}
 		}
-		if report.OrderCount != order.ExpectedOrderCount || report.Incarnation != incarnation || !report.Busy {
+		accepted := !sending.acceptedAt.IsZero()
+		proved := sending.judge(now, report)
+		l.recordVerdict(w, sending, report, proved)
+		if proved == verdictLost {
 			return &OrderError{order: order, outcome: OutcomeConflict}
 		}
-		asking.busy = true
+		asking.busy = asking.busy || proved != verdictOpen && report.Busy
+		if proved == verdictAccepted && !accepted && (!order.Unload || !report.Busy) {
+			return nil
+		}
 	}
 	// Checked after the report, so that a node that was slow reads a report before it gives up.
 	if now.After(asking.deadline) {
@@ -246,16 +266,18 @@
 // awaitLoad waits until a load has ended. If a load from a copy is still in progress
 // copyLoadSlack after its expected end, the worker no longer had the copy and
 // fetches the weights from the weight store; the deadline is extended to match.
-func (l *Leader) awaitLoad(epoch int64, state *workerState, w *registrar.Worker, model cataloger.Model, tier placer.Tier) error {
-	ordered := time.Now()
+func (l *Leader) awaitLoad(epoch int64, state *workerState, w *registrar.Worker, model cataloger.Model, tier placer.Tier, sending *delivery) error {
+	if sending.done {
+		return nil
+	}
+	ordered := sending.startedAt(time.Now())
 	ends := loadEnds(ordered, model, tier)
 	time.Sleep(time.Until(ends[0]))
-	order := Order{Model: model.Name}
 	expected := time.Duration(loadTimesMS(model)[tier]) * time.Millisecond
 	if tier == placer.TierStore {
-		return l.awaitDone(epoch, state, w, order, newStoreInquiry(ordered, expected, ends))
+		return l.awaitDone(epoch, state, w, sending, newStoreInquiry(ordered, expected, ends))
 	}
-	err := l.awaitDone(epoch, state, w, order, newInquiry(ordered, ordered.Add(expected+copyLoadSlack), ends))
+	err := l.awaitDone(epoch, state, w, sending, newInquiry(ordered, ordered.Add(expected+copyLoadSlack), ends))
 	if !isStillBusy(err) {
 		return err
 	}
@@ -267,7 +289,7 @@
 	l.mu.Unlock()
 	log.Warn().Str("worker", w.ID).Str("model", model.Name).Int64("expected_ms", expected.Milliseconds()).Int64("store_ms", fromStore.Milliseconds()).
 		Int64("epoch", epoch).Msg("load takes longer than its copy would")
-	return l.awaitDone(epoch, state, w, order, newStoreInquiry(ordered, fromStore, ends))
+	return l.awaitDone(epoch, state, w, sending, newStoreInquiry(ordered, fromStore, ends))
 }
 
 // isStillBusy reports whether an order failed only because the worker was still busy with it at the deadline.
@@ -278,18 +300,18 @@
 
 // awaitDone repeats an order until the worker responds that it is already in the ordered state. A report would not
 // suffice, as it may be outdated.
-func (l *Leader) awaitDone(epoch int64, state *workerState, w *registrar.Worker, order Order, asking *inquiry) error {
+func (l *Leader) awaitDone(epoch int64, state *workerState, w *registrar.Worker, sending *delivery, asking *inquiry) error {
 	for {
-		l.expectNews(state, order)
-		outcome, err := l.sendOrder(epoch, state, w, order, true)
+		l.expectNews(state, sending.order)
+		outcome, err := l.sendOrder(epoch, state, w, sending)
 		if err != nil {
 			return err
 		}
 		if outcome == OutcomeAlreadyDone {
 			return nil
 		}
-		l.announceLaterEnd(state, order, asking)
-		if err := l.waitAfterConflict(state, w, order, asking); err != nil {
+		l.announceLaterEnd(state, sending.order, asking)
+		if err := l.waitAfterConflict(state, w, sending, asking); err != nil {
 			return err
 		}
 	}
