A report about an order without a response is read early only once

Cause: each conflict moved the next report to 250 ms after the first attempt, also when one had been read since, so that a report was read at each repetition.

Change: the inquiry keeps when the last report was read.

--- a/fleetleader/fleetleader_test.go
+++ b/fleetleader/fleetleader_test.go
@@ -67,8 +67,8 @@
 	executedAt           time.Time
 	// lostShare is the share of orders whose response is lost, lateShare the share of those that are executed late.
 	lostShare, lateShare float64
-	// loads counts the accepted loads of models.
-	loads int
+	// loads counts the accepted loads of models, reportReads the reports that were read.
+	loads, reportReads int
 	// fates are what happens to the orders, repeated from the first on after the last; empty without a script.
 	fates []fate
 }
@@ -254,6 +254,7 @@
 func (w *fakeWorker) report() Report {
 	w.mu.Lock()
 	defer w.mu.Unlock()
+	w.reportReads++
 	if len(w.reports) == 0 {
 		return Report{Incarnation: 1, Loaded: map[string][]string{}, OnDisk: w.onDisk}
 	}
--- a/fleetleader/inquiry.go
+++ b/fleetleader/inquiry.go
@@ -41,8 +41,8 @@
 	passed int
 	// fromStore is set for a load from the weight store, whose later ends are announced.
 	fromStore bool
-	// deadline is when repetitions end, reportAt when the next report is read.
-	deadline, reportAt time.Time
+	// deadline is when repetitions end, reportAt when the next report is read, readAt when the last one was, or zero.
+	deadline, reportAt, readAt time.Time
 	// busy is set once a report has shown the worker busy with the expected order count.
 	busy bool
 }
@@ -59,9 +59,9 @@
 	return asking
 }
 
-// reportBy makes the first report be read at a time if it would be read later.
+// reportBy makes a report be read at a time, unless one has been read since or will be before.
 func (q *inquiry) reportBy(at time.Time) {
-	if at.Before(q.reportAt) {
+	if q.readAt.Before(at) && at.Before(q.reportAt) {
 		q.reportAt = at
 	}
 }
--- a/fleetleader/swap.go
+++ b/fleetleader/swap.go
@@ -237,7 +237,7 @@
 		asking.reportBy(sending.unansweredAt.Add(maxReportAge))
 	}
 	if now.After(asking.reportAt) {
-		asking.reportAt = now.Add(conflictReportPause)
+		asking.readAt, asking.reportAt = now, now.Add(conflictReportPause)
 		ctx, cancel := context.WithTimeout(context.Background(), reportTimeout)
 		defer cancel()
 		report, err := l.dependencies.ReadReport(ctx, w)
--- a/fleetleader/unanswered_test.go
+++ b/fleetleader/unanswered_test.go
@@ -24,6 +24,8 @@
 	Phases                             [][]string
 	LoadMS, UnloadMS                   int
 	MostIdleMS, MostFailed, MostOrders int
+	// MostReports bounds the reports that are read from w0, unless it is 0.
+	MostReports int
 	// Counts are counters that must rise, Lines patterns of log lines that must be written.
 	Counts, Lines []string
 }
@@ -92,13 +94,16 @@
 		each.mu.Unlock()
 	}
 	g.Expect(loads).To(gomega.BeNumerically("<=", decided), "loads that workers accepted, of those decided")
-	t.Logf("w0 idle for %d ms, %d orders, %d moves failed", idleMS, w.orderCalls, failed)
+	t.Logf("w0 idle for %d ms, %d orders, %d moves failed, %d reports", idleMS, w.orderCalls, failed, w.reportReads)
 	g.Expect(z.crashed()).To(gomega.BeFalse(), "memory overcommitted")
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	g.Expect(idleMS).To(gomega.BeNumerically("<=", s.MostIdleMS), "milliseconds that w0 was idle while requests waited")
 	g.Expect(failed).To(gomega.BeNumerically("<=", s.MostFailed), "abandoned moves")
 	g.Expect(w.orderCalls).To(gomega.BeNumerically("<=", s.MostOrders), "orders sent to w0")
+	if s.MostReports > 0 {
+		g.Expect(w.reportReads).To(gomega.BeNumerically("<=", s.MostReports), "reports read from w0")
+	}
 	g.Expect(logged.Missing(s.Lines)).To(gomega.BeEmpty(), "log lines")
 	for _, name := range s.Counts {
 		g.Expect(recorder.CounterValue(name)).To(gomega.BeNumerically(">", before[name]), name)
