A retry that the tenant's allowance denies is returned to the retry budget

Cause: the budget is asked before the allowance, since asking the leaders for tokens takes time, and counted the retry although it was not sent then. This held for hedged sends, which also end when the first response comes meanwhile, for repeats of failed responses and for repeats of broken sends. Change: Budgeter.ReturnRetry, at most up to the capacity; counter "retries returned SERVICE".

--- a/budgeter/budgeter.go
+++ b/budgeter/budgeter.go
@@ -71,6 +71,13 @@
 	return true, left - 1
 }
 
+// ReturnRetry gives back a retry that AllowRetry has counted and that was not sent.
+func (b *Budgeter) ReturnRetry(now time.Time, service string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.retries[service] = min(b.retries[service]+1, b.capacity(now))
+}
+
 // capacity returns the number of retries that a bucket holds at most: this node's share of the slack, which is taken as small while the number
 // of nodes is not known. The caller holds mu.
 func (b *Budgeter) capacity(now time.Time) float64 {
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -196,7 +196,7 @@
 		Trier: trier.New("n", func() int { return 1 }, trier.Arbitration{
 			Begin: func(time.Time, trier.Trial) (bool, error) { return true, nil }, End: func(time.Time, trier.Trial, time.Time) error { return nil },
 		}, f.recorder.Count),
-		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: f.allowRetry},
+		Budget: forwarder.Budget{CountRequest: func(time.Time, string) {}, AllowRetry: f.allowRetry, ReturnRetry: func(time.Time, string) { f.retries++ }},
 		Keys: forwarder.Keys{
 			Fresh: func() bool { return f.keys == nil || f.keys.isFresh() }, Behind: func() bool { return f.keys != nil && f.keys.script.Behind },
 			ProofAge: func() (time.Duration, bool) { return time.Second, true }, Remove: func(header http.Header) { header.Del("Key") },
--- a/forwarder/hedges.go
+++ b/forwarder/hedges.go
@@ -195,6 +195,7 @@
 // startHedge sends a call to a second worker, unless that is denied; then it returns nil.
 func (f *Forwarder) startHedge(ctx context.Context, c *call, first *flight, wait time.Duration, ended chan<- *flight) *flight {
 	slot, reached, retryAllowed := c.slot, c.reached, c.retryAllowed
+	retryTaken := false
 	avoidUntil := c.avoidUntil[first.worker.ID]
 	c.avoidUntil[first.worker.ID] = c.deadline
 	worker, err := f.choosePlainWorker(c)
@@ -212,13 +213,17 @@
 			{Reason: "permit", Allows: func() bool { return f.permitSend(c, worker) }},
 			{Reason: "budget", Allows: func() bool {
 				c.reached, c.retryAllowed = true, false // The first send may have reached its worker.
-				return f.allowRetry(time.Now(), c)
+				retryTaken = f.allowRetry(time.Now(), c)
+				return retryTaken
 			}},
 			// The first response must not wait for the tokens of a send that it makes superfluous.
 			{Reason: "allowance", Allows: func() bool { return f.chargeRepeat(first.awaited, c) == nil }},
 			{Reason: "begun", Allows: func() bool { return first.awaited.Err() == nil }},
 		},
 	})
+	if denied != "" && retryTaken {
+		f.returnRetry(time.Now(), c)
+	}
 	c.reached, c.retryAllowed = reached, retryAllowed
 	if denied != "" {
 		if c.slot != slot {
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -266,6 +266,7 @@
 		return newFailure(http.StatusBadGateway, "no_budget", "the budget for repeated sends is spent: "+err.Error())
 	}
 	if err := f.chargeRepeat(ctx, c); err != nil {
+		f.returnRetry(time.Now(), c)
 		return err
 	}
 	f.dependencies.Recorder.Count("sends repeated")
@@ -299,6 +300,17 @@
 	return allowed
 }
 
+// returnRetry gives back a retry that allowRetry has allowed and that is not sent.
+func (f *Forwarder) returnRetry(now time.Time, c *call) {
+	if !c.retryAllowed {
+		return // The call needed none.
+	}
+	c.retryAllowed = false
+	f.dependencies.Budget.ReturnRetry(now, c.service.Name)
+	f.dependencies.Recorder.Count("retries returned " + c.service.Name)
+	logger.Info("retry returned").Str("request", c.ID).Str("service", c.service.Name).Int("sends", c.sends).Msg("retry returned")
+}
+
 // handleNotRun returns nil when a call that a worker certainly did not run may be sent once more, else the error with which it ends.
 func (f *Forwarder) handleNotRun(ctx context.Context, c *call, worker *registrar.Worker, notRun *NotRunError) error {
 	f.recordNotRun(ctx, c, worker, notRun)
--- a/forwarder/repeats.go
+++ b/forwarder/repeats.go
@@ -15,6 +15,8 @@
 	CountRequest func(now time.Time, service string)
 	// AllowRetry reports whether one more retry is within the budget, and counts it if so. Left is the number of retries that this node may still send.
 	AllowRetry func(now time.Time, service string) (allowed bool, left float64)
+	// ReturnRetry gives back a retry that AllowRetry has counted and that was not sent.
+	ReturnRetry func(now time.Time, service string)
 }
 
 // plainState is the state of a call for a service without models.
@@ -121,6 +123,7 @@
 		return "budget"
 	}
 	if !f.chargesRepeat(c) {
+		f.returnRetry(time.Now(), c)
 		return "allowance"
 	}
 	return ""
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -192,7 +192,7 @@
 		Carry: f.carry, Limiter: f.limiter, Streams: f.streamKeeper, FindStream: f.findStream, FindArchived: f.archiver.Find, ConfirmList: f.watcher.Confirm,
 		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
 		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
-		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry}, RepeatFailed: settings.RepeatsFailures(), Room: settings.WaitsForRoom(),
+		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry, ReturnRetry: retryBudget.ReturnRetry}, RepeatFailed: settings.RepeatsFailures(), Room: settings.WaitsForRoom(),
 		Hedger:     hedger.New(settings.HedgePercent()),
 		Keys:       forwarder.Keys{Fresh: f.keysFresh, Behind: f.fresh.Behind, ProofAge: f.proofAge, Remove: platform.RemoveKey},
 		Allowances: forwarder.Allowances{Take: f.allowances.take, Look: f.allowances.look, Refund: f.allowances.refund},
