The names in the setting "zones" are trimmed

Cause: "a, b" named a zone " b", which has no leader, so that a part of each tenant's allowance could not be spent. Evidence: settingsreader/testdata/zones.json; three of six values failed before the change.

--- a/settingsreader/settings.go
+++ b/settingsreader/settings.go
@@ -173,7 +173,7 @@
 
 // Zones returns the names of all availability zones, or none if the settings do not name them.
 func (s *Settings) Zones() []string {
-	return lo.Compact(strings.Split(s.object.Text("zones"), ","))
+	return lo.Compact(lo.Map(strings.Split(s.object.Text("zones"), ","), func(name string, _ int) string { return strings.TrimSpace(name) }))
 }
 
 // Memory returns the memory of the host in bytes, or 0 if it is not known.
