Refusals for lack of places count as refused demand

Cause: checkPlaceWait and the end of a call after failed sends refused with code "full" without CountRefusal, so that leaders did not see the callers who are likely to retry. They count for a model once it is loaded nowhere. Evidence: forwarder/testdata/room.json: 0 refusals were counted of 4 requests that waited and of 1 that was rejected. Change: both count. Calls whose last send failed for another reason (worker crashed, model unloaded) do not, although their code is "full" too; neither does a node without the setting "room". The existing cases of room.json now also check the count (0 for requests that are served).

--- a/demandcounter/demandcounter.go
+++ b/demandcounter/demandcounter.go
@@ -24,7 +24,7 @@
 	Waiting                    int
 	EarliestDue, EarliestStart time.Time
 	// Requests counts the requests since the process started, Refused those that were refused because no worker has the
-	// model or adapter loaded; neither decreases.
+	// model or adapter loaded, or those that have it are full; neither decreases.
 	Requests, Refused int64
 }
 
@@ -38,7 +38,8 @@
 type Counter struct {
 	// mu guards everything below.
 	mu sync.Mutex
-	// requests counts all requests, refused those that were refused because no worker has the model or adapter loaded.
+	// requests counts all requests, refused those that were refused because no worker has the model or adapter loaded, or those that
+	// have it are full.
 	requests, refused map[Key]int64
 	// waiting holds the waiting requests by key and number; no inner map is empty.
 	waiting map[Key]map[int64]waitingRequest
@@ -62,7 +63,7 @@
 	c.requests[key]++
 }
 
-// CountRefusal counts a request that was refused because no worker has the model or adapter loaded.
+// CountRefusal counts a request that was refused because no worker has the model or adapter loaded, or those that have it are full.
 func (c *Counter) CountRefusal(key Key) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -61,7 +61,7 @@
 			return nil
 		}
 		if retryErr := f.retry(ctx, c, worker, err); retryErr != nil {
-			return relay.endError(f.withRetryTime(c, retryErr))
+			return relay.endError(f.endFull(c, err, retryErr))
 		}
 		if !relay.canContinue() {
 			return relay.endError(err)
--- a/forwarder/room.go
+++ b/forwarder/room.go
@@ -292,6 +292,7 @@
 	if !late {
 		return nil
 	}
+	f.dependencies.DemandCounter.CountRefusal(c.modelKey())
 	return c.refuseFull(retryAt.Sub(now))
 }
 
@@ -303,13 +304,17 @@
 // codeFull is the code of refusals because workers are full.
 const codeFull = "full"
 
-// withRetryTime returns the error of a call that ends after failed sends. If workers were full, its retry delay becomes the time after which the
-// requests that wait here should have got places.
-func (f *Forwarder) withRetryTime(c *call, err error) error {
+// endFull returns the error of a call that ends with err after its last send failed with sendErr. If workers were full, leaders are told of the
+// refusal, and the retry delay becomes the time after which the requests that wait here should have got places.
+func (f *Forwarder) endFull(c *call, sendErr, err error) error {
 	var failure *FailureError
 	if f.room == nil || !errors.As(err, &failure) || failure.code != codeFull || failure.retryMS == 0 {
 		return err
 	}
+	var notRun *NotRunError
+	if errors.As(sendErr, &notRun) && notRun.reason == ReasonFull { // Not a worker that crashed or has unloaded the model.
+		f.dependencies.DemandCounter.CountRefusal(c.modelKey())
+	}
 	now := time.Now()
 	moreAt, _ := earliestReady(f.dependencies.Tracker.Holders(now, c.service.Name, c.Model, c.Adapter))
 	f.room.mu.Lock()
--- a/forwarder/room_test.go
+++ b/forwarder/room_test.go
@@ -17,6 +17,7 @@
 
 	"github.com/acaciaproxy/acaciaproxy/casereader"
 	"github.com/acaciaproxy/acaciaproxy/cataloger"
+	"github.com/acaciaproxy/acaciaproxy/demandcounter"
 	"github.com/acaciaproxy/acaciaproxy/fleettracker"
 	"github.com/acaciaproxy/acaciaproxy/forwarder"
 	"github.com/acaciaproxy/acaciaproxy/prover"
@@ -33,6 +34,10 @@
 	Status  int
 	// Rejected is the largest number of rejected sends, WaitedMS the least time and RetryMS the least Retry-After of the slowest request.
 	Rejected, WaitedMS, RetryMS, Urgency int
+	// NoBudget is set when the budget allows no retry.
+	NoBudget bool
+	// Refused is the number of requests that leaders are told were refused.
+	Refused int64
 }
 
 // newRoomFixture returns a fixture whose requests wait while workers are full, and are sent by send.
@@ -61,7 +66,8 @@
 	return f
 }
 
-// Guards against sends to workers that are known to be full, which are rejected and use up the retry budget.
+// Guards against sends to workers that are known to be full, which are rejected and use up the retry budget, and against refusals for lack of places
+// that leaders do not see, so that they load no more copies of the model.
 var _ = ginkgo.Describe("requests that wait for room are sent", func() {
 	var scripts []roomScript
 	gomega.Expect(casereader.Read("testdata/room.json", &scripts)).To(gomega.Succeed())
@@ -78,6 +84,9 @@
 				return &forwarder.Response{Status: 200, Header: http.Header{}, Body: io.NopCloser(strings.NewReader("x"))}, nil
 			})
 			defer f.server.Close()
+			if s.NoBudget {
+				f.retries = 0
+			}
 			now := time.Now()
 			for worker, running := range s.Running {
 				announcement := fleettracker.Announcement{Worker: worker, Zone: "z", ReceivedAt: now, Running: running, Units: []fleettracker.Unit{{Model: "m"}}}
@@ -101,6 +110,8 @@
 			gomega.Expect(waitedMS.Load()).To(gomega.BeNumerically(">=", s.WaitedMS), "time waited")
 			gomega.Expect(retryMS.Load()).To(gomega.BeNumerically(">=", s.RetryMS), "Retry-After")
 			gomega.Expect(urgency.Load()).To(gomega.BeEquivalentTo(s.Urgency), "urgency")
+			demands, _ := f.dependencies.DemandCounter.Snapshot()
+			gomega.Expect(demands[demandcounter.Key{Service: "models", Model: "m"}].Refused).To(gomega.Equal(s.Refused), "refused demand")
 		})
 	}
 })
--- a/placer/describe.go
+++ b/placer/describe.go
@@ -93,7 +93,7 @@
 	Running int
 	// AdapterRate is the part of Rate that is for adapters of the model.
 	AdapterRate float64
-	// Refused is a decaying count of the requests refused because the model is loaded nowhere; callers may retry them.
+	// Refused is a decaying count of the requests refused because the model was loaded nowhere or its holders were full; callers may retry them.
 	Refused float64
 	// UnservedMS is for how many milliseconds the model has been requested while it was loaded nowhere.
 	UnservedMS float64
