Gauges of what callers hold

Cause: the bytes of the accounts of heads and bodies and the open connections appeared only in the log line of a limit that was met.

--- a/connlimiter/connlimiter.go
+++ b/connlimiter/connlimiter.go
@@ -6,6 +6,8 @@
 	"cmp"
 	"os"
 	"runtime/debug"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -67,6 +69,9 @@
 	bodies *Account
 	// refusals numbers the refusals for log lines.
 	refusals atomic.Int64
+	// mu guards listeners, those that Listen has returned.
+	mu        sync.Mutex
+	listeners []*Listener
 }
 
 // New returns a limiter for a host. Limits returns the limits in force at each head, count counts an event by its name.
@@ -84,6 +89,18 @@
 // Heads returns the account of the heads of all requests.
 func (l *Limiter) Heads() *Account { return l.heads }
 
+// Gauges returns what callers hold now, by the names of metrics: the bytes of heads and bodies, and the open connections of each port.
+func (l *Limiter) Gauges() map[string]int64 {
+	gauges := map[string]int64{"callers heads bytes": l.heads.Taken(), "callers bodies bytes": l.bodies.Taken()}
+	l.mu.Lock()
+	listeners := slices.Clone(l.listeners)
+	l.mu.Unlock()
+	for _, listener := range listeners {
+		gauges["callers connections "+listener.port.Name] += int64(listener.Open())
+	}
+	return gauges
+}
+
 // MaxCallers returns how many connections callers may have.
 func (l *Limiter) MaxCallers() int { return l.host.Descriptors * callersNumerator / callersDivisor }
 
--- a/connlimiter/listener.go
+++ b/connlimiter/listener.go
@@ -41,7 +41,11 @@
 
 // Listen returns a listener for the connections of inner.
 func (l *Limiter) Listen(inner net.Listener, port Port) *Listener {
-	return &Listener{Listener: inner, limiter: l, port: port, fresh: list.New(), waiting: list.New()}
+	listener := &Listener{Listener: inner, limiter: l, port: port, fresh: list.New(), waiting: list.New()}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.listeners = append(l.listeners, listener)
+	return listener
 }
 
 // Accept waits for the next connection. When too many are open, one without a request is closed in favour of the new one, or else the new one is
--- a/recorder/recorder.go
+++ b/recorder/recorder.go
@@ -1,5 +1,5 @@
-// Package recorder counts events of a node and keeps histograms of durations for
-// each tenant and class. All of them are published through expvar. The forwarder,
+// Package recorder counts events of a node, keeps histograms of durations for each
+// tenant and class, and reads gauges. All of them are published through expvar. The forwarder,
 // whose requests have neither, passes the service as the tenant and the route as the
 // class.
 package recorder
@@ -9,6 +9,8 @@
 	"expvar"
 	"fmt"
 	"hash/maphash"
+	"maps"
+	"slices"
 	"sort"
 	"strings"
 	"sync"
@@ -73,12 +75,15 @@
 	seed maphash.Seed
 	// counters is the map that all recorders of the process share.
 	counters *expvar.Map
+	// gaugesMu guards gauges, the functions that return gauges by their names.
+	gaugesMu sync.Mutex
+	gauges   []func() map[string]int64
 }
 
 var (
 	publishOnce sync.Once
 	counters    = new(expvar.Map).Init()
-	// publishedRecorder is the first recorder of the process; expvar and MetricsText show its histograms only.
+	// publishedRecorder is the first recorder of the process; expvar and MetricsText show its histograms and gauges only.
 	publishedRecorder *Recorder
 )
 
@@ -93,6 +98,7 @@
 		publishedRecorder = r
 		expvar.Publish("counters", counters)
 		expvar.Publish("histograms", expvar.Func(func() any { return r.Summaries() }))
+		expvar.Publish("gauges", expvar.Func(func() any { return r.Gauges() }))
 		expvar.Publish("processor_seconds", expvar.Func(func() any { return processorSeconds() }))
 	})
 	return r
@@ -113,6 +119,25 @@
 	return counter.Value()
 }
 
+// AddGauges adds gauges: read returns their present values by their names each time the metrics are read. It must be safe for concurrent use.
+func (r *Recorder) AddGauges(read func() map[string]int64) {
+	r.gaugesMu.Lock()
+	defer r.gaugesMu.Unlock()
+	r.gauges = append(r.gauges, read)
+}
+
+// Gauges returns the present values of all gauges by their names.
+func (r *Recorder) Gauges() map[string]int64 {
+	r.gaugesMu.Lock()
+	reads := slices.Clone(r.gauges)
+	r.gaugesMu.Unlock()
+	values := map[string]int64{}
+	for _, read := range reads {
+		maps.Copy(values, read())
+	}
+	return values
+}
+
 // Observe adds durations to the histogram of a measure, tenant and class. Durations
 // outside the range of the histograms are recorded as the nearest bound.
 func (r *Recorder) Observe(measure, tenant, class string, durations ...time.Duration) {
@@ -195,7 +220,7 @@
 	return encoded
 }
 
-// MetricsText returns the counters and histograms in the text format of Prometheus: lines of a name, labels and a value.
+// MetricsText returns the counters, gauges and histograms in the text format of Prometheus: lines of a name, labels and a value.
 func MetricsText() string {
 	var text strings.Builder
 	counters.Do(func(kv expvar.KeyValue) {
@@ -205,6 +230,10 @@
 	if publishedRecorder == nil {
 		return text.String()
 	}
+	gauges := publishedRecorder.Gauges()
+	for _, name := range slices.Sorted(maps.Keys(gauges)) {
+		fmt.Fprintf(&text, "acaciaproxy_gauge{name=%q} %d\n", name, gauges[name])
+	}
 	summaries := publishedRecorder.Summaries()
 	sort.Slice(summaries, func(i, j int) bool { return summaries[i].key() < summaries[j].key() })
 	for _, s := range summaries {
