The first 64 KB of held responses are bounded together by the host's memory

Cause: each response could hold 64 KB outside of the space that all share, so that the number of callers, up to two fifths of the descriptors, decided on a node's memory. Change: above 4 KB of each, an eighth of the memory that the settings name. Where they name none, nothing changes. A response that finds no space fails as one does above 64 KB.

--- a/bufferer/bufferer.go
+++ b/bufferer/bufferer.go
@@ -1,11 +1,12 @@
 // Package bufferer bounds the memory that a node's responses take while they are held: each may hold a little, and what is above that
-// comes out of a space that all share.
+// comes out of two spaces that all share, one for the first part of each response and one for the rest.
 package bufferer
 
 import (
 	"cmp"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"sync/atomic"
 )
@@ -15,9 +16,14 @@
 	// MaxResponseBytes is the most that is held of a whole response that is not a stream, MaxEventBytes of an incomplete event of a stream.
 	MaxResponseBytes = 8 << 20
 	MaxEventBytes    = 1 << 20
-	// freeBytes of each response may always be held; what is above that comes out of sharedBytes, which all responses share.
-	freeBytes   = 64 << 10
+	// smallBytes of each response come out of the space of small responses; what is above that comes out of sharedBytes, which all responses share.
+	smallBytes  = 64 << 10
 	sharedBytes = 12 << 20
+	// freeBytes of each response may always be held.
+	freeBytes = 4 << 10
+	// smallDivisor gives the part of a host's memory that small responses share. Without that bound, 700 responses of 60 KB took a node with 96 MB
+	// to 119 MB.
+	smallDivisor = 8
 	// readBytes is the least size of one read of a body.
 	readBytes = 4 << 10
 )
@@ -39,39 +45,59 @@
 	taken atomic.Int64
 	// size replaces sharedBytes unless it is 0.
 	size int64
+	// smallTaken is at most smallSize, but for the moment of a failed Grow; smallSize is 0 for no bound.
+	smallTaken atomic.Int64
+	smallSize  int64
 }
 
 // New returns an empty space of a size in bytes; 0 means sharedBytes.
 func New(size int64) *Space { return &Space{size: size} }
 
+// LimitSmall bounds what small responses hold together by a host's memory in bytes, or not if that is 0, which stands for not known. It must be called
+// before the space is used.
+func (s *Space) LimitSmall(memory int64) { s.smallSize = memory / smallDivisor }
+
 // Hold returns a holding of nothing.
 func (s *Space) Hold() *Holding { return &Holding{space: s} }
 
 // Holding is what one response holds. It is not safe for concurrent use.
 type Holding struct {
 	space *Space
-	// taken is this response's part of space.taken.
-	taken int64
+	// taken and smallTaken are this response's parts of those of the space.
+	taken, smallTaken int64
 }
 
 // Grow takes the space for a size, or less if the size is smaller than before. The error is an *OversizedError; nothing changes then.
 func (h *Holding) Grow(size, limit int) error {
-	wanted := max(int64(size)-freeBytes, 0)
+	wanted, wantedSmall := max(int64(size)-smallBytes, 0), max(min(int64(size), smallBytes)-freeBytes, 0)
 	if size > limit {
 		return &OversizedError{bytes: size, limit: limit}
 	}
-	if h.space.taken.Add(wanted-h.taken) > cmp.Or(h.space.size, sharedBytes) && wanted > h.taken {
-		h.space.taken.Add(h.taken - wanted)
+	if !take(&h.space.smallTaken, cmp.Or(h.space.smallSize, math.MaxInt64), h.smallTaken, wantedSmall) {
+		return &OversizedError{bytes: size, limit: limit}
+	}
+	if !take(&h.space.taken, cmp.Or(h.space.size, sharedBytes), h.taken, wanted) {
+		h.space.smallTaken.Add(h.smallTaken - wantedSmall)
 		return &OversizedError{bytes: size, limit: limit}
 	}
-	h.taken = wanted
+	h.taken, h.smallTaken = wanted, wantedSmall
 	return nil
 }
 
+// take changes what a response has of a space from held to wanted. It reports false, and changes nothing, if that is more and does not fit.
+func take(total *atomic.Int64, size, held, wanted int64) bool {
+	if total.Add(wanted-held) > size && wanted > held {
+		total.Add(held - wanted)
+		return false
+	}
+	return true
+}
+
 // Release gives the space back. The holding may be used again.
 func (h *Holding) Release() {
 	h.space.taken.Add(-h.taken)
-	h.taken = 0
+	h.space.smallTaken.Add(-h.smallTaken)
+	h.taken, h.smallTaken = 0, 0
 }
 
 // ReadAll reads a body to its end, of at most limit bytes. Its error is an *OversizedError or that of the body. The caller releases the holding
--- a/bufferer/bufferer_test.go
+++ b/bufferer/bufferer_test.go
@@ -16,7 +16,9 @@
 		Name string
 		// SpaceKB is the size of the space; without it, a space has its usual one.
 		SpaceKB int64
-		Steps   []struct {
+		// MemoryKB is the memory of the host, 0 if it is not known.
+		MemoryKB int64
+		Steps    []struct {
 			// Response is the index of a response, KB its new size; it is released if KB is 0.
 			Response, KB int
 			// Fails is whether the size must not fit.
@@ -27,6 +29,7 @@
 	for _, script := range scripts {
 		t.Run(script.Name, func(t *testing.T) {
 			g, space := gomega.NewWithT(t), bufferer.New(script.SpaceKB<<10)
+			space.LimitSmall(script.MemoryKB << 10)
 			held := map[int]*bufferer.Holding{}
 			for i, step := range script.Steps {
 				if held[step.Response] == nil {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -127,6 +127,7 @@
 	f := &Forwarder{dependencies: dependencies, draining: make(chan struct{}), room: newRoom(dependencies.Room)}
 	f.life, f.endLife = context.WithCancel(context.Background())
 	f.limiter = connlimiter.New(dependencies.Host, f.headLimits, dependencies.Recorder.Count)
+	f.space.LimitSmall(dependencies.Host.Memory)
 	dependencies.Recorder.AddGauges(f.limiter.Gauges)
 	f.server = &http.Server{
 		Handler: f, MaxHeaderBytes: maxHeaderBytes, ConnState: connlimiter.ObserveState, DisableGeneralOptionsHandler: true,
