--- a/bufferer/bufferer.go
+++ b/bufferer/bufferer.go
@@ -53,8 +53,8 @@
 // New returns an empty space of a size in bytes; 0 means sharedBytes.
 func New(size int64) *Space { return &Space{size: size} }
 
-// LimitSmall bounds what small responses hold together by a host's memory in bytes, or not if that is 0, which stands for not known. It must be called
-// before the space is used.
+// LimitSmall bounds what small responses hold together by a host's memory in bytes, or not if that is 0, which stands for not known. It must be
+// called before the space is used.
 func (s *Space) LimitSmall(memory int64) { s.smallSize = memory / smallDivisor }
 
 // Hold returns a holding of nothing.
--- a/forwarder/returned_retries_test.go
+++ b/forwarder/returned_retries_test.go
@@ -48,7 +48,9 @@
 				dependencies.Budget = forwarder.Budget{
 					CountRequest: func(time.Time, string) {}, AllowRetry: budget.AllowRetry, ReturnRetry: budget.ReturnRetry,
 				}
-				dependencies.Allowances.Take = func(ctx context.Context, _ *cataloger.Tenant, _ int64, _ time.Time) (*quotakeeper.Ticket, quotakeeper.Result, time.Time) {
+				dependencies.Allowances.Take = func(ctx context.Context, _ *cataloger.Tenant, _ int64, _ time.Time) (
+					*quotakeeper.Ticket, quotakeeper.Result, time.Time,
+				) {
 					if taken.Add(1) == 1 {
 						return nil, quotakeeper.Granted, time.Time{}
 					}
