A head that follows a request in progress does not end that request

Cause: net/http reads on while a handler runs, to notice that the caller leaves. An error of that read cancels the request's context, and a refused connection drops the response. Both came from the next head on the connection: its time ran while the request before it was in progress, it stalled and its space was needed, or it was refused in the same read. A whole head without space, or beyond its limit, could also be served, if it came in one read with the request before. Found in review. Change: the time for a head begins when the server waits for it; the connection is doomed in place of refused, tells the server neither io.EOF nor the end of such a head while a request is in progress, and returns the space of that head only.

--- a/connlimiter/account.go
+++ b/connlimiter/account.go
@@ -205,23 +205,33 @@
 	return nil
 }
 
-// Release returns the space. It may be called again, and on a nil holding; the holding may be used again.
-func (h *Holding) Release() {
+// Shrink ends the growth of the holding and returns the space beyond a size. It may be called on a nil holding.
+func (h *Holding) Shrink(size int64) {
 	if h == nil {
 		return
 	}
 	_ = h.Keep() // How it ended does not matter any more.
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.shrink(size)
+}
+
+// shrink returns the space beyond a size. The account's lock is held.
+func (h *Holding) shrink(size int64) {
 	a := h.account
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.taken -= h.taken
-	h.taken, h.stalled = 0, false
+	a.taken -= max(h.taken-size, 0)
+	h.taken, h.stalled = min(h.taken, size), false
 	if a.freed != nil {
 		close(a.freed)
 		a.freed = nil
 	}
 }
 
+// Release returns the space. It may be called again, and on a nil holding; the holding may be used again.
+func (h *Holding) Release() {
+	h.Shrink(0)
+}
+
 // ReadAll reads a body to its end, with its expected size or a negative number if that is not known. The error is a *LargeError, *FullError or
 // *StalledError, or that of the body; the space is returned then. The caller releases the holding once it does not need the bytes any more.
 func (h *Holding) ReadAll(body io.Reader, expected int64, limit int, deadline time.Time) ([]byte, error) {
--- a/connlimiter/connection.go
+++ b/connlimiter/connection.go
@@ -44,8 +44,11 @@
 	inProgress int
 	// pipelined is set when a head began before the request before it had ended.
 	pipelined bool
-	// doomed is set by a violation after a head that has ended, whose request must not get an answer from here. Nothing more is read then.
+	// doomed is set by a violation, or for lack of space, after a head that has ended, whose request must not get an answer from here. Nothing more is
+	// read then.
 	doomed bool
+	// headSize is the space of the current head, servedSize that of the largest head whose request is in progress.
+	headSize, servedSize int64
 	// bodyBytes is the number of bytes of the current body, progress that of those since it was recorded.
 	bodyBytes, progress int
 	// spaceMu guards head and body, the spaces that were taken, or nil.
@@ -79,6 +82,9 @@
 	if !c.listener.port.HTTP {
 		return c.Conn.Read(buffer)
 	}
+	if c.doomed && c.servesBeside() {
+		return 0, nil // The server would take io.EOF for the end of the caller, and end the request in progress.
+	}
 	if c.refused || c.doomed {
 		return 0, io.EOF
 	}
@@ -89,12 +95,16 @@
 	if n == 0 {
 		return 0, err
 	}
-	if refusal := c.follow(buffer[:n]); refusal != nil {
+	n, refusal := c.follow(buffer[:n])
+	if refusal != nil {
 		return 0, refusal
 	}
 	return n, err
 }
 
+// servesBeside reports whether the server serves a request while it reads what follows, as net/http does to notice that the caller leaves.
+func (c *connection) servesBeside() bool { return c.listener.port.BodyLimit == 0 && c.inProgress > 0 }
+
 // readLate reads once more after a timeout of the connection's own, since bytes may have arrived while the process did not run. It ends the
 // connection if none have.
 func (c *connection) readLate(buffer []byte) (int, error) {
@@ -107,6 +117,10 @@
 		err = c.Conn.SetReadDeadline(now.Add(lateTime))
 	}
 	c.mu.Unlock()
+	if stopped && c.servesBeside() {
+		c.doom("stalled")
+		return 0, nil
+	}
 	if stopped {
 		return 0, c.refuse(http.StatusRequestTimeout, "stalled")
 	}
@@ -120,36 +134,50 @@
 	return n, err
 }
 
-// follow counts bytes that were read, and takes the space for them. The error is that of Read if the request is refused.
-func (c *connection) follow(data []byte) error {
-	for len(data) > 0 {
+// follow counts bytes that were read, and takes the space for them. It returns how many of them the server gets. The error is that of Read if the
+// request is refused.
+func (c *connection) follow(data []byte) (passed int, err error) {
+	for passed < len(data) {
 		before := c.scanner.phase
 		if before == phaseBetween {
 			c.scanner.maxBytes, _, _ = c.listener.limiter.headLimits()
 		}
-		n, body, headEnds, v := c.scanner.scan(data)
+		n, body, headEnds, v := c.scanner.scan(data[passed:])
 		if before == phaseBetween && c.scanner.phase != phaseBetween {
 			c.beginHead()
 		}
 		if v != 0 && !c.mayAnswer() {
-			c.doomed = true
-			c.listener.limiter.report(c.listener.port.Name, causeOf(v), c.RemoteAddr().String())
-			return nil
+			c.doom(causeOf(v))
+			return passed + n, nil
 		}
 		if v != 0 {
-			return c.refuse(int(v), causeOf(v))
+			return 0, c.refuse(int(v), causeOf(v))
 		}
-		data = data[n:]
-		if err := c.takeSpace(body, headEnds); err != nil {
-			return err
+		err = c.takeSpace(body, headEnds)
+		if err == nil && headEnds {
+			err = c.endHead()
 		}
-		if headEnds {
-			if err := c.endHead(); err != nil {
-				return err
+		if c.doomed {
+			if headEnds {
+				n-- // Without its last byte, the server does not serve the request.
 			}
+			return passed + n, nil
 		}
+		if err != nil {
+			return 0, err
+		}
+		passed += n
 	}
-	return nil
+	return passed, nil
+}
+
+// doom makes the current head the last thing that is read, while requests before it are in progress, whose responses are still written.
+func (c *connection) doom(cause string) {
+	c.doomed = true
+	c.spaceMu.Lock()
+	c.head.Shrink(c.servedSize)
+	c.spaceMu.Unlock()
+	c.listener.limiter.report(c.listener.port.Name, cause, c.RemoteAddr().String())
 }
 
 // mayAnswer reports whether an answer now can only be taken for that to the request that is being read. Servers that read bodies by themselves have
@@ -169,12 +197,16 @@
 	return "malformed"
 }
 
-// beginHead sets the time for a head and returns the space of the one before.
+// beginHead sets the time for a head and returns the space of the one before. While a request is in progress, the time for the next head does not
+// run: the server would end that request with it.
 func (c *connection) beginHead() {
-	c.pipelined = c.pipelined || c.inProgress > 0
-	if c.inProgress == 0 {
-		c.release()
+	c.headSize = 0
+	if c.inProgress > 0 {
+		c.pipelined = true
+		return
 	}
+	c.release()
+	c.servedSize = 0
 	_, timeout, _ := c.listener.limiter.headLimits()
 	c.setOwnDeadline(time.Now().Add(timeout))
 }
@@ -186,6 +218,7 @@
 			return c.refuseSpace(err)
 		}
 	}
+	c.servedSize = max(c.servedSize, c.headSize)
 	c.inProgress, c.bodyBytes, c.progress = c.inProgress+1, 0, 0
 	c.setOwnDeadline(time.Time{})
 	c.listener.mu.Lock()
@@ -237,7 +270,8 @@
 		if c.head == nil {
 			c.setSpace(&c.head, c.listener.limiter.heads.Hold(c.stop))
 		}
-		if err := c.head.Grow((cost+headStep-1)/headStep*headStep, time.Time{}); err != nil {
+		c.headSize = (cost + headStep - 1) / headStep * headStep
+		if err := c.head.Grow(c.headSize, time.Time{}); err != nil {
 			return c.refuseSpace(err)
 		}
 		return nil
@@ -308,13 +342,18 @@
 	_ = c.Conn.SetReadDeadline(time.Unix(1, 0)) // Fails only if the connection has ended.
 }
 
-// refuseSpace refuses a request for which there is no space.
+// refuseSpace refuses a request for which there is no space. It dooms the connection instead if a request before it is in progress.
 func (c *connection) refuseSpace(err error) error {
+	status, cause := http.StatusServiceUnavailable, "space"
 	var stalled *StalledError
 	if errors.As(err, &stalled) {
-		return c.refuse(http.StatusRequestTimeout, "stalled")
+		status, cause = http.StatusRequestTimeout, "stalled"
+	}
+	if c.servesBeside() {
+		c.doom(cause)
+		return io.EOF
 	}
-	return c.refuse(http.StatusServiceUnavailable, "space")
+	return c.refuse(status, cause)
 }
 
 // refuse answers a request that has not been read whole, if the answer cannot be taken for that to another one, and ends the connection for the
--- a/connlimiter/connlimiter_test.go
+++ b/connlimiter/connlimiter_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -23,6 +24,8 @@
 	limiter  *connlimiter.Limiter
 	listener *connlimiter.Listener
 	server   *http.Server
+	// seconds counts the requests for "/second".
+	seconds atomic.Int64
 }
 
 // start starts a server with limits for the length of a test. It answers each request with the size of its body.
@@ -44,6 +47,16 @@
 	if r.URL.Path == "/slow" {
 		time.Sleep(300 * time.Millisecond)
 	}
+	if r.URL.Path == "/second" {
+		s.seconds.Add(1)
+	}
+	if r.URL.Path == "/long" {
+		select {
+		case <-time.After(1500 * time.Millisecond):
+		case <-r.Context().Done(): // As where the node ends the send to a worker.
+			panic(http.ErrAbortHandler)
+		}
+	}
 	controller := http.NewResponseController(w)
 	held := s.limiter.Bodies().Hold(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) }) // Fails only on a closed connection.
 	defer held.Release()
