A body whose length the scanner cannot tell takes the space of the largest one

Cause: a length after many blanks or zeros or in a continuation line is read by fasthttp, which allocates it at once, but not by the scanner, so that such a body took space for the bytes that had arrived only. Found in review.

--- a/connlimiter/connection.go
+++ b/connlimiter/connection.go
@@ -299,8 +299,8 @@
 	return nil
 }
 
-// takeBodySpace takes the space for a body whose length the head has told, for servers that read bodies by themselves. The error is that of Read if
-// the request is refused.
+// takeBodySpace takes the space for a body whose length the head has told, or for the largest one if the scanner cannot tell the length, for servers
+// that read bodies by themselves. The error is that of Read if the request is refused.
 func (c *connection) takeBodySpace() error {
 	if c.listener.port.BodyLimit == 0 || !c.scanner.inBody() {
 		return nil
@@ -312,6 +312,9 @@
 	if length := c.scanner.length; length > freeBodyBytes && length <= int64(c.listener.port.BodyLimit) {
 		size = roundUp(length) // The server allocates it at once.
 	}
+	if c.scanner.phase == phaseUnknown { // The server may read a length where the scanner does not, such as in a continuation line.
+		size = min(roundUp(int64(c.listener.port.BodyLimit)), c.listener.limiter.bodies.size)
+	}
 	if err := c.body.Grow(size, time.Time{}); err != nil {
 		return c.refuseSpace(err)
 	}
