The test of slow peers takes the platform's names from its stand-in

Cause: soaker/slow_peers_test.go named headers of the platform, which the spec "boundary" of package platform forbids. Change: fleetstandin.RequestHead and SignResponse.

--- a/soaker/slow_peers_test.go
+++ b/soaker/slow_peers_test.go
@@ -68,7 +68,7 @@
 func (c *slowCase) play(e *environment, n *node, number int) {
 	service, model := "plain", ""
 	if c.Kind == fleetstandin.KindStream {
-		service, model = "models", "X-Acaciaproxy-Model: "+e.models[0]+"\r\n"
+		service, model = "models", e.models[0]
 	}
 	c.first = c.Head + strings.Repeat(c.Filler, (c.AtOnce-len(c.Head))/len(c.Filler))
 	server := httptest.NewServer(c)
@@ -90,8 +90,9 @@
 	}
 	time.Sleep(listTime)
 	// Each request has a target of its own: equal ones would be refused after the first workers have stopped, since they would seem to crash workers.
-	head := fmt.Sprintf("POST /%s%s%d-NUMBER HTTP/1.1\r\nHost: %s\r\nX-Acaciaproxy-Attempt-Id: slow-%d-NUMBER\r\nX-Acaciaproxy-Deadline-Ms: 6000\r\n"+
-		"%sContent-Length: 0\r\n\r\n", c.Kind, slowPath, number, fleetstandin.Host, number, model)
+	head := fleetstandin.RequestHead(fleetstandin.Attempt{
+		Path: fmt.Sprintf("/%s%s%d-NUMBER", c.Kind, slowPath, number), ID: fmt.Sprintf("slow-%d-NUMBER", number), Model: model, Timeout: requestTimeout,
+	})
 	rawpeer.Crowd{Callers: c.Callers, Head: head}.Play(n.callerAddress, time.Now().Add(crowdTime))
 }
 
@@ -102,8 +103,7 @@
 		return
 	}
 	r.begun.Add(1)
-	w.Header().Set("X-Acaciaproxy-Attempt-Id", request.Header.Get("X-Acaciaproxy-Attempt-Id"))
-	w.Header().Set("X-Acaciaproxy-Server-Seal", "s")
+	fleetstandin.SignResponse(w, request)
 	if r.Size > 0 {
 		w.Header().Set("Content-Length", strconv.Itoa(r.Size))
 	} else {
