Bytes of closed connections are dropped in bursts of a fiftieth of a second's

Cause: TestEarlyResponses lost a response to a body of 10 MB with "broken pipe" (1 of 200, once in two plays under the race detector, load 17 to 22 on seven cores). With the two requests of 10 MB that are sent at once, beside six busy loops, 246 connections were cut off, all with cause "deadline", the first twenty after 10.0 to 10.5 s and 6.2 to 7.3 MB. The limiter of the rate had a burst of one buffer (8 KB), so nearly each read was followed by a sleep, whose end waits for a processor on a busy machine. Change: the burst is a fiftieth of the bytes of a second (5 MB by default). The rate, the times and the bytes of a connection stay. Not shown: that the failure is gone. No test is added: the time of sleeps of real connections depends on the machine's speed.

--- a/lingerer/lingerer.go
+++ b/lingerer/lingerer.go
@@ -39,6 +39,10 @@
 // bufferBytes is the size of the buffer that dropped bytes are read into.
 const bufferBytes = 8 << 10
 
+// burstDivisor gives the bytes that may be dropped at once, as a part of those of a second. With a burst of one buffer, nearly each read was
+// followed by a sleep, which takes milliseconds on a busy machine: callers with 10 MB were cut off at Total, long before BytesPerSecond was reached.
+const burstDivisor = 50
+
 // Listener accepts connections that are closed in stages. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
@@ -57,8 +61,9 @@
 
 // New returns a listener for the connections of inner.
 func New(inner net.Listener, limits Limits) *Listener {
+	burst := max(int(limits.BytesPerSecond/burstDivisor), bufferBytes)
 	return &Listener{
-		Listener: inner, limits: limits, waiting: list.New(), rate: rate.NewLimiter(rate.Limit(limits.BytesPerSecond), bufferBytes),
+		Listener: inner, limits: limits, waiting: list.New(), rate: rate.NewLimiter(rate.Limit(limits.BytesPerSecond), burst),
 		buffers: sync.Pool{New: func() any { return new([bufferBytes]byte) }},
 	}
 }
