Large requests of a tenant whose small ones are refused for lack of tokens step back

Load: one tenant at 5.5 to 7.5 times its usual demand. Requests were served in order of arrival, and leaders share what they have by what nodes ask for. Change: while requests of usual cost are refused for lack of tokens, large ones may take a ninth of the tokens, by lot, and cheaper requests go first, unless others have got as many tokens as a request costs while it waited.

--- a/quotakeeper/keeper.go
+++ b/quotakeeper/keeper.go
@@ -56,6 +56,10 @@
 	}
 	t.demand.observe(now, ticket.cost)
 	t.expire(now)
+	if t.stepsBack(now, ticket) {
+		t.stepBack(now, ticket)
+		return
+	}
 	if len(t.queue) == 0 && t.spend(now, ticket) {
 		return
 	}
--- a/quotakeeper/scenarios_test.go
+++ b/quotakeeper/scenarios_test.go
@@ -31,6 +31,9 @@
 	Faults []fault
 	// MaxRefused is the largest share of sound requests that may be refused; a request is sound if a single bucket for the whole fleet covers it.
 	MaxRefused float64
+	// MinSmall is the least part of what a single bucket for the whole fleet covers of the small requests of hot tenants, cheapest first, that must be
+	// served; MinLarge is the least part of all their large requests.
+	MinSmall, MinLarge float64
 	// MinReached is the least part of what is allowed that some tenant must reach in a window, so that the bound is put to the test.
 	MinReached float64
 }
@@ -86,6 +89,12 @@
 			gomega.Expect(most).To(gomega.BeNumerically("<=", 1))
 			gomega.Expect(most).To(gomega.BeNumerically(">=", s.MinReached))
 			gomega.Expect(refused).To(gomega.BeNumerically("<=", s.MaxRefused))
+			if s.MinSmall > 0 {
+				small, large := f.hotServed()
+				ginkgo.GinkgoWriter.Printf("%s: of small requests of hot tenants %.3f, of large ones %.3f served\n", s.Name, small, large)
+				gomega.Expect(small).To(gomega.BeNumerically(">=", s.MinSmall))
+				gomega.Expect(large).To(gomega.BeNumerically(">=", s.MinLarge))
+			}
 		})
 	}
 })
--- a/quotakeeper/simulation_test.go
+++ b/quotakeeper/simulation_test.go
@@ -98,6 +98,8 @@
 	// again.
 	sound, refused, unknown, retries, again int
 	counts                                  map[string]int64
+	// hotAsked and hotGranted count the requests of hot tenants, small ones first, without retries.
+	hotAsked, hotGranted [2]int
 }
 
 func (f *fleet) after(delay time.Duration, run func()) {
@@ -259,9 +261,19 @@
 	f.at(n, 0, func() {
 		t := f.tenants[index]
 		now := n.clock(f.now)
+		size, hot := 0, t.heat > 1 && !retry
+		if cost >= 9_000 {
+			size = 1
+		}
+		if hot {
+			f.hotAsked[size]++
+		}
 		ticket := n.keeper.Admit(now, fmt.Sprintf("t%d", index), t.allowed, cost, now.Add(patience))
 		n.waits = append(n.waits, wait{ticket: ticket, ended: func(result quotakeeper.Result, retryAt time.Time) {
 			f.end(n, ticket, index, cost, result)
+			if hot && result == quotakeeper.Granted {
+				f.hotGranted[size]++
+			}
 			switch {
 			case result == quotakeeper.Granted:
 				return
@@ -297,6 +309,11 @@
 	}
 }
 
+// hotServed returns the parts of the small and of the large requests of hot tenants that were served.
+func (f *fleet) hotServed() (small, large float64) {
+	return float64(f.hotGranted[0]) / float64(max(f.hotAsked[0], 1)), float64(f.hotGranted[1]) / float64(max(f.hotAsked[1], 1))
+}
+
 // begin begins a fault.
 func (f *fleet) begin(what fault) {
 	lasts := time.Duration(what.Seconds * float64(time.Second))
--- a/quotakeeper/tenant.go
+++ b/quotakeeper/tenant.go
@@ -48,6 +48,9 @@
 	promisedUntil time.Time
 	// returnAll is set when requests that tokens were collected for were refused: what exceeds the expected demand is returned.
 	returnAll bool
+	// crowdedUntil is until when the tenant counts as crowded, largeCredit what large requests may take then; it is at least 0.
+	crowdedUntil time.Time
+	largeCredit  int64
 	// usedAt is when a request last arrived.
 	usedAt time.Time
 }
@@ -100,6 +103,7 @@
 		}
 	}
 	t.keeper.count("tokens spent", ticket.cost)
+	t.recordSpent(now, ticket.cost)
 	ticket.decide(Granted)
 	return true
 }
@@ -111,15 +115,18 @@
 	if len(t.queue) == 0 {
 		return
 	}
+	if t.crowded(now) {
+		t.sortCrowded()
+	}
 	reserved := false
 	for i, ticket := range t.queue {
 		if reserved || !now.Before(ticket.latest) || !t.spend(now, ticket) {
 			reserved = reserved || ticket.passed >= ticket.cost
 			continue
 		}
-		for _, earlier := range t.queue[:i] {
-			if !earlier.decided() {
-				earlier.passed += ticket.cost
+		for j, other := range t.queue {
+			if !other.decided() && (j < i || other.arrivedAt.Before(ticket.arrivedAt)) {
+				other.passed += ticket.cost
 			}
 		}
 	}
@@ -137,6 +144,8 @@
 	for _, ticket := range t.queue {
 		servedAt, answered, known := t.estimate(now, ticket, ahead+ticket.cost)
 		switch {
+		case t.stepsBack(now, ticket):
+			t.stepBack(now, ticket)
 		case now.Before(ticket.latest) && (!known || servedAt.Before(ticket.latest)):
 			ahead += ticket.cost
 			kept = append(kept, ticket)
@@ -145,6 +154,7 @@
 			t.keeper.count("requests of unknown allowance "+t.name, 1)
 			ticket.decide(Unknown)
 		default:
+			t.recordRefusal(now, ticket.cost)
 			ticket.retryAt = t.promise(now, ticket.cost, servedAt)
 			t.keeper.count("requests over allowance "+t.name, 1)
 			ticket.decide(Over)
--- a/quotakeeper/ticket.go
+++ b/quotakeeper/ticket.go
@@ -38,9 +38,11 @@
 	cost   int64
 	// arrivedAt is when the request arrived, latest until when it waits.
 	arrivedAt, latest time.Time
-	// passed are the tokens that later requests got while this one had too few; at most its cost.
+	// passed are the tokens that later requests, or cheaper ones, got while this one had too few.
 	passed int64
-	result Result
+	// favored is set for a large request of a crowded tenant that may wait all the same.
+	favored bool
+	result  Result
 	// retryAt is when the bucket should have refilled for the request, if the result is Over.
 	retryAt time.Time
 	// spent are the tokens of a granted request; none if the tenant had no limit.
