A handler whose body is malformed gets io.EOF instead of an endless read

Evidence: TestMalformedBodies, 3 cases open after 5 s before, all pass now; the tests of package connlimiter pass.

Change: after a violation in a body, Read returns io.EOF once the request of that body is the only one in progress. A head that follows a request ends it as little as before.

--- a/connlimiter/connection.go
+++ b/connlimiter/connection.go
@@ -45,8 +45,9 @@
 	// pipelined is set when a head began before the request before it had ended.
 	pipelined bool
 	// doomed is set by a violation, or for lack of space, after a head that has ended, whose request must not get an answer from here. Nothing more is
-	// read then.
-	doomed bool
+	// read then. broken is set if the violation is in a body, whose handler must get io.EOF once the request is served: it would read on for good if it
+	// got no bytes and no error.
+	doomed, broken bool
 	// headSize is the space of the current head, servedSize that of the largest head whose request is in progress.
 	headSize, servedSize int64
 	// bodyBytes is the number of bytes of the current body, progress that of those since it was recorded.
@@ -82,7 +83,7 @@
 	if !c.listener.port.HTTP {
 		return c.Conn.Read(buffer)
 	}
-	if c.doomed && c.servesBeside() {
+	if c.doomed && c.servesBeside() && !(c.broken && c.inProgress == 1) {
 		return 0, nil // The server would take io.EOF for the end of the caller, and end the request in progress.
 	}
 	if c.refused || c.doomed {
@@ -147,6 +148,7 @@
 			c.beginHead()
 		}
 		if v != 0 && !c.mayAnswer() {
+			c.broken = c.scanner.inBody()
 			c.doom(causeOf(v))
 			return passed + n, nil
 		}
