Test of fills and replicas beside loads from the weight store

With one load in progress and two served at full speed, a fill takes the last one. With four slots, two models that no worker has get two, and fills get the other two instead of a replica in high demand.

--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -1,6 +1,7 @@
 package placer_test
 
 import (
+	"cmp"
 	"path/filepath"
 	"testing"
 
@@ -37,7 +38,9 @@
 	Demands    []placer.Demand
 	StoreLoads int
 	InProgress int
-	Passed     []string
+	// Limit is Limits.MaxConcurrentStoreLoads; 2 if it is 0.
+	Limit  int
+	Passed []string
 	Moves      []expectedMove
 	// Waits maps models to their expected Wait.ReadyMS; other waits are not checked.
 	Waits map[string]float64
@@ -72,7 +75,7 @@
 func newInput(c planCase) placer.Input {
 	input := placer.Input{
 		Models: map[string]placer.Model{}, Demands: c.Demands, Skipped: map[string]bool{},
-		Limits: placer.Limits{AllowedStoreLoads: c.StoreLoads, MaxConcurrentStoreLoads: 2, StoreLoadsInProgress: c.InProgress, TargetRunsPerHolder: 10},
+		Limits: placer.Limits{AllowedStoreLoads: c.StoreLoads, MaxConcurrentStoreLoads: cmp.Or(c.Limit, 2), StoreLoadsInProgress: c.InProgress, TargetRunsPerHolder: 10},
 	}
 	for _, id := range c.Passed {
 		input.Skipped[id] = true
