Fills leave the weight store to other loads while it is not idle

Cause: took the loads in progress out of the leader's own allowance (allowedStoreLoads), so that models in high demand may exceed the limit by one. Fills relied on that allowance to learn that the store is not idle.

Evidence: the case "free memory is not filled from the store while another load from it is in progress" fails before and passes now.

Change: a fill needs two loads left by the limit of all leaders as well, as before.

--- a/placer/fill.go
+++ b/placer/fill.go
@@ -4,7 +4,7 @@
 	// minFillRate is the lowest rate, in requests a second, at which a model is loaded into free memory although no request
 	// waits for it.
 	minFillRate = 0.02
-	// minStoreLoadsForFill is how many loads from the weight store must still be allowed before a fill takes one of them.
+	// minStoreLoadsForFill is how many loads from the weight store must still be allowed, to this leader and to all, before a fill takes one of them.
 	minStoreLoadsForFill = 2
 )
 
@@ -50,7 +50,7 @@
 // from the weight store while the store is idle: a hot one with at most one holder,
 // or one without a holder of which no reachable worker has a copy.
 func (b *builder) mayFillFromStore(worker *Worker, demand *Demand, holders int) bool {
-	if b.storeSlotsLeft <= 0 || worker.Own && b.storeLoadsLeft < minStoreLoadsForFill {
+	if b.storeSlotsLeft <= 0 || worker.Own && min(b.storeSlotsLeft, b.storeLoadsLeft) < minStoreLoadsForFill {
 		return false
 	}
 	return holders <= 1 && demand.Rate*valueHorizonS >= hotValue || holders == 0 && b.nearestCopy(b.input.Models[demand.Model], false).tier == TierStore
