--- a/placer/placer_test.go
+++ b/placer/placer_test.go
@@ -41,7 +41,7 @@
 	// Limit is Limits.MaxConcurrentStoreLoads; 2 if it is 0.
 	Limit  int
 	Passed []string
-	Moves      []expectedMove
+	Moves  []expectedMove
 	// Waits maps models to their expected Wait.ReadyMS; other waits are not checked.
 	Waits map[string]float64
 }
