Replicas are not held back by models whose loads have just been planned

Cause: unservedStoreLoads, the slots of the weight store that replicas leave to models that no worker has, was not lowered when such a model got its move, which also lowers storeSlotsLeft. Each of these models counted twice within a plan, and fills took the slots that replicas in high demand were denied.

Change: a model that gets its move no longer counts.

--- a/placer/desired_load.go
+++ b/placer/desired_load.go
@@ -134,6 +134,11 @@
 	}
 }
 
+// isUnservedFromStore reports whether the load is for a model in high demand that no worker has, nor a copy of it.
+func (l *desiredLoad) isUnservedFromStore() bool {
+	return !l.isReplica && l.rank() == rankHot && l.nearestTier == TierStore
+}
+
 // Forecast of the running requests of a model.
 const (
 	// forecastS is how far a rising rate is extrapolated, in seconds; about the duration of a move.
--- a/placer/placer.go
+++ b/placer/placer.go
@@ -29,7 +29,7 @@
 	assigned map[string]bool
 	// storeLoadsLeft is how many more loads from the weight store this leader may start, storeSlotsLeft how many all leaders may.
 	storeLoadsLeft, storeSlotsLeft int
-	// unservedStoreLoads is how many models in high demand that no worker has loaded must come from the weight store.
+	// unservedStoreLoads is how many models in high demand that no worker has loaded, and that have no move yet, must come from the weight store.
 	unservedStoreLoads int
 	// copyCounts holds how many usable workers have a copy of each model that was asked for.
 	copyCounts map[string]int
@@ -58,11 +58,12 @@
 	}
 	b.countHolders()
 	loads := b.desiredLoads()
-	b.unservedStoreLoads = lo.CountBy(loads, func(load desiredLoad) bool {
-		return !load.isReplica && load.rank() == rankHot && load.nearestTier == TierStore
-	})
+	b.unservedStoreLoads = lo.CountBy(loads, func(load desiredLoad) bool { return load.isUnservedFromStore() })
 	for _, load := range loads {
-		if !b.assign(load) && !load.isReplica && load.demand.Waiting > 0 {
+		switch assigned := b.assign(load); {
+		case assigned && load.isUnservedFromStore():
+			b.unservedStoreLoads-- // Its load has taken its slot.
+		case !assigned && !load.isReplica && load.demand.Waiting > 0:
 			b.addWait(load)
 		}
 	}
