A response that the node lacks memory for is no failure of its worker

Cause: a response that does not fit into the shared spaces of package bufferer ends its send with a *BrokenError, which counts as a failure of the worker.

Change: OversizedError tells whether only the shared space did not suffice, and such a send is no failure of its worker. The request ends as before, since it may have run.

--- a/bufferer/bufferer.go
+++ b/bufferer/bufferer.go
@@ -39,6 +39,9 @@
 	return fmt.Sprintf("response or event of %d bytes or more cannot be held; %d are allowed, less while others take the space", e.bytes, e.limit)
 }
 
+// Shared reports whether the response was within its own limit, so that only the space that all responses share did not suffice.
+func (e *OversizedError) Shared() bool { return e.bytes <= e.limit }
+
 // Space is the space that responses of one node share. Its zero value is empty and has sharedBytes. It is safe for concurrent use.
 type Space struct {
 	// taken is at most the size of the space, but for the moment of a failed Grow.
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -9,6 +9,7 @@
 	"github.com/phuslu/log"
 
 	"github.com/acaciaproxy/acaciaproxy/assessor"
+	"github.com/acaciaproxy/acaciaproxy/bufferer"
 	"github.com/acaciaproxy/acaciaproxy/limiter"
 	"github.com/acaciaproxy/acaciaproxy/logger"
 	"github.com/acaciaproxy/acaciaproxy/prover"
@@ -134,6 +135,10 @@
 	if errors.As(err, &notRun) {
 		return notRun.reason == ReasonUnreachable || notRun.reason == ReasonReplaced || notRun.reason == ReasonFull && !c.service.RunsModels()
 	}
+	var oversized *bufferer.OversizedError
+	if errors.As(err, &oversized) && oversized.Shared() { // This node lacks the space, whichever worker responds.
+		return false
+	}
 	return err != nil && !errors.Is(err, context.Canceled)
 }
 
