A response on its way is awaited although a repetition finds no connection

Cause: an attempt that was not written ended the series of attempts at once, whatever became of earlier ones. An order that the worker had accepted was abandoned, and another worker got the same load.

--- a/fleetleader/delivery.go
+++ b/fleetleader/delivery.go
@@ -72,12 +72,17 @@
 	}
 }
 
-// endAttempt records the end of an attempt, which has been written or not, and reports whether the series has ended. A response ends it. So does an
-// attempt that was not written: the lease does not permit the order, or no connection can be opened, and another worker should get the load.
-func (d *delivery) endAttempt(outcome Outcome, written bool, begunAt time.Time) (ended bool) {
+// endAttempt records the end of an attempt, which has been written or not, and reports whether the series has ended. A response ends it. After an
+// attempt that was not written, none begins: the lease does not permit the order, or no connection can be opened, and another worker should get the
+// load. The series ends then too, unless awaited is set: another attempt has been written and not ended, and the worker may have accepted it.
+func (d *delivery) endAttempt(outcome Outcome, written bool, begunAt time.Time, awaited bool) (ended bool) {
 	d.open--
-	if outcome != OutcomeUnknown || !written {
+	switch {
+	case outcome != OutcomeUnknown:
 		return true
+	case !written:
+		d.nextAt = time.Time{}
+		return !awaited
 	}
 	d.addUnanswered(begunAt)
 	return d.open == 0 && d.nextAt.IsZero()
@@ -221,6 +226,13 @@
 	return a.written
 }
 
+// awaitsResponse reports whether the order may have been written and the attempt has not ended.
+func (a *attempt) awaitsResponse() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.written && !a.ended
+}
+
 // attemptResult is the end of an attempt.
 type attemptResult struct {
 	of      *attempt
@@ -258,7 +270,10 @@
 			}
 		case last = <-results:
 			l.dependencies.Recorder.Count("orders " + last.outcome.String())
-			ended = sending.endAttempt(last.outcome, last.of.end(), last.of.begunAt)
+			written, awaited := last.of.end(), slices.ContainsFunc(attempts, (*attempt).awaitsResponse)
+			if ended = sending.endAttempt(last.outcome, written, last.of.begunAt, awaited); sending.nextAt.IsZero() {
+				timer.Stop()
+			}
 		}
 	}
 	for _, a := range attempts {
--- a/fleetleader/delivery_test.go
+++ b/fleetleader/delivery_test.go
@@ -18,9 +18,11 @@
 		Begin, Open              bool
 		End                      string
 		Unwritten, Ended, Counts bool
-		Report                   *Report
-		Verdict                  string
-		AcceptedMS               *int
+		// Awaited is set if another attempt has been written and not ended.
+		Awaited    bool
+		Report     *Report
+		Verdict    string
+		AcceptedMS *int
 	}
 }
 
@@ -59,7 +61,7 @@
 					g.Expect(d.judge(now, *step.Report).String()).To(gomega.Equal(step.Verdict), "step %d", i)
 				default:
 					outcome := outcomes[step.End]
-					g.Expect(d.endAttempt(outcome, !step.Unwritten, at(step.BegunMS))).To(gomega.Equal(step.Ended), "step %d", i)
+					g.Expect(d.endAttempt(outcome, !step.Unwritten, at(step.BegunMS), step.Awaited)).To(gomega.Equal(step.Ended), "step %d", i)
 					g.Expect(d.receive(now, outcome)).To(gomega.Equal(step.Counts), "step %d", i)
 				}
 				if step.AcceptedMS != nil {
