Test of the end of a cut at a node whose requests have no worker

Evidence: fails at: after a request for a model that no worker has, the next request for a service with workers is passed on as well, and the node still counts as cut off.

Change: the test only.

--- a/forwarder/carry_test.go
+++ b/forwarder/carry_test.go
@@ -151,6 +151,38 @@
 	})
 })
 
+// Guards against a node that goes on to pass its requests on after the end of a cut, because those that no worker can serve take the place of the ones
+// that would notice it.
+var _ = ginkgo.Describe("a node that was cut off", func() {
+	ginkgo.It("notices the end by the next request that has a worker", func() {
+		unreachable := scriptedSend{NotRun: "unreachable"}
+		f := newFixture([]scriptedSend{unreachable, unreachable, unreachable, {Status: 200, Body: "ok"}}, false)
+		defer f.server.Close()
+		f.carrier = "answer"
+		f.list.Apply(time.Now(), lo.Times(6, func(i int) registrar.Change {
+			worker := registrar.Worker{ID: fmt.Sprint("q", i), Service: "plain", Zone: "z", Address: fmt.Sprint("127.0.0.1:", 10+i), Software: "v1", Slots: 8}
+			worker.SeenAt, worker.RowVersion = time.Now(), 2
+			return registrar.Change{Worker: worker}
+		}))
+		request := func(path, model string) {
+			response, err := http.DefaultTransport.RoundTrip(f.request(path, model))
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			_, err = io.Copy(io.Discard, response.Body)
+			gomega.Expect(err).NotTo(gomega.HaveOccurred())
+			gomega.Expect(response.StatusCode).To(gomega.Equal(http.StatusOK))
+		}
+		request("/once/x", "")
+		gomega.Expect(f.forwarder.CutOff()).To(gomega.BeTrue())
+		time.Sleep(600 * time.Millisecond) // Until the next request may be sent to a worker.
+		request("/stream/x", "cold")       // No worker has this model.
+		request("/once/x", "")
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		gomega.Expect(f.forwarder.CutOff()).To(gomega.BeFalse())
+		gomega.Expect(fmt.Sprint(f.sent, f.carriedCount)).To(gomega.Equal("4 2"), "sends, requests passed on")
+	})
+})
+
 // tickingBody is a stream whose events arrive one by one until its context ends.
 type tickingBody struct {
 	ctx  context.Context
