Requests without a worker do not take the place of those that notice the end of a cut

Cause: a node that is cut off lets one request in 500 ms go to a worker. A call for a model took that place before a worker was chosen for it. If no worker had its model, the call was passed on, and nothing was sent: the more requests there are for such models, the longer the node passes everything on.

Change: a call for a model takes the place only once a worker is chosen.

--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -133,7 +133,7 @@
 		}
 		viewChanged := f.dependencies.Tracker.Changed()
 		now := time.Now()
-		if f.carriesNow(now, c) {
+		if f.wouldCarry(now, c) {
 			return nil, &cutOffError{}
 		}
 		holders := f.matching(c, f.dependencies.Tracker.Holders(now, c.service.Name, c.Model, c.Adapter))
@@ -141,6 +141,9 @@
 			return nil, f.refuseVersion(c)
 		}
 		worker, full := f.pickModelWorker(now, c, holders)
+		if worker != nil && f.carriesNow(now, c) {
+			return nil, &cutOffError{}
+		}
 		if worker != nil {
 			if !f.beginTrial(c) {
 				f.releasePlace(c)
--- a/forwarder/reach.go
+++ b/forwarder/reach.go
@@ -50,11 +50,17 @@
 	return f.reach.IsCut() || lost >= unreachableWorkers || lost > 0 && f.reach.Failures() >= unreachableWorkers
 }
 
-// carriesNow reports whether a call is passed on although there are workers for it: the node is cut off, or seems to be to this call.
+// carriesNow reports whether a call is passed on although there are workers for it: the node is cut off, or seems to be to this call. While the node
+// is cut off, a call for which this is false must be sent to a worker, so that the end of the cut is noticed.
 func (f *Forwarder) carriesNow(now time.Time, c *call) bool {
 	return c.mayCarry() && (f.reach.Carries(now) || f.lostByPath(c) >= giveUpWorkers)
 }
 
+// wouldCarry returns what carriesNow would, and changes nothing; it is for calls that may have no worker.
+func (f *Forwarder) wouldCarry(now time.Time, c *call) bool {
+	return c.mayCarry() && (f.reach.WouldCarry(now) || f.lostByPath(c) >= giveUpWorkers)
+}
+
 // hear records that a worker has responded, and makes the reads of the response's body record the arrival of bytes.
 func (f *Forwarder) hear(worker *registrar.Worker, response *Response) {
 	f.reach.Hear(time.Now(), whereIs(worker))
