Test of the space of heads that follow a request in progress

Evidence: one of the two cases fails at: ten connections with a request in progress and a part of the next head hold 901,120 bytes of 1 MB, and another caller is refused with 503 after 1 s.

Change: the test only.

--- a/connlimiter/pipelined_test.go
+++ b/connlimiter/pipelined_test.go
@@ -60,3 +60,28 @@
 		})
 	}
 }
+
+// Guards against callers that are refused for lack of space which only heads have that no server parses yet, and of which the server reads no more
+// until the response before them is sent.
+func TestSpaceOfPipelinedHeads(t *testing.T) {
+	for _, later := range []string{"", "a"} { // The server reads one byte while it serves a request, and then none.
+		t.Run(fmt.Sprintf("%d bytes while the request runs", len(later)), func(t *testing.T) {
+			g := gomega.NewWithT(t)
+			s := start(t, connlimiter.Host{Memory: 12 << 20}, connlimiter.Port{Connections: 100}, connlimiter.HeadLimits{})
+			for range 10 {
+				connection := s.dial(t)
+				_, err := fmt.Fprint(connection, "GET /long HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n"+strings.Repeat("a:\n", 400))
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+				time.Sleep(10 * time.Millisecond)
+				_, err = fmt.Fprint(connection, later)
+				g.Expect(err).NotTo(gomega.HaveOccurred())
+			}
+			time.Sleep(50 * time.Millisecond)
+			g.Expect(s.limiter.Heads().Taken()).To(gomega.BeNumerically(">", 800<<10), "of 1 MB")
+			other := s.dial(t)
+			_, err := fmt.Fprint(other, "GET / HTTP/1.1\r\nHost: h\r\nX-Fill: "+strings.Repeat("x", 60000)+"\r\n\r\n")
+			g.Expect(err).NotTo(gomega.HaveOccurred())
+			g.Expect(status(bufio.NewReader(other))).To(gomega.Equal(http.StatusOK))
+		})
+	}
+}
