Space of heads that follow a request in progress returns at once when it is needed

Cause: the space of a head that has stalled is returned by the next read of its connection. While it serves a request, net/http reads one byte of what follows and then nothing until the response is sent. A caller that sends a long request, a part of the next head and one more byte kept the space for as long as the request took, and callers with large heads were refused.

Evidence: TestSpaceOfPipelinedHeads fails in one case before and passes now; the tests of package connlimiter pass.

Change: the account returns the space of such a head itself when it ends the holding. Nothing parses the head before the response, and the connection reads no more of it then: it is answered with 408, as a head that stalls alone.

--- a/connlimiter/account.go
+++ b/connlimiter/account.go
@@ -92,6 +92,9 @@
 	place   *list.Element
 	grownAt time.Time
 	stalled bool
+	// returns is set if the account itself returns the space beyond kept when it ends the holding.
+	returns bool
+	kept    int64
 }
 
 // Hold returns a holding of nothing. Stop is called, at most once and only while the holding may grow, when the holding is ended in favour of others;
@@ -165,6 +168,9 @@
 			return left
 		}
 		a.growing.Remove(place)
+		if h.returns {
+			h.shrink(h.kept)
+		}
 		h.place, h.stalled = nil, true
 		a.count("callers stalled among the " + a.name)
 		h.stop()
@@ -205,6 +211,14 @@
 	return nil
 }
 
+// ReturnBeyond makes the account itself return the space beyond a size when it ends the holding, until the holding shrinks. It is for bytes that are
+// not parsed yet and whose reader may not come back for long.
+func (h *Holding) ReturnBeyond(size int64) {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.returns, h.kept = true, size
+}
+
 // Shrink ends the growth of the holding and returns the space beyond a size. It may be called on a nil holding.
 func (h *Holding) Shrink(size int64) {
 	if h == nil {
@@ -220,7 +234,7 @@
 func (h *Holding) shrink(size int64) {
 	a := h.account
 	a.taken -= max(h.taken-size, 0)
-	h.taken, h.stalled = min(h.taken, size), false
+	h.taken, h.stalled, h.returns = min(h.taken, size), false, false
 	if a.freed != nil {
 		close(a.freed)
 		a.freed = nil
--- a/connlimiter/connection.go
+++ b/connlimiter/connection.go
@@ -276,6 +276,9 @@
 		if err := c.head.Grow(c.headSize, time.Time{}); err != nil {
 			return c.refuseSpace(err)
 		}
+		if c.servesBeside() { // The server parses the head, and may read the rest of it, only after the response.
+			c.head.ReturnBeyond(c.servedSize)
+		}
 		return nil
 	}
 	if body == 0 || c.body == nil {
