--- a/quotakeeper/crowding.go
+++ b/quotakeeper/crowding.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"math"
 	"slices"
 	"time"
 
@@ -30,13 +29,10 @@
 // crowded reports whether requests of usual cost were refused lately.
 func (t *tenant) crowded(now time.Time) bool { return now.Before(t.crowdedUntil) }
 
-// stepsBack reports whether a large request of a crowded tenant is refused at once. Of those that are not, each takes its cost from what large requests
-// may take at this node; as that is mostly less than one of them costs, they get it by lot.
+// stepsBack reports whether a large request of a crowded tenant is refused at once. Of those that are not, each takes its cost from what large
+// requests may take at this node; as that is mostly less than one of them costs, they get it by lot.
 func (t *tenant) stepsBack(now time.Time, ticket *Ticket) bool {
-	if !t.crowded(now) || !t.large(ticket.cost) {
-		return false
-	}
-	if ticket.favored {
+	if !t.crowded(now) || !t.large(ticket.cost) || ticket.favored {
 		return false
 	}
 	if t.largeCredit <= 0 || draw(ticket.arrivedAt)*float64(ticket.cost) >= float64(t.largeCredit) {
@@ -63,8 +59,7 @@
 // recordSpent adds to what large requests may take after a request has got its tokens.
 func (t *tenant) recordSpent(now time.Time, cost int64) {
 	if t.crowded(now) && !t.large(cost) {
-		most := int64(math.Max(t.allowance.Burst, largeRatio*t.demand.cost))
-		t.largeCredit = min(t.largeCredit+cost/largePart, most)
+		t.largeCredit = min(t.largeCredit+cost/largePart, int64(max(t.allowance.Burst, largeRatio*t.demand.cost)))
 	}
 }
 
