--- a/fleetleader/follow.go
+++ b/fleetleader/follow.go
@@ -27,9 +27,8 @@
 	unsure bool
 	// unanswered is set while the node cannot read the store itself.
 	unanswered bool
-	// changedWorkers are the IDs of the workers that the next view must contain, except those with only their running requests changed, which are in
-	// changedRuns and follow within some views. No worker is in both.
-	changedWorkers, changedRuns map[string]bool
+	// changedWorkers are the IDs of the workers that the next view must contain.
+	changedWorkers map[string]bool
 	// wake holds a value if the next view should be sent immediately.
 	wake chan struct{}
 	// ended is closed when the leadership ends.
@@ -65,7 +64,6 @@
 func (l *Leader) markChanged(worker string, models ...string) {
 	for f := range l.followers {
 		f.changedWorkers[worker] = true
-		delete(f.changedRuns, worker)
 	}
 	for _, model := range models {
 		l.changedModels[model] = true
@@ -76,9 +74,7 @@
 // markRunningChanged marks a worker's running requests as changed, which wakes no follower. The caller holds mu.
 func (l *Leader) markRunningChanged(worker string) {
 	for f := range l.followers {
-		if !f.changedWorkers[worker] {
-			f.changedRuns[worker] = true
-		}
+		f.changedWorkers[worker] = true
 	}
 }
 
@@ -129,7 +125,7 @@
 	if l.epoch == 0 {
 		return nil
 	}
-	f := &follower{sendAll: true, changedWorkers: map[string]bool{}, changedRuns: map[string]bool{}, wake: make(chan struct{}, 1), ended: make(chan struct{}), listVersion: unknownListVersion, leaseVersions: map[string]int64{}}
+	f := &follower{sendAll: true, changedWorkers: map[string]bool{}, wake: make(chan struct{}, 1), ended: make(chan struct{}), listVersion: unknownListVersion, leaseVersions: map[string]int64{}}
 	l.followers[f] = true
 	f.notify()
 	return &Subscription{leader: l, follower: f}
@@ -206,7 +202,6 @@
 	message.Limits, f.nextLimit = l.dependencies.LimitsSince(f.nextLimit)
 	message.Brittle, f.nextBrittle = l.dependencies.BrittleSince(f.nextBrittle)
 	message.Departures, f.nextDeparture = l.dependencies.DeparturesSince(f.nextDeparture)
-	f.takeChangedRuns()
 	for id := range f.changedWorkers {
 		if state, found := l.workers[id]; found {
 			message.Workers = append(message.Workers, state.view(now, l.quietUntil, id))
@@ -217,21 +212,6 @@
 	return message
 }
 
-// maxViewRuns is the number of workers in a view from which on it has no more of those with only their running requests changed. A zone has 80 workers
-// at the size designed for; with 1,000, these counts took most of a leader's link and delayed the rest: a leaving worker was known after 3.8 s.
-const maxViewRuns = 256
-
-// takeChangedRuns moves up to maxViewRuns of the workers with only their running requests changed to those that the next view contains.
-func (f *follower) takeChangedRuns() {
-	for id := range f.changedRuns {
-		if len(f.changedWorkers) >= maxViewRuns {
-			return
-		}
-		f.changedWorkers[id] = true
-		delete(f.changedRuns, id)
-	}
-}
-
 // waitViews returns when the models for which a follower's requests wait should be loaded; the caller holds mu.
 func (l *Leader) waitViews(f *follower) []*nodewire.WaitView {
 	node := l.demand.nodes[f.node]
