--- a/review/rig2/platform/engine.go
+++ b/review/rig2/platform/engine.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -15,15 +16,19 @@
 type engineWorker struct {
 	rig               *rig
 	id, address, zone string
-	listener          net.Listener
-	server            *http.Server
-	stopped           chan struct{}
-	once              sync.Once
-	mu                sync.Mutex
-	born              int64
-	orders, beats     int
-	busy              bool
-	models            map[string]bool
+	// version is that of the software; a stream has some events with pauses between them.
+	version       string
+	events        int
+	pause         time.Duration
+	listener      net.Listener
+	server        *http.Server
+	stopped       chan struct{}
+	once          sync.Once
+	mu            sync.Mutex
+	born          int64
+	orders, beats int
+	busy          bool
+	models        map[string]bool
 	// reading counts the requests whose prompts are read.
 	reading int
 }
@@ -50,7 +55,14 @@
 )
 
 func (r *rig) startEngine(id, address, zone string, models ...string) *engineWorker {
-	w := &engineWorker{rig: r, id: id, zone: zone, born: time.Now().UnixMilli(), models: map[string]bool{}, stopped: make(chan struct{})}
+	w := r.newEngine(id, address, zone, models...)
+	w.start()
+	return w
+}
+
+// newEngine returns a worker that does not serve before start.
+func (r *rig) newEngine(id, address, zone string, models ...string) *engineWorker {
+	w := &engineWorker{rig: r, id: id, zone: zone, version: "v1", events: engineEvents, pause: enginePause, born: time.Now().UnixMilli(), models: map[string]bool{}, stopped: make(chan struct{})}
 	for _, model := range models {
 		w.models[model] = true
 	}
@@ -60,12 +72,15 @@
 	}
 	w.listener, w.address = listener, listener.Addr().String()
 	w.server = &http.Server{Handler: w}
-	go func() { _ = w.server.Serve(listener) }()
-	go w.beatOn()
-	r.ended = append(r.ended, w.crash)
 	return w
 }
 
+func (w *engineWorker) start() {
+	go func() { _ = w.server.Serve(w.listener) }()
+	go w.beatOn()
+	w.rig.ended = append(w.rig.ended, w.crash)
+}
+
 // crash ends the worker at once: its channels break, its address refuses, its entry lapses after three heartbeats.
 func (w *engineWorker) crash() {
 	w.once.Do(func() {
@@ -87,7 +102,7 @@
 	for {
 		w.mu.Lock()
 		w.beats++
-		w.rig.store.put("servers", w.id, beat{Service: "engines", Address: w.address, Zone: w.zone, Version: "v1", Slots: 64, State: "ready", Stage: "mixed", Models: w.held(), Seq: w.beats, Born: w.born})
+		w.rig.store.put("servers", w.id, beat{Service: "engines", Address: w.address, Zone: w.zone, Version: w.version, Slots: 64, State: "ready", Stage: "mixed", Models: w.held(), Seq: w.beats, Born: w.born})
 		w.mu.Unlock()
 		select {
 		case <-w.stopped:
@@ -165,7 +180,11 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	w.rig.say("worker %s runs %s", w.id, attempt)
+	first := 1
+	if after, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
+		first = after + 1
+	}
+	w.rig.say("worker %s (%s) runs %s from event %d", w.id, w.version, attempt, first)
 	out.Header().Set(headSeal, sealOf(w.id, attempt))
 	out.Header().Set("Content-Type", "text/event-stream")
 	out.WriteHeader(http.StatusOK)
@@ -173,11 +192,11 @@
 	w.read(1)
 	time.Sleep(prefillTime)
 	w.read(-1)
-	for event := 1; event <= engineEvents && r.Context().Err() == nil; event++ {
+	for event := first; event <= w.events && r.Context().Err() == nil; event++ {
 		if _, err := fmt.Fprintf(out, "id: %d\ndata: piece %d of %s\n\n", event, event, attempt); err != nil {
 			return
 		}
 		out.(http.Flusher).Flush()
-		time.Sleep(enginePause)
+		time.Sleep(w.pause)
 	}
 }
