--- a/review/rig2/platform/cases.go
+++ b/review/rig2/platform/cases.go
@@ -166,7 +166,7 @@
 			p.silence(false)
 		}
 	}
-	time.Sleep(20 * time.Millisecond)
+	time.Sleep(230 * time.Millisecond)
 	r.configure(9, routes("new", 1200), services...)
 	acked := time.Now()
 	bound := acked.Add(2 * time.Second)
--- a/review/rig2/platform/rig.go
+++ b/review/rig2/platform/rig.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -96,6 +97,7 @@
 	n.command = exec.Command(n.rig.program, "serve", "-settings", path)
 	n.command.Stdout, n.command.Stderr = n.log, n.log
 	n.command.Dir = n.rig.root
+	n.command.SysProcAttr = dieWithUs
 	n.command.Env = []string{"ACACIAPROXY_BOOT=" + path, "PATH=" + os.Getenv("PATH")}
 	if err := n.command.Start(); err != nil {
 		fail("start %s: %v", n.name, err)
@@ -143,6 +145,9 @@
 }
 
 func (r *rig) endAll() {
+	if os.Getenv("KEEP") == "" {
+		defer func() { _ = os.RemoveAll(r.folder) }()
+	}
 	for _, f := range r.ended {
 		f()
 	}
@@ -410,6 +415,12 @@
 	return lease.Holder.Node
 }
 
+// dieWithUs has the system kill a child when the thread that started it ends, which is that of main.
+var dieWithUs = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+
+// init keeps main, which starts all children, on the first thread of the process.
+func init() { runtime.LockOSThread() }
+
 // cases are the scripts by the number of their folder; each returns whether the rule was broken.
 var cases = map[string]func(r *rig) bool{}
 
@@ -441,9 +452,7 @@
 		fmt.Fprintln(os.Stderr, err)
 		return 2
 	}
-	if os.Getenv("KEEP") == "" {
-		defer func() { _ = os.RemoveAll(folder) }()
-	} else {
+	if os.Getenv("KEEP") != "" {
 		fmt.Println(folder)
 	}
 	record, err := os.Create(recordPath)
--- a/review/rig2/platform/stranded.go
+++ b/review/rig2/platform/stranded.go
@@ -42,7 +42,7 @@
 	time.Sleep(6 * time.Second)
 	const prompt = "X-Acaciaproxy-Model: daka510000\r\nX-Acaciaproxy-Token-Count: 646,180\r\nX-Acaciaproxy-Prompt-Prefix: 5c1e07a2:155,%s:491\r\n"
 	var mu sync.Mutex
-	var takenUp, wentOn, sentNew, begun int
+	var whole, takenUp, wentOn, sentNew, begun int
 	crashed := make(chan struct{})
 	var all sync.WaitGroup
 	for i := range streams {
@@ -50,7 +50,10 @@
 			part, path, began := r.nextID()[:8], "/pufi791/"+r.nextID(), time.Now()
 			firstID, got := r.askNode(r.nodes[i%3], "POST", path, budget, fmt.Sprintf(prompt, part))
 			have := bytes.Count(got.Body, []byte("\n\n"))
-			if got.Err == nil && got.Status == 200 {
+			if got.Err == nil && got.Status == 200 && have == events {
+				mu.Lock()
+				whole++
+				mu.Unlock()
 				return
 			}
 			if have == 0 {
@@ -115,9 +118,6 @@
 	}
 	close(crashed)
 	all.Wait()
-	r.say("%d streams were taken up, %d of them went on; %d of %d new streams began", takenUp, wentOn, begun, sentNew)
-	if !r.trouble {
-		return false
-	}
+	r.say("%d of %d streams were whole at once, %d were taken up, %d of them went on; %d of %d new streams began", whole, streams, takenUp, wentOn, begun, sentNew)
 	return takenUp >= 12 && 2*wentOn*sentNew < begun*takenUp
 }
--- a/review/rig2/platform/unframed.go
+++ b/review/rig2/platform/unframed.go
@@ -58,7 +58,8 @@
 			_, _ = out.Write(text)
 			return
 		case "/acaciaproxy/order":
-			out.WriteHeader(http.StatusConflict) // The case needs no load.
+			say("refuses an order") // The case needs no load, and none is ordered.
+			out.WriteHeader(http.StatusConflict)
 			return
 		}
 		_, _ = io.Copy(io.Discard, r.Body)
@@ -130,6 +131,7 @@
 	w := &ownWorker{rig: r, id: id, address: address, zone: zone, done: make(chan struct{}), stopBeats: make(chan struct{})}
 	born := time.Now().UnixMilli()
 	w.command = exec.Command(os.Args[0], "worker", "-listen", address, "-id", id, "-born", fmt.Sprint(born), "-unframed", fmt.Sprint(unframed))
+	w.command.SysProcAttr = dieWithUs
 	output, err := w.command.StdoutPipe()
 	if err == nil {
 		err = w.command.Start()
