Demand counts: an end in number and time for names that callers invent

What callers saw: a node, and the leader that it reports to, grew for as long as a caller named another model or adapter in each request, until the process ran out of memory and everybody's requests ended with it. All those requests were refused.

Cause: an arrival was counted by model and adapter before the model was looked up, and a count stayed for the life of the process: at the node, in the copy of what each leader had been sent, and at each leader. Reports and plans grew with it.

Why it works: a request is counted only for a model of the configuration. A key that ends is sent as zeros, by which leaders forget it; a whole message ends all keys that it lacks.

--- a/Makefile
+++ b/Makefile
@@ -63,11 +63,11 @@
 process-others:
 	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 8m ./launcher -ginkgo.skip scenario -ginkgo.skip $(CROWDS) $(SKIP_SPECS)
 
-# Runs the tests with crowds of uncontrolled callers, one at a time, since they measure memory; about a minute.
+# Runs the tests with crowds of uncontrolled callers, one at a time, since they measure memory; a few minutes.
 CROWDS = "callers that send more than a node can hold"
 process-crowds:
-	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 3m ./launcher -ginkgo.focus $(CROWDS) $(SKIP_SPECS)
-	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 3m ./soaker -run TestSpecs -ginkgo.focus $(CROWDS) $(SKIP_SPECS)
+	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 8m ./launcher -ginkgo.focus $(CROWDS) $(SKIP_SPECS)
+	ACACIA_PROCESS_TESTS=$(CURDIR)/bin $(GO) test -count=1 -timeout 8m ./soaker -run TestSpecs -ginkgo.focus $(CROWDS) $(SKIP_SPECS)
 
 # Runs one seed of the soak test, which injects faults (docs/SOAK.md).
 SEED ?= 1
--- a/fleetleader/aggregator.go
+++ b/fleetleader/aggregator.go
@@ -1,6 +1,7 @@
 package fleetleader
 
 import (
+	"maps"
 	"math"
 	"time"
 
@@ -80,6 +81,17 @@
 	return false
 }
 
+// keepOnly removes the counts of all keys that a complete message does not contain.
+func (n *nodeDemand) keepOnly(models []*nodewire.ModelDemand) {
+	sent := make(map[demandKey]bool, len(models))
+	for _, model := range models {
+		sent[demandKey{model.GetService(), model.GetModel(), model.GetAdapter()}] = true
+	}
+	for _, totals := range []map[demandKey]int64{n.requestCounts, n.refusalCounts} {
+		maps.DeleteFunc(totals, func(key demandKey, _ int64) bool { return !sent[key] })
+	}
+}
+
 // demandAggregator sums the demand of all nodes. Each message updates the sums,
 // so that the cost of a plan does not grow with the number of nodes.
 type demandAggregator struct {
@@ -109,6 +121,7 @@
 	}
 	if message.GetWhole() {
 		a.subtract(node)
+		node.keepOnly(message.GetModels())
 	}
 	node.zone, node.address, node.incarnation, node.lastMessageAt = message.GetZone(), message.GetAddress(), message.GetIncarnation(), now
 	node.startedAt = now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond)
@@ -129,6 +142,10 @@
 			count: int(model.GetWaiting()), earliestDue: now.Add(time.Duration(model.GetDueMs()) * time.Millisecond),
 			earliestStart: now.Add(-time.Duration(model.GetWaitedMs()) * time.Millisecond),
 		})
+		if model.GetAsked() == 0 && model.GetRefused() == 0 { // The same as no counts, or the node counts the key no more.
+			delete(node.requestCounts, key)
+			delete(node.refusalCounts, key)
+		}
 	}
 	for _, run := range message.GetRuns() {
 		a.setRunning(node, run.GetWorker(), run.GetModel(), int(run.GetRunning()))
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -32,11 +32,13 @@
 	defer cancel()
 	if !c.isCarried { // Counted by the node that the caller reached.
 		f.dependencies.Budget.CountRequest(c.arrived, c.service.Name)
-		f.dependencies.DemandCounter.CountArrival(c.modelKey())
 	}
 	if err := c.checkModel(); err != nil {
 		return err
 	}
+	if !c.isCarried {
+		f.dependencies.DemandCounter.CountArrival(c.modelKey())
+	}
 	if err := f.findOrigin(ctx, c); err != nil {
 		return err
 	}
@@ -98,6 +100,9 @@
 	if err == nil {
 		c.slot.Accept()
 		f.acceptPlace(c)
+		if response.Succeeded() {
+			f.dependencies.DemandCounter.MarkServed(c.modelKey())
+		}
 		c.firstByteMS = time.Since(sentAt).Milliseconds()
 		f.dependencies.Recorder.Observe(recorder.MeasureFirstToken, c.service.Name, c.route.Name, time.Since(sentAt))
 		err = relay.relayResponse(response, worker)
--- a/rawpeer/crowd.go
+++ b/rawpeer/crowd.go
@@ -1,8 +1,11 @@
 package rawpeer
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
+	"net/http"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,10 +16,14 @@
 type Crowd struct {
 	// Callers is the number of connections.
 	Callers int
-	// Head is written first; NUMBER in it is replaced by the number of the caller. As many short header lines as Lines says follow, each with another
-	// name.
-	Head  string
-	Lines int
+	// Requests is how many requests each caller sends one after another, reading each response to its end, before it leaves; with 0, it writes one
+	// request, reads nothing and stays connected.
+	Requests int
+	// Head is written first; NUMBER in it is replaced by the number of the request, and NAME by a name of NameBytes bytes that no other request has. As
+	// many short header lines as Lines says follow, each with another name.
+	Head      string
+	NameBytes int
+	Lines     int
 	// Filler is written again and again after that, Bytes bytes altogether. With Chunk, it is written in chunks of that many bytes.
 	Filler       string
 	Bytes, Chunk int
@@ -29,6 +36,10 @@
 	var callers sync.WaitGroup
 	text := c.body()
 	for number := range c.Callers {
+		if c.Requests > 0 {
+			callers.Go(func() { c.request(address, number, text, end) })
+			continue
+		}
 		callers.Go(func() {
 			connection, err := net.DialTimeout("tcp", address, time.Until(end))
 			if err != nil {
@@ -36,7 +47,7 @@
 			}
 			defer func() { _ = connection.Close() }()
 			_ = connection.SetDeadline(end) // Fails only on a closed connection.
-			if _, err := fmt.Fprint(connection, strings.ReplaceAll(c.Head, "NUMBER", strconv.Itoa(number))); err != nil {
+			if _, err := fmt.Fprint(connection, c.head(number)); err != nil {
 				return
 			}
 			if _, err := connection.Write(text); err != nil {
@@ -50,7 +61,58 @@
 
 // Text returns what the first caller writes.
 func (c Crowd) Text() []byte {
-	return append([]byte(strings.ReplaceAll(c.Head, "NUMBER", "0")), c.body()...)
+	return append([]byte(c.head(0)), c.body()...)
+}
+
+// head returns the head of a request.
+func (c Crowd) head(number int) string {
+	head := strings.ReplaceAll(c.Head, "NUMBER", strconv.Itoa(number))
+	if c.NameBytes > 0 {
+		head = strings.ReplaceAll(head, "NAME", fmt.Sprintf("%0*x", c.NameBytes, number))
+	}
+	return head
+}
+
+// request sends the requests of one caller, over another connection whenever the node closes one.
+func (c Crowd) request(address string, caller int, text []byte, end time.Time) {
+	var connection net.Conn
+	var reader *bufio.Reader
+	for i := 0; i < c.Requests && time.Now().Before(end); i++ {
+		if connection == nil {
+			dialled, err := net.DialTimeout("tcp", address, time.Until(end))
+			if err != nil {
+				return // The node refuses connections.
+			}
+			_ = dialled.SetDeadline(end) // Fails only on a closed connection.
+			connection, reader = dialled, bufio.NewReader(dialled)
+		}
+		if err := exchange(connection, reader, append([]byte(c.head(caller*c.Requests+i)), text...)); err != nil {
+			_ = connection.Close()
+			connection = nil
+		}
+	}
+	if connection != nil {
+		_ = connection.Close()
+	}
+}
+
+// exchange writes a request and reads its response. The error is io.EOF if the node closes the connection after the response.
+func exchange(connection net.Conn, reader *bufio.Reader, text []byte) error {
+	if _, err := connection.Write(text); err != nil {
+		return err
+	}
+	response, err := http.ReadResponse(reader, nil)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		return err
+	}
+	if response.Close {
+		return io.EOF
+	}
+	return nil
 }
 
 // body returns what each caller writes after the head.
--- a/soaker/uncontrolled_callers_test.go
+++ b/soaker/uncontrolled_callers_test.go
@@ -108,14 +108,7 @@
 
 // checkAfterCrowd returns the breaches of the guarantees that the node runs, has stayed within its memory and answers an ordinary request.
 func (e *environment) checkAfterCrowd(n *node, name string) (breaches []string) {
-	held, err := launcher.PeakBytes(n.pid())
-	if err != nil {
-		return []string{fmt.Sprintf("EXIT: %s: %v", name, err)}
-	}
-	ginkgo.GinkgoWriter.Printf("%s: peak %d MB\n", name, held>>20)
-	if held > crowdMemoryMB<<20 {
-		breaches = append(breaches, fmt.Sprintf("MEMORY: %s: %d MB of %d", name, held>>20, crowdMemoryMB))
-	}
+	breaches = checkMemory(n, name)
 	client := &http.Client{Timeout: time.Second}
 	for deadline, number := time.Now().Add(crowdEndTime), 0; ; number++ {
 		result := fleetstandin.SendAttempt(client, n.callerAddress, fleetstandin.Attempt{
@@ -132,6 +125,19 @@
 	}
 }
 
+// checkMemory returns the breaches of the guarantees that a node runs and has stayed within its memory.
+func checkMemory(n *node, name string) []string {
+	held, err := launcher.PeakBytes(n.pid())
+	if err != nil {
+		return []string{fmt.Sprintf("EXIT: %s: %v", name, err)}
+	}
+	ginkgo.GinkgoWriter.Printf("%s: peak %d MB\n", name, held>>20)
+	if held > crowdMemoryMB<<20 {
+		return []string{fmt.Sprintf("MEMORY: %s: %d MB of %d", name, held>>20, crowdMemoryMB)}
+	}
+	return nil
+}
+
 // sendMessages passes requests with large bodies to a node, as another node would, all at the same time, until the end.
 func (c crowdCase) sendMessages(address string, end time.Time) {
 	ctx, cancel := context.WithDeadline(context.Background(), end)
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -360,6 +360,12 @@
 		}
 		message.Models = append(message.Models, entry)
 	}
+	for key := range sent.demands {
+		if _, found := demands[key]; !found { // An entry of zeros makes the leader forget the key.
+			message.Models = append(message.Models, &nodewire.ModelDemand{Service: key.Service, Model: key.Model, Adapter: key.Adapter})
+			delete(sent.demands, key)
+		}
+	}
 	for key, running := range runs {
 		if sent.runs[key] != running {
 			message.Runs = append(message.Runs, &nodewire.Run{Worker: key.Worker, Model: key.Model, Running: int32(running)})
