Adapters that the configuration does not have are refused at once

What callers saw: a request for an adapter that exists nowhere was held until its deadline. Meanwhile the leaders ordered workers to load that adapter, and to unload others for it, which cost callers of real adapters and models their turn.

Cause: the configuration says how many adapters each model has, and so their names (a1, a2 and so on), but the count was not decoded; any name counted as demand.

Why it works: a node compares the name with the configuration before the request counts anywhere. The refusal is a 503 with the same Retry-After as for an unknown model, since a newer configuration may have the adapter; the request has not been sent. Where a configuration does not give the count, any name of at most 200 bytes is taken as before.

--- a/cataloger/cataloger.go
+++ b/cataloger/cataloger.go
@@ -108,6 +108,8 @@
 	Name string
 	// MemoryMB is the accelerator memory that the weights need, AdapterMB that of one adapter.
 	MemoryMB, AdapterMB float64
+	// HasAdapter reports whether the model has an adapter of that name; nil if the configuration does not say which it has.
+	HasAdapter func(name string) bool
 	// StoreMS, DiskMS and MemoryMS are the durations of a load from the weight store, the worker's disk and its host memory, in
 	// milliseconds.
 	StoreMS, DiskMS, MemoryMS float64
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -194,7 +194,7 @@
 		lasting(route("lasting", cataloger.KindOnce, "plain", false)), lasting(route("lastingstream", cataloger.KindStream, "models", false)),
 		lasting(route("longresumable", cataloger.KindStream, "models", true)),
 	}, []cataloger.Service{
-		{Name: "plain"}, {Name: "models", MemoryMB: 1000, Models: map[string]cataloger.Model{"m": {Name: "m"}, "cold": {Name: "cold"}, "huge": {Name: "huge", MemoryMB: 990, AdapterMB: 20}}},
+		{Name: "plain"}, {Name: "models", MemoryMB: 1000, Models: map[string]cataloger.Model{"m": {Name: "m"}, "cold": {Name: "cold"}, "few": {Name: "few", HasAdapter: func(name string) bool { return name == "a1" }}, "huge": {Name: "huge", MemoryMB: 990, AdapterMB: 20}}},
 	}, cataloger.Limits{BodyBytes: 100})
 	f.dependencies = forwarder.Dependencies{
 		Zone: "z", Catalog: func() *cataloger.Catalog { return f.newest(catalog) }, Workers: f.list, Tracker: f.tracker, DemandCounter: demandcounter.New(),
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -26,6 +26,9 @@
 	viewPollInterval = 100 * time.Millisecond
 )
 
+// maxAdapterBytes is the largest length of an adapter's name, the same as that of a key in the platform's store.
+const maxAdapterBytes = 200
+
 // serveModel serves a request for a model, waiting for a worker that has the model loaded if need be.
 func (f *Forwarder) serveModel(w http.ResponseWriter, r *http.Request, c *call) error {
 	ctx, cancel := f.withEnd(r, c)
@@ -78,6 +81,9 @@
 		// Not a 404, since a newer configuration may have the model.
 		return c.refuse("no_model", "the service has no such model", configurationRetry)
 	}
+	if len(c.Adapter) > maxAdapterBytes || c.Adapter != "" && model.HasAdapter != nil && !model.HasAdapter(c.Adapter) {
+		return c.refuse("no_adapter", "the model has no such adapter", configurationRetry) // As above.
+	}
 	if needed := model.MemoryMB + lo.Ternary(c.Adapter == "", 0, model.AdapterMB); c.service.MemoryMB > 0 && needed > c.service.MemoryMB {
 		message := fmt.Sprintf("the model and the adapter need %.0f MB; a worker of the service has %.0f MB", needed, c.service.MemoryMB)
 		return c.refuse("too_large", message, configurationRetry)
