Demand for adapters that may not exist loads no replicas of their model

What callers saw: while a caller asked for adapters that exist nowhere, other models lost their places at workers, and their callers waited for loads.

Cause: arrivals for an adapter raise the demand for its model, whether or not any worker can serve them.

Why it works: arrivals are counted for an adapter that the configuration has or that a worker has served, and for no other. Requests that wait for another adapter are still told to leaders, which load it for them.

--- a/demandcounter/bounds_test.go
+++ b/demandcounter/bounds_test.go
@@ -19,7 +19,7 @@
 			At                    int
 			Prefix                string
 			Names, Count, Waiting int
-			Served                bool
+			Known                 bool
 			// Adapters is the wanted number of adapters in the snapshot, Contains the name of one that must be among them.
 			Adapters int
 			Contains string
@@ -37,8 +37,8 @@
 				now = start.Add(time.Duration(step.At) * time.Second)
 				for name := range step.Names {
 					key := demandcounter.Key{Service: "s", Model: "m", Adapter: fmt.Sprint(step.Prefix, name)}
-					if step.Served {
-						counter.MarkServed(key)
+					if step.Known {
+						counter.Admit(key)
 					}
 					for range step.Count {
 						counter.CountArrival(key)
--- a/demandcounter/demandcounter.go
+++ b/demandcounter/demandcounter.go
@@ -11,11 +11,10 @@
 )
 
 const (
-	// maxServed is the largest number of adapters whose requests are counted one by one. Callers choose the names of adapters, which the configuration
-	// may not list.
-	maxServed = 1024
-	// maxUnserved is the largest number of adapters that a snapshot contains only since requests wait for them.
-	maxUnserved = 64
+	// maxAdapters is the largest number of adapters whose requests are counted. Callers choose the names of adapters, which the configuration may not list.
+	maxAdapters = 4096
+	// maxUnknown is the largest number of adapters not known to exist that a snapshot contains while requests wait for them.
+	maxUnknown = 64
 	// idleTime is how long the counts of a key stay after its last request. The leaders' rates have decayed by then.
 	idleTime = time.Minute
 )
@@ -45,9 +44,9 @@
 type counts struct {
 	// requests and refused do not decrease.
 	requests, refused int64
-	// lastAt is when a request last arrived, was refused, began to wait or was served.
+	// lastAt is when the counts were last used.
 	lastAt time.Time
-	// place is that in Counter.served, or nil for a key without an adapter.
+	// place is that in Counter.adapters, or nil for a key without an adapter.
 	place *list.Element
 }
 
@@ -61,10 +60,10 @@
 type Counter struct {
 	// mu guards everything below.
 	mu sync.Mutex
-	// counts holds the counts of models, and of adapters that a worker has served.
+	// counts holds the counts of models, and of adapters that are known to exist.
 	counts map[Key]*counts
-	// served holds the adapters in counts, as Key, the one with the oldest request first. It has at most maxServed entries.
-	served *list.List
+	// adapters holds the adapters in counts, as Key, the one with the oldest request first. It has at most maxAdapters entries.
+	adapters *list.List
 	// now returns the current time.
 	now func() time.Time
 	// waiting holds the waiting requests by key and number; no inner map is empty.
@@ -82,55 +81,57 @@
 
 // NewAt returns a Counter without requests that reads the time from now.
 func NewAt(now func() time.Time) *Counter {
-	return &Counter{counts: map[Key]*counts{}, served: list.New(), now: now, waiting: map[Key]map[int64]waitingRequest{}, running: map[RunKey]int{}, changed: make(chan struct{})}
+	return &Counter{counts: map[Key]*counts{}, adapters: list.New(), now: now, waiting: map[Key]map[int64]waitingRequest{}, running: map[RunKey]int{}, changed: make(chan struct{})}
 }
 
-// CountArrival counts a request that arrived. One for an adapter that no worker has served lately counts for the adapter's model.
-func (c *Counter) CountArrival(key Key) {
+// Admit makes the counter count the requests for an adapter, which is known to exist. It has no effect on a key without an adapter.
+func (c *Counter) Admit(key Key) {
+	if key.Adapter == "" {
+		return
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.countsOf(key).requests++
+	if c.counts[key] == nil {
+		if c.adapters.Len() >= maxAdapters {
+			c.drop(c.adapters.Front().Value.(Key))
+		}
+		c.counts[key] = &counts{place: c.adapters.PushBack(key)}
+	}
+	c.use(key)
 }
 
-// CountRefusal counts a request that was refused because no worker has the model or adapter loaded, or those that have it are full. It counts
-// nothing for an adapter that no worker has served lately.
-func (c *Counter) CountRefusal(key Key) {
+// CountArrival counts a request that arrived, unless it is for an adapter that was not admitted.
+func (c *Counter) CountArrival(key Key) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if key.Adapter == "" || c.counts[key] != nil {
-		c.countsOf(key).refused++
+	if counted := c.use(key); counted != nil {
+		counted.requests++
 	}
 }
 
-// MarkServed records that a worker has answered a request for a key with success, so that its adapter exists.
-func (c *Counter) MarkServed(key Key) {
-	if key.Adapter == "" {
-		return
-	}
+// CountRefusal counts a request that was refused because no worker has the model or adapter loaded, or those that have it are full, unless it is for an
+// adapter that was not admitted.
+func (c *Counter) CountRefusal(key Key) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.counts[key] == nil {
-		if c.served.Len() >= maxServed {
-			c.drop(c.served.Front().Value.(Key))
-		}
-		c.counts[key] = &counts{place: c.served.PushBack(key)}
+	if counted := c.use(key); counted != nil {
+		counted.refused++
 	}
-	c.countsOf(key)
 }
 
-// countsOf returns the counts of a key, or those of its model for an adapter that has none, and records their use; the caller holds mu.
-func (c *Counter) countsOf(key Key) *counts {
+// use returns the counts of a key and records their use, or returns nil for an adapter that was not admitted; the caller holds mu.
+func (c *Counter) use(key Key) *counts {
 	counted := c.counts[key]
 	if counted == nil {
-		key.Adapter = ""
-		if counted = c.counts[key]; counted == nil {
-			counted = &counts{}
-			c.counts[key] = counted
+		if key.Adapter != "" {
+			return nil
 		}
+		counted = &counts{}
+		c.counts[key] = counted
 	}
 	counted.lastAt = c.now()
 	if counted.place != nil {
-		c.served.MoveToBack(counted.place)
+		c.adapters.MoveToBack(counted.place)
 	}
 	return counted
 }
@@ -138,7 +139,7 @@
 // drop removes the counts of a key; the caller holds mu.
 func (c *Counter) drop(key Key) {
 	if place := c.counts[key].place; place != nil {
-		c.served.Remove(place)
+		c.adapters.Remove(place)
 	}
 	delete(c.counts, key)
 }
@@ -147,7 +148,7 @@
 func (c *Counter) StartWaiting(key Key, due time.Time) (end func()) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.countsOf(key) // Arrivals of passed-on requests are counted elsewhere.
+	c.use(key) // Arrivals of passed-on requests are counted elsewhere.
 	c.lastNumber++
 	number := c.lastNumber
 	if c.waiting[key] == nil {
@@ -193,9 +194,8 @@
 	return c.changed
 }
 
-// Snapshot returns a copy of all counts. A model is kept for idleTime after its last request, an adapter that a worker has served too, any other
-// adapter only while requests wait for it: of these, the maxUnserved with the most requests, then those that wait for the longest time. A RunKey is
-// present only while requests run.
+// Snapshot returns a copy of all counts. A model or an admitted adapter is kept for idleTime after its last request, any other adapter only while requests
+// wait for it: of these, the maxUnknown with the most requests, then those that wait for the longest time. A RunKey is present only while requests run.
 func (c *Counter) Snapshot() (map[Key]Demand, map[RunKey]int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -208,23 +208,23 @@
 		}
 		demands[key] = Demand{Requests: counted.requests, Refused: counted.refused}
 	}
-	var unserved []waitingKey
+	var unknown []waitingKey
 	for key, requests := range c.waiting {
 		demand, counted := demands[key]
 		demand.add(requests)
 		if counted {
 			demands[key] = demand
 		} else {
-			unserved = append(unserved, waitingKey{key, demand})
+			unknown = append(unknown, waitingKey{key, demand})
 		}
 	}
-	if len(unserved) > maxUnserved {
-		slices.SortFunc(unserved, func(a, b waitingKey) int {
+	if len(unknown) > maxUnknown {
+		slices.SortFunc(unknown, func(a, b waitingKey) int {
 			return cmp.Or(cmp.Compare(b.demand.Waiting, a.demand.Waiting), a.demand.EarliestStart.Compare(b.demand.EarliestStart))
 		})
-		unserved = unserved[:maxUnserved]
+		unknown = unknown[:maxUnknown]
 	}
-	for _, entry := range unserved {
+	for _, entry := range unknown {
 		demands[entry.key] = entry.demand
 	}
 	running := make(map[RunKey]int, len(c.running))
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -39,6 +39,9 @@
 	if err := c.checkModel(); err != nil {
 		return err
 	}
+	if c.service.Models[c.Model].HasAdapter != nil { // The configuration has the adapter.
+		f.dependencies.DemandCounter.Admit(c.modelKey())
+	}
 	if !c.isCarried {
 		f.dependencies.DemandCounter.CountArrival(c.modelKey())
 	}
@@ -107,7 +110,7 @@
 		c.slot.Accept()
 		f.acceptPlace(c)
 		if response.Succeeded() {
-			f.dependencies.DemandCounter.MarkServed(c.modelKey())
+			f.dependencies.DemandCounter.Admit(c.modelKey())
 		}
 		c.firstByteMS = time.Since(sentAt).Milliseconds()
 		f.dependencies.Recorder.Observe(recorder.MeasureFirstToken, c.service.Name, c.route.Name, time.Since(sentAt))
--- a/soaker/invented_names_test.go
+++ b/soaker/invented_names_test.go
@@ -8,6 +8,7 @@
 	"github.com/onsi/gomega"
 
 	"github.com/acaciaproxy/acaciaproxy/casereader"
+	"github.com/acaciaproxy/acaciaproxy/platform/fleetstandin"
 )
 
 // namesTime bounds a crowd that names things which do not exist; it ends earlier once all its requests are answered.
@@ -28,6 +29,7 @@
 				breaches = append(breaches, checkMemory(other, fmt.Sprintf("%s, at node %s", c.Name, other.name))...)
 			}
 		}
+		breaches = append(breaches, e.checkAnswered(e.nodes[0], "an adapter that exists", fleetstandin.Attempt{Kind: fleetstandin.KindStream, Path: "/stream/x", Model: "m0/a3", Timeout: requestTimeout})...)
 		gomega.Expect(append(breaches, e.breaches()...)).To(gomega.BeEmpty())
 	})
 })
--- a/soaker/uncontrolled_callers_test.go
+++ b/soaker/uncontrolled_callers_test.go
@@ -108,18 +108,22 @@
 
 // checkAfterCrowd returns the breaches of the guarantees that the node runs, has stayed within its memory and answers an ordinary request.
 func (e *environment) checkAfterCrowd(n *node, name string) (breaches []string) {
-	breaches = checkMemory(n, name)
-	client := &http.Client{Timeout: time.Second}
+	return append(checkMemory(n, name), e.checkAnswered(n, name, fleetstandin.Attempt{
+		Kind: fleetstandin.KindOnce, Path: "/once/x", Timeout: time.Second, Body: strings.Repeat("x", ordinaryBytes), // It needs space that the crowd must have returned.
+	})...)
+}
+
+// checkAnswered returns the breach of the guarantee that a node answers an attempt, whose ID it sets, at the latest crowdEndTime from now.
+func (e *environment) checkAnswered(n *node, name string, attempt fleetstandin.Attempt) (breaches []string) {
+	client := &http.Client{Timeout: attempt.Timeout}
 	for deadline, number := time.Now().Add(crowdEndTime), 0; ; number++ {
-		result := fleetstandin.SendAttempt(client, n.callerAddress, fleetstandin.Attempt{
-			Kind: fleetstandin.KindOnce, Path: "/once/x", ID: fmt.Sprintf("after-%s-%d", n.name, number), Timeout: time.Second,
-			Body: strings.Repeat("x", ordinaryBytes), // It needs space that the crowd must have returned.
-		})
+		attempt.ID = fmt.Sprintf("after-%s-%s-%d", n.name, attempt.Kind, number)
+		result := fleetstandin.SendAttempt(client, n.callerAddress, attempt)
 		if result.Status == http.StatusOK {
-			return breaches
+			return nil
 		}
 		if time.Now().After(deadline) {
-			return append(breaches, fmt.Sprintf("LOST: %s: an ordinary request got status %d (%v)", name, result.Status, result.Cause))
+			return []string{fmt.Sprintf("LOST: %s: an ordinary request got status %d (%v)", name, result.Status, result.Cause)}
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
