Connections: who holds one without a whole request gives way to the next caller

What callers saw: while others held all connections of a node with bodies that did not arrive, a new connection was closed without a byte; one or two of eight ordinary requests were answered (0 of 8 beside bodies that stopped short).

Cause: at the limit, the new connection was closed, and one body that had stalled for half a second was ended for the next one. Callers that connect again at once took each place that came free; who had sent nothing for seconds stayed.

Why it works: at the limit a connection without a whole request always gives way: first new ones without a request for a second, idle ones, bodies without progress for half a second, then whoever has made no progress for longest, but for 5 ms. Accept waits until the place is free, at most half a second, so callers get places in the order of their arrival instead of by chance. A body is ended with 408, as before. Only while all places have whole requests is a new connection closed.

--- a/connlimiter/account.go
+++ b/connlimiter/account.go
@@ -167,24 +167,35 @@
 		if left := h.grownAt.Add(stallTime).Sub(now); left > 0 {
 			return left
 		}
-		a.growing.Remove(place)
-		if h.returns {
-			h.shrink(h.kept)
-		}
-		h.place, h.stalled = nil, true
-		a.count("callers stalled among the " + a.name)
-		h.stop()
+		a.end(place)
 		return time.Millisecond // Its reader returns the space, or others are ended too.
 	}
 	return spaceWait
 }
 
-// EndStalled ends the holding that has not grown for the longest time, unless it has grown lately, because its connection is needed for
-// another caller.
-func (a *Account) EndStalled() {
+// end ends the holding at a place of growing. The account's lock is held.
+func (a *Account) end(place *list.Element) {
+	h := place.Value.(*Holding)
+	a.growing.Remove(place)
+	if h.returns {
+		h.shrink(h.kept)
+	}
+	h.place, h.stalled = nil, true
+	a.count("callers stalled among the " + a.name)
+	h.stop()
+}
+
+// EndBefore ends the holding that has not grown for the longest time, if it last grew before a time, because its connection is needed for another caller.
+// It reports whether there was one.
+func (a *Account) EndBefore(before time.Time) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.endStalled(time.Now(), nil)
+	place := a.growing.Front()
+	if place == nil || !place.Value.(*Holding).grownAt.Before(before) {
+		return false
+	}
+	a.end(place)
+	return true
 }
 
 // Touch records progress that needs no more space.
--- a/connlimiter/listener.go
+++ b/connlimiter/listener.go
@@ -14,7 +14,7 @@
 type Port struct {
 	// Name is its name in metrics and log lines.
 	Name string
-	// Connections is the largest number of open connections.
+	// Connections is the largest number of open connections; an eighth more are open while others, whose requests were refused for them, end.
 	Connections int
 	// HTTP is set if the connections carry HTTP/1; only their number is bounded otherwise.
 	HTTP bool
@@ -26,6 +26,16 @@
 // firstTime is how long a new connection may take to bring its first request before it is closed in favour of others.
 const firstTime = time.Second
 
+// spareDivisor gives the part of Port.Connections that may be open beyond it.
+const spareDivisor = 8
+
+const (
+	// leastTime is how long a new connection, or a body, is left to bring its first bytes, or the next ones, when there are too many connections.
+	leastTime = 5 * time.Millisecond
+	// placeWait bounds the wait of a new connection for another to give way.
+	placeWait = 500 * time.Millisecond
+)
+
 // Listener accepts connections within the limits. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
@@ -34,6 +44,8 @@
 	// mu guards everything below.
 	mu   sync.Mutex
 	open int
+	// changed is closed, and then nil, when a connection closes or has brought a head; nil while Accept does not wait for that.
+	changed chan struct{}
 	// fresh holds the connections that have brought no complete head yet, waiting those that had a request and have brought no complete head since,
 	// both as *connection with the one that has waited longest first.
 	fresh, waiting *list.List
@@ -48,8 +60,8 @@
 	return listener
 }
 
-// Accept waits for the next connection. When too many are open, one without a request is closed in favour of the new one, or else the new one is
-// closed.
+// Accept waits for the next connection. When too many are open, one that has not sent a whole request gives way: one without a request is closed, or the
+// body that has made no progress for the longest time is ended, with a refusal. The new one is closed if all have sent a whole request.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		accepted, err := l.Listener.Accept()
@@ -57,51 +69,115 @@
 			return nil, err
 		}
 		c := newConnection(accepted, l)
-		evicted, admitted := l.admit(c)
+		if l.admit(c) {
+			return c, nil
+		}
+		l.limiter.report(l.port.Name, "connections", accepted.RemoteAddr().String())
+		_ = accepted.Close() // Nothing was read from it.
+	}
+}
+
+// admit adds a new connection. If there are too many, it makes another give way and waits until that has happened; callers that come meanwhile wait in the
+// order of their arrival. It does not add the new one if no other gives way in time.
+func (l *Listener) admit(c *connection) bool {
+	bodyEnded := false
+	for deadline := c.since.Add(placeWait); ; {
+		evicted, wait, admitted := l.tryAdmit(c, &bodyEnded)
 		if evicted != nil {
 			l.limiter.report(l.port.Name, "displaced", evicted.RemoteAddr().String())
 			_ = evicted.Conn.Close() // Its server finds it closed, and closes it too.
 		}
 		if admitted {
-			return c, nil
+			return true
 		}
-		l.limiter.bodies.EndStalled() // Makes room for the next one.
-		l.limiter.report(l.port.Name, "connections", accepted.RemoteAddr().String())
-		_ = accepted.Close() // Nothing was read from it.
+		left := time.Until(deadline)
+		if wait.changed == nil || left <= 0 {
+			return false
+		}
+		timer := time.NewTimer(min(wait.most, left))
+		select {
+		case <-wait.changed:
+		case <-timer.C:
+		}
+		timer.Stop()
 	}
 }
 
-// admit adds a new connection. If there are too many, it takes one out that must be closed, or does not add the new one.
-func (l *Listener) admit(c *connection) (evicted *connection, admitted bool) {
+// placeWaiting is a wait for a place for a new connection.
+type placeWaiting struct {
+	// changed is closed when a connection closes or has brought a head; nil if no place can come free. Most is the longest time to wait.
+	changed chan struct{}
+	most    time.Duration
+}
+
+// tryAdmit adds a new connection if there is a place, or makes another connection give way. BodyEnded is set once it has ended a body.
+func (l *Listener) tryAdmit(c *connection, bodyEnded *bool) (evicted *connection, wait placeWaiting, admitted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.open >= l.port.Connections {
-		place := l.longest(c.since)
-		if place == nil { // All have a request, or none carries HTTP/1.
-			return nil, false
+	most := l.port.Connections
+	if *bodyEnded {
+		most += l.port.Connections / spareDivisor
+	}
+	now := time.Now()
+	if l.open >= most && !*bodyEnded && l.port.HTTP {
+		fresh, waiting := l.fresh.Front(), l.waiting.Front()
+		freshFor := time.Duration(0)
+		if fresh != nil {
+			freshFor = now.Sub(fresh.Value.(*connection).since)
+		}
+		switch {
+		case freshFor >= firstTime:
+			evicted = l.takeOut(fresh)
+		case waiting != nil:
+			evicted = l.takeOut(waiting)
+		case l.limiter.bodies.EndBefore(now.Add(-stallTime)):
+			*bodyEnded = true
+		case freshFor >= leastTime:
+			evicted = l.takeOut(fresh)
+		case fresh != nil:
+			return nil, placeWaiting{changed: l.awaitChange(), most: leastTime - freshFor}, false
+		case l.limiter.bodies.EndBefore(now.Add(-leastTime)):
+			*bodyEnded = true
+		}
+		if *bodyEnded {
+			most += l.port.Connections / spareDivisor
 		}
-		evicted = place.Value.(*connection)
-		evicted.remove()
 	}
-	l.open++
-	if !l.port.HTTP {
-		return evicted, true
+	if l.open < most {
+		l.open++
+		if l.port.HTTP {
+			c.list = l.fresh
+			c.place = l.fresh.PushBack(c)
+		}
+		return evicted, placeWaiting{}, true
+	}
+	if *bodyEnded {
+		return nil, placeWaiting{changed: l.awaitChange(), most: placeWait}, false
 	}
-	c.list = l.fresh
-	c.place = l.fresh.PushBack(c)
-	return evicted, true
+	return nil, placeWaiting{}, false
+}
+
+// takeOut removes the connection at a place, which must be closed. The lock is held.
+func (l *Listener) takeOut(place *list.Element) *connection {
+	c := place.Value.(*connection)
+	c.remove()
+	return c
 }
 
-// longest returns the place of the connection that should be closed in favour of another. The lock is held.
-func (l *Listener) longest(now time.Time) *list.Element {
-	first := l.fresh.Front()
-	if first != nil && now.Sub(first.Value.(*connection).since) >= firstTime {
-		return first
+// awaitChange returns a channel that is closed at the next change of the connections. The lock is held.
+func (l *Listener) awaitChange() chan struct{} {
+	if l.changed == nil {
+		l.changed = make(chan struct{})
 	}
-	if waiting := l.waiting.Front(); waiting != nil {
-		return waiting
+	return l.changed
+}
+
+// change tells Accept, if it waits, that the connections have changed. The lock is held.
+func (l *Listener) change() {
+	if l.changed != nil {
+		close(l.changed)
+		l.changed = nil
 	}
-	return first
 }
 
 // remove removes a connection from the open ones, once. The listener's lock is held.
@@ -111,6 +187,7 @@
 	}
 	c.removed = true
 	c.listener.open--
+	c.listener.change()
 	c.unlist()
 }
 
@@ -119,6 +196,7 @@
 	if c.place != nil {
 		c.list.Remove(c.place)
 		c.place = nil
+		c.listener.change()
 	}
 }
 
--- a/rawpeer/crowd.go
+++ b/rawpeer/crowd.go
@@ -19,6 +19,8 @@
 	// Requests is how many requests each caller sends one after another, reading each response to its end, before it leaves; with 0, it writes one
 	// request, reads nothing and stays connected.
 	Requests int
+	// Again lets a caller that stays connected read, once it has written, and begin anew over another connection when the node closes this one.
+	Again bool
 	// Head is written first; NUMBER in it is replaced by the number of the request, and NAME by a name of NameBytes bytes that no other request has. As
 	// many short header lines as Lines says follow, each with another name.
 	Head      string
@@ -31,6 +33,9 @@
 	End string
 }
 
+// againPause is the pause of a caller before it connects again.
+const againPause = 5 * time.Millisecond
+
 // Play lets the callers of the crowd write to an address, and closes their connections at the end. A caller whose connection fails stops early.
 func (c Crowd) Play(address string, end time.Time) {
 	var callers sync.WaitGroup
@@ -41,24 +46,36 @@
 			continue
 		}
 		callers.Go(func() {
-			connection, err := net.DialTimeout("tcp", address, time.Until(end))
-			if err != nil {
-				return // The node refuses connections.
-			}
-			defer func() { _ = connection.Close() }()
-			_ = connection.SetDeadline(end) // Fails only on a closed connection.
-			if _, err := fmt.Fprint(connection, c.head(number)); err != nil {
-				return
+			for c.stay(address, c.head(number), text, end) && c.Again && time.Now().Before(end) {
+				time.Sleep(againPause)
 			}
-			if _, err := connection.Write(text); err != nil {
-				return
-			}
-			time.Sleep(time.Until(end))
 		})
 	}
 	callers.Wait()
 }
 
+// stay writes a request and stays connected until the end or, with Again, until the node closes the connection. It reports whether it got a connection.
+func (c Crowd) stay(address, head string, text []byte, end time.Time) bool {
+	connection, err := net.DialTimeout("tcp", address, time.Until(end))
+	if err != nil {
+		return false // The node refuses connections.
+	}
+	defer func() { _ = connection.Close() }()
+	_ = connection.SetDeadline(end) // Fails only on a closed connection.
+	if _, err := fmt.Fprint(connection, head); err != nil {
+		return true
+	}
+	if _, err := connection.Write(text); err != nil {
+		return true
+	}
+	if c.Again {
+		_, _ = io.Copy(io.Discard, connection) // Whatever ends it, the caller begins anew.
+		return true
+	}
+	time.Sleep(time.Until(end))
+	return true
+}
+
 // Text returns what the first caller writes.
 func (c Crowd) Text() []byte {
 	return append([]byte(c.head(0)), c.body()...)
