Memory of callers: one sum that fits, whatever forms come at the same time

What callers saw: a node that met several forms of misbehaving callers at once took more memory than its machine has, though each form by itself stayed below.

Cause: the heap's limit was seven tenths of the memory, without the 22 MB that the program's own pages take; the accounts were shares of the whole memory, and what a connection costs beside them was bounded by descriptors only: buffers, a goroutine, 4 KB of a body and up to 28 KB for a head of 4 KB in 64 lines.

A heap profile of the crowd: 46 MB live, of it bodies 18, buffers of connections 12, heads 9; the collector took 43% of the processor's time to keep the heap at a goal that it had already passed, and 22 MB of the process were pages of the program.

Why it works: shares are taken of what the program leaves. Callers' connections are bounded by it too, at 24 KB each, which is what one costs at most now that 1 KB and 16 lines of a head are free instead of 4 KB and 64. Heads, bodies, small and large responses and connections sum up to less than the heap's limit; the remaining fifth is for garbage of a collection that comes late.

--- a/bufferer/bufferer.go
+++ b/bufferer/bufferer.go
@@ -21,9 +21,11 @@
 	sharedBytes = 12 << 20
 	// freeBytes of each response may always be held.
 	freeBytes = 4 << 10
-	// smallDivisor gives the part of a host's memory that small responses share. Without that bound, 700 responses of 60 KB took a node with 96 MB
-	// to 119 MB.
+	// smallDivisor gives the part of a host's spare memory that small responses share. Without that bound, 700 responses of 60 KB took a node with 96 MB
+	// to 119 MB. largeDivisor gives that of larger ones, which is at least leastShared, so that the largest response fits, and at most sharedBytes.
 	smallDivisor = 8
+	largeDivisor = 10
+	leastShared  = 9 << 20
 	// readBytes is the least size of one read of a body.
 	readBytes = 4 << 10
 )
@@ -56,9 +58,14 @@
 // New returns an empty space of a size in bytes; 0 means sharedBytes.
 func New(size int64) *Space { return &Space{size: size} }
 
-// LimitSmall bounds what small responses hold together by a host's memory in bytes, or not if that is 0, which stands for not known. It must be
+// Limit bounds what responses hold together by a host's spare memory in bytes, or not if that is 0, which stands for not known. It must be
 // called before the space is used.
-func (s *Space) LimitSmall(memory int64) { s.smallSize = memory / smallDivisor }
+func (s *Space) Limit(spare int64) {
+	s.smallSize = spare / smallDivisor
+	if spare > 0 && s.size == 0 {
+		s.size = min(max(spare/largeDivisor, leastShared), sharedBytes)
+	}
+}
 
 // Hold returns a holding of nothing.
 func (s *Space) Hold() *Holding { return &Holding{space: s} }
--- a/bufferer/bufferer_test.go
+++ b/bufferer/bufferer_test.go
@@ -29,7 +29,7 @@
 	for _, script := range scripts {
 		t.Run(script.Name, func(t *testing.T) {
 			g, space := gomega.NewWithT(t), bufferer.New(script.SpaceKB<<10)
-			space.LimitSmall(script.MemoryKB << 10)
+			space.Limit(script.MemoryKB << 10)
 			held := map[int]*bufferer.Holding{}
 			for i, step := range script.Steps {
 				if held[step.Response] == nil {
--- a/connlimiter/connection.go
+++ b/connlimiter/connection.go
@@ -22,12 +22,12 @@
 	// lateTime is granted once after a timeout, to read what has arrived while the process did not run.
 	lateTime = 20 * time.Millisecond
 	// freeHeadBytes and freeHeadLines of each head need no space of the account of heads. Ordinary heads have less.
-	freeHeadBytes, freeHeadLines = 4 << 10, 64
+	freeHeadBytes, freeHeadLines = 1 << 10, 16
 	// byteCost and lineCost are the bytes that a server holds for a byte and for a line of a head while it parses it, as measured with net/http and
 	// fasthttp.
 	byteCost, lineCost = 3, 256
 	// headStep is the step in which space for a head is taken.
-	headStep = 8 << 10
+	headStep = 2 << 10
 	// chunkCost is what a byte of a chunked body costs while a server lets its buffer grow.
 	chunkCost = 3
 )
--- a/connlimiter/connlimiter.go
+++ b/connlimiter/connlimiter.go
@@ -27,22 +27,31 @@
 	defaultDescriptors = 65536
 )
 
-// Shares of the host. Bodies are copied once when they grow, and the garbage collector lets the heap grow between its runs, so that the accounts are
-// far below the memory.
+// Shares of the host. What callers hold at most with them, and the program, is well below the memory, since the garbage collector lets the heap grow
+// between its runs; docs/design/callers.md has the sum.
 const (
-	bodiesDivisor = 4
-	headsDivisor  = 12
+	// programBytes is the memory of a host that the program itself takes, which is no part of its heap.
+	programBytes = 24 << 20
+	headsDivisor = 12
+	// bodiesDivisor gives the bodies' part of what the program leaves.
+	bodiesDivisor = 8
 	// minBodies is the least size of the account of bodies, which holds the largest body that a node accepts by default.
 	minBodies = 12 << 20
-	// heapNumerator and heapDivisor give the part of the memory from which on the garbage collector runs more often.
-	heapNumerator, heapDivisor = 7, 10
+	// heapNumerator and heapDivisor give the part of what the program leaves from which on the garbage collector runs more often.
+	heapNumerator, heapDivisor = 8, 10
 	// callersNumerator and callersDivisor give the callers' part of the descriptors; each of their requests may need another one for its worker.
 	callersNumerator, callersDivisor = 2, 5
-	lingerersDivisor, maxLingerers   = 16, 1024
-	nodesDivisor, minNodes           = 6, 64
-	othersDivisor, minOthers         = 32, 16
+	// connectionsDivisor gives the part of what the program leaves for the connections of callers, connectionBytes what one costs at most beside the
+	// accounts: the server's buffers, its goroutine, and the free parts of a head, a body and a response.
+	connectionsDivisor, connectionBytes = 6, 24 << 10
+	lingerersDivisor, maxLingerers      = 16, 1024
+	nodesDivisor, minNodes              = 6, 64
+	othersDivisor, minOthers            = 32, 16
 )
 
+// Spare returns what the program leaves of a host's memory in bytes, 0 for 0.
+func Spare(memory int64) int64 { return max(memory-programBytes, memory/4) }
+
 // HeadLimits are the limits of requests' heads and of connections without a request; 0 stands for a default.
 type HeadLimits struct {
 	// Bytes is the largest size of a request's line and headers.
@@ -79,7 +88,7 @@
 	host = Host{Memory: cmp.Or(host.Memory, defaultMemory), Descriptors: cmp.Or(host.Descriptors, defaultDescriptors)}
 	return &Limiter{
 		host: host, limits: limits, count: count,
-		heads: newAccount("heads", host.Memory/headsDivisor, count), bodies: newAccount("bodies", max(host.Memory/bodiesDivisor, minBodies), count),
+		heads: newAccount("heads", host.Memory/headsDivisor, count), bodies: newAccount("bodies", max(Spare(host.Memory)/bodiesDivisor, minBodies), count),
 	}
 }
 
@@ -102,7 +111,9 @@
 }
 
 // MaxCallers returns how many connections callers may have.
-func (l *Limiter) MaxCallers() int { return l.host.Descriptors * callersNumerator / callersDivisor }
+func (l *Limiter) MaxCallers() int {
+	return min(l.host.Descriptors*callersNumerator/callersDivisor, int(Spare(l.host.Memory)/connectionsDivisor/connectionBytes))
+}
 
 // MaxLingerers returns how many closed connections of callers may wait for their callers.
 func (l *Limiter) MaxLingerers() int { return min(l.host.Descriptors/lingerersDivisor, maxLingerers) }
@@ -139,7 +150,7 @@
 	if memory <= 0 || os.Getenv("GOMEMLIMIT") != "" {
 		return
 	}
-	limit := memory * heapNumerator / heapDivisor
+	limit := Spare(memory) * heapNumerator / heapDivisor
 	debug.SetMemoryLimit(limit)
 	log.Info().Int64("memory", memory).Int64("heap_limit", limit).Msg("memory limited")
 }
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -131,7 +131,7 @@
 	}
 	f.life, f.endLife = context.WithCancel(context.Background())
 	f.limiter = connlimiter.New(dependencies.Host, f.headLimits, dependencies.Recorder.Count)
-	f.space.LimitSmall(dependencies.Host.Memory)
+	f.space.Limit(connlimiter.Spare(dependencies.Host.Memory))
 	dependencies.Recorder.AddGauges(f.limiter.Gauges)
 	f.server = &http.Server{
 		Handler: f, MaxHeaderBytes: maxHeaderBytes, ConnState: connlimiter.ObserveState, DisableGeneralOptionsHandler: true,
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -128,7 +128,7 @@
 	g.app.Server().ConnState = connlimiter.ObserveFastState
 	host := connlimiter.Host{Memory: dependencies.Settings.Memory(), Descriptors: dependencies.Settings.Descriptors()}
 	g.limiter = connlimiter.New(host, g.headLimits, dependencies.Recorder.Count)
-	g.space.LimitSmall(host.Memory)
+	g.space.Limit(connlimiter.Spare(host.Memory))
 	dependencies.Recorder.AddGauges(g.limiter.Gauges)
 	g.app.Get("/healthz", func(c fiber.Ctx) error { return c.SendString("ok") })
 	g.app.Get("/readyz", g.handleReadiness)
