Own interface: a body costs its bytes, not a multiple for each of its fields

What callers saw: a few requests of legal size, each a body of 1 MB made of 100,000 short fields, took a node to five times its memory, which ends the process and with it all requests there.

Cause: the body was decoded into a map of its fields, each with a copy of its value, and the map was copied for each send. None of this was in any account.

The fuzz test now compares every field with the caller's; the old one compared their number only.

--- a/gateway/fuzz_test.go
+++ b/gateway/fuzz_test.go
@@ -15,6 +15,9 @@
 	f.Add([]byte(`{"model": "m", "stream": true, "messages": [{"role": "user", "content": "x"}]}`))
 	f.Add([]byte(`{"model": 3}`))
 	f.Add([]byte(`[]`))
+	f.Add([]byte(`null`))
+	f.Add([]byte(` { "model" : "m" , "a":{"b":[1,"}\\"",{}]},"n":-1.5e3 ,"t":true, "resume_from":9,"z":null } `))
+	f.Add([]byte(`{"mod\u0065l":"x","model":"m","prompt":"a","prompt":"b","a":1,"a":2}`))
 	f.Fuzz(func(t *testing.T, data []byte) {
 		var body completionBody
 		if err := body.parse(data); err != nil {
@@ -31,8 +34,18 @@
 		if err := json.Unmarshal(encoded, &fields); err != nil || string(fields["model"]) != `"unit"` {
 			t.Fatalf("encoded body does not have the unit as its model: %s", encoded)
 		}
-		if len(fields) < len(body.fields) {
-			t.Fatalf("encoded body lost fields: %s became %s", data, encoded)
+		var wanted map[string]json.RawMessage
+		if err := json.Unmarshal(data, &wanted); err != nil {
+			t.Fatalf("a body that is no JSON object was taken: %s", data)
+		}
+		wanted["model"], wanted["resume_from"] = json.RawMessage(`"unit"`), json.RawMessage("3")
+		if len(fields) != len(wanted) {
+			t.Fatalf("encoded body has other fields: %s became %s", data, encoded)
+		}
+		for name, value := range wanted {
+			if !bytes.Equal(fields[name], value) {
+				t.Fatalf("field %q changed: %s became %s", name, data, encoded)
+			}
 		}
 	})
 }
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -1,8 +1,6 @@
 package gateway
 
 import (
-	"bytes"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"strings"
@@ -20,53 +18,6 @@
 	"github.com/acaciaproxy/acaciaproxy/quarantiner"
 )
 
-// completionBody is the body of an OpenAI completion request. Fields that the
-// gateway does not know are forwarded unchanged.
-type completionBody struct {
-	Model  string
-	Stream bool
-	// fields maps the names of all fields, Model and Stream included, to their JSON values.
-	fields map[string]json.RawMessage
-}
-
-func (b *completionBody) parse(data []byte) error {
-	if err := json.Unmarshal(data, &b.fields); err != nil {
-		return newRejection(fiber.StatusBadRequest, "bad_body", "body must be a JSON object: "+err.Error())
-	}
-	if err := json.Unmarshal(b.fields["model"], &b.Model); err != nil || b.Model == "" {
-		return newRejection(fiber.StatusBadRequest, "bad_body", "\"model\" must be the name of a route")
-	}
-	if stream, present := b.fields["stream"]; present {
-		if err := json.Unmarshal(stream, &b.Stream); err != nil {
-			return newRejection(fiber.StatusBadRequest, "bad_body", "\"stream\" must be true or false")
-		}
-	}
-	return nil
-}
-
-// prompt returns the messages and the prompt, which identify the request's content.
-func (b *completionBody) prompt() []byte {
-	return bytes.Join([][]byte{b.fields["messages"], b.fields["prompt"]}, nil)
-}
-
-// encode returns the body to send to an engine, with the unit as its model. If
-// resumeFrom is above 0, the engine skips that many tokens of the response.
-func (b *completionBody) encode(unit string, resumeFrom int) ([]byte, error) {
-	fields := make(map[string]json.RawMessage, len(b.fields)+1)
-	for key, value := range b.fields {
-		fields[key] = value
-	}
-	encodedUnit, err := json.Marshal(unit)
-	if err != nil {
-		return nil, fmt.Errorf("encode unit %q: %w", unit, err)
-	}
-	fields["model"] = encodedUnit
-	if resumeFrom > 0 {
-		fields["resume_from"] = json.RawMessage(fmt.Sprint(resumeFrom))
-	}
-	return json.Marshal(fields)
-}
-
 // modelRequest is the state of a request for one unit across its attempts.
 type modelRequest struct {
 	request *callerRequest
--- a/launcher/uncontrolled_callers_test.go
+++ b/launcher/uncontrolled_callers_test.go
@@ -22,6 +22,8 @@
 	// crowdTime is how long a crowd stays connected, crowdEndTime the time after that in which an ordinary request must be answered.
 	crowdTime    = 2 * time.Second
 	crowdEndTime = 15 * time.Second
+	// requestsTime bounds a crowd that sends a number of requests; it ends earlier once all are answered.
+	requestsTime = 20 * time.Second
 	// idleCallers is the number of connections that send nothing.
 	idleCallers = 1500
 	// ordinaryBytes is the size of the prompt of the ordinary request.
@@ -46,7 +48,11 @@
 		for i, c := range cases {
 			node := set.Nodes()[i]
 			address := map[string]string{"callers": node.Address(), "operators": node.OperatorAddress()}[c.Port]
-			c.Play(address, time.Now().Add(crowdTime))
+			end := time.Now().Add(crowdTime)
+			if c.Requests > 0 {
+				end = time.Now().Add(requestsTime)
+			}
+			c.Play(address, end)
 			breaches = append(breaches, checkAfterCrowd(node, c.Name)...)
 		}
 		node := set.Nodes()[len(cases)]
--- a/rawpeer/crowd.go
+++ b/rawpeer/crowd.go
@@ -21,11 +21,12 @@
 	Requests int
 	// Again lets a caller that stays connected read, once it has written, and begin anew over another connection when the node closes this one.
 	Again bool
-	// Head is written first; NUMBER in it is replaced by the number of the request, and NAME by a name of NameBytes bytes that no other request has. As
-	// many short header lines as Lines says follow, each with another name.
-	Head      string
-	NameBytes int
-	Lines     int
+	// Head is written first; NUMBER in it is replaced by the number of the request, NAME by a name of NameBytes bytes that no other request has, and LENGTH
+	// by the length of the body. As many short header lines as Lines says, and as many short fields of a JSON object as Fields says, follow,
+	// each with another name.
+	Head          string
+	NameBytes     int
+	Lines, Fields int
 	// Filler is written again and again after that, Bytes bytes altogether. With Chunk, it is written in chunks of that many bytes.
 	Filler       string
 	Bytes, Chunk int
@@ -46,7 +47,7 @@
 			continue
 		}
 		callers.Go(func() {
-			for c.stay(address, c.head(number), text, end) && c.Again && time.Now().Before(end) {
+			for c.stay(address, c.head(number, len(text)), text, end) && c.Again && time.Now().Before(end) {
 				time.Sleep(againPause)
 			}
 		})
@@ -78,16 +79,18 @@
 
 // Text returns what the first caller writes.
 func (c Crowd) Text() []byte {
-	return append([]byte(c.head(0)), c.body()...)
+	text := c.body()
+	return append([]byte(c.head(0, len(text))), text...)
 }
 
-// head returns the head of a request.
-func (c Crowd) head(number int) string {
+// head returns the head of a request, which length bytes follow.
+func (c Crowd) head(number, length int) string {
 	head := strings.ReplaceAll(c.Head, "NUMBER", strconv.Itoa(number))
 	if c.NameBytes > 0 {
 		head = strings.ReplaceAll(head, "NAME", fmt.Sprintf("%0*x", c.NameBytes, number))
 	}
-	return head
+	_, begun, _ := strings.Cut(head, "\r\n\r\n")
+	return strings.Replace(head, "LENGTH", strconv.Itoa(len(begun)+length), 1)
 }
 
 // request sends the requests of one caller, over another connection whenever the node closes one.
@@ -103,7 +106,7 @@
 			_ = dialled.SetDeadline(end) // Fails only on a closed connection.
 			connection, reader = dialled, bufio.NewReader(dialled)
 		}
-		if err := exchange(connection, reader, append([]byte(c.head(caller*c.Requests+i)), text...)); err != nil {
+		if err := exchange(connection, reader, append([]byte(c.head(caller*c.Requests+i, len(text))), text...)); err != nil {
 			_ = connection.Close()
 			connection = nil
 		}
@@ -138,6 +141,9 @@
 	for i := range c.Lines {
 		text = append(append(text, strconv.FormatInt(int64(i), 36)...), ":\r\n"...)
 	}
+	for i := range c.Fields {
+		text = append(strconv.AppendInt(append(text, `"`...), int64(i), 36), `":1,`...)
+	}
 	for left := c.Bytes; left > 0; {
 		size := left
 		if c.Chunk > 0 {
