Closed connections: their descriptors stay bounded where processors are short

What callers saw: on one core a node at its limit of connections could open more descriptors than its machine has, and end with it, while callers that were turned away came again.

Cause: a closed connection waits for its caller, at most D/16 of them; the one that has waited longest is displaced. Its descriptor stays open until its goroutine, which reads, has run. Connections were accepted and displaced faster than that.

Why it works: closed connections are counted until their descriptors are closed, and Accept waits while they are more than a quarter beyond their bound. A displaced one ends as soon as its goroutine runs, so the wait is short.

--- a/lingerer/lingerer.go
+++ b/lingerer/lingerer.go
@@ -51,14 +51,21 @@
 	rate *rate.Limiter
 	// buffers holds buffers of bufferBytes.
 	buffers sync.Pool
-	// mu guards waiting and emptied.
+	// mu guards the fields below.
 	mu sync.Mutex
 	// waiting holds the closed connections that have not ended, as *connection, the longest closed first; at most limits.Connections.
 	waiting *list.List
 	// emptied is closed, and then nil, when waiting is empty; nil while nobody waits for it.
 	emptied chan struct{}
+	// held is the number of closed connections whose descriptors are still open, those that were displaced included. Accept waits while it is at its bound.
+	held int
+	// released is closed, and then nil, when held decreases; nil while Accept does not wait for that.
+	released chan struct{}
 }
 
+// spareDivisor gives the part of Limits.Connections that may be held beyond it: displaced connections whose goroutines have not run since.
+const spareDivisor = 4
+
 // New returns a listener for the connections of inner.
 func New(inner net.Listener, limits Limits) *Listener {
 	burst := max(int(limits.BytesPerSecond/burstDivisor), bufferBytes)
@@ -70,6 +77,7 @@
 
 // Accept waits for the next connection. A connection that is not TCP is returned as it is.
 func (l *Listener) Accept() (net.Conn, error) {
+	l.awaitReleases()
 	accepted, err := l.Listener.Accept()
 	if err != nil {
 		return nil, err
@@ -115,9 +123,39 @@
 		longest.displaced.Store(true)
 		_ = longest.TCPConn.Close() // Ends its linger, which removes nothing then.
 	}
+	l.held++
 	return l.waiting.PushBack(c)
 }
 
+// awaitReleases waits until the descriptors of displaced connections have been closed, if there are many: where processors are short, connections can be
+// displaced faster than their goroutines run, and no limit of descriptors would hold.
+func (l *Listener) awaitReleases() {
+	for {
+		l.mu.Lock()
+		if l.held <= l.limits.Connections+l.limits.Connections/spareDivisor {
+			l.mu.Unlock()
+			return
+		}
+		if l.released == nil {
+			l.released = make(chan struct{})
+		}
+		released := l.released
+		l.mu.Unlock()
+		<-released // A displaced connection ends at once.
+	}
+}
+
+// release records that the descriptor of a closed connection has been closed.
+func (l *Listener) release() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.held--
+	if l.released != nil {
+		close(l.released)
+		l.released = nil
+	}
+}
+
 // remove records that a closed connection has ended.
 func (l *Listener) remove(place *list.Element) {
 	l.mu.Lock()
@@ -229,6 +267,7 @@
 
 // linger drops what the caller sends until it stops or a limit is reached, and then closes the connection.
 func (c *connection) linger(place *list.Element, closedAt time.Time) {
+	defer c.listener.release()
 	c.reading.Lock()
 	defer c.reading.Unlock()
 	defer c.listener.remove(place)
--- a/server/callers.go
+++ b/server/callers.go
@@ -12,8 +12,8 @@
 
 // Limits of the calls of other nodes.
 const (
-	// maxMessageBytes bounds a message; the largest legal ones are the whole demand of a node, with 19,000 adapters less than 1 MB, and a carried
-	// request of 256 KB.
+	// maxMessageBytes bounds a message; the largest legal ones are the whole demand of a node, with its bound of 4,096 adapters less than 1 MB, and a
+	// carried request of 256 KB.
 	maxMessageBytes = 2 << 20
 	// maxCallsPerNode bounds the calls of one connection at a time: a node carries at most 256 requests and has a few other calls.
 	maxCallsPerNode = 512
