Own interface: the space of a body counts all its copies

A body is held by the server, by the request and, while it is sent, by the request to the worker; the account counted the first only, so the sum of docs/design/callers.md did not hold there. It counts three now; a body that fits once is still served by itself.

--- a/connlimiter/connection.go
+++ b/connlimiter/connection.go
@@ -320,6 +320,9 @@
 	if c.scanner.phase == phaseUnknown { // The server may read a length where the scanner does not, such as in a continuation line.
 		size = min(roundUp(int64(c.listener.port.BodyLimit)), c.listener.limiter.bodies.size)
 	}
+	if most := c.listener.limiter.bodies.size; size <= most {
+		size = min(size*int64(max(c.listener.port.BodyCopies, 1)), most) // A body that fits once fits by itself.
+	}
 	if err := c.body.Grow(size, time.Time{}); err != nil {
 		return c.refuseSpace(err)
 	}
--- a/gateway/listen.go
+++ b/gateway/listen.go
@@ -8,11 +8,14 @@
 	"github.com/acaciaproxy/acaciaproxy/connlimiter"
 )
 
+// bodyCopies is how often a body is held: by the server, by the request, and as it is sent to a worker.
+const bodyCopies = 3
+
 // Serve accepts connections from the listener until Stop is called.
 func (g *Gateway) Serve(listener net.Listener) error {
 	settings := g.dependencies.Settings
 	limited := g.limiter.Listen(listener, connlimiter.Port{
-		Name: "callers", Connections: min(settings.MaxConnections(), g.limiter.MaxCallers()), HTTP: true, BodyLimit: settings.BodyLimit(),
+		Name: "callers", Connections: min(settings.MaxConnections(), g.limiter.MaxCallers()), HTTP: true, BodyLimit: settings.BodyLimit(), BodyCopies: bodyCopies,
 	})
 	return g.app.Listener(limited, fiber.ListenConfig{DisableStartupMessage: true})
 }
