--- a/connlimiter/listener.go
+++ b/connlimiter/listener.go
@@ -36,6 +36,8 @@
 	leastTime = 10 * time.Millisecond
 	// placeWait bounds the wait of a new connection for another to give way.
 	placeWait = 2 * time.Second
+	// retryPause is the least pause before a new connection tries again without a change of the others.
+	retryPause = time.Millisecond
 )
 
 // Listener accepts connections within the limits. It is safe for concurrent use.
@@ -83,7 +85,7 @@
 // order of their arrival. It does not add the new one if no other gives way in time.
 func (l *Listener) admit(c *connection) bool {
 	bodyEnded := false
-	for deadline := c.since.Add(placeWait); ; {
+	for deadline := time.Now().Add(placeWait); ; {
 		evicted, wait, admitted := l.tryAdmit(c, &bodyEnded)
 		if evicted != nil {
 			l.limiter.report(l.port.Name, "displaced", evicted.RemoteAddr().String())
@@ -92,11 +94,13 @@
 		if admitted {
 			return true
 		}
-		left := time.Until(deadline)
-		if wait.changed == nil || left <= 0 {
+		if wait.changed == nil || !time.Now().Before(deadline) {
 			return false
 		}
-		timer := time.NewTimer(min(wait.most, left))
+		if wait.until.After(deadline) {
+			wait.until = deadline
+		}
+		timer := time.NewTimer(time.Until(wait.until))
 		select {
 		case <-wait.changed:
 		case <-timer.C:
@@ -107,9 +111,9 @@
 
 // placeWaiting is a wait for a place for a new connection.
 type placeWaiting struct {
-	// changed is closed when a connection closes or has brought a head; nil if no place can come free. Most is the longest time to wait.
+	// changed is closed when a connection closes or has brought a head; nil if no place can come free. Until is when to try again without a change.
 	changed chan struct{}
-	most    time.Duration
+	until   time.Time
 }
 
 // tryAdmit adds a new connection if there is a place, or makes another connection give way. BodyEnded is set once it has ended a body.
@@ -137,11 +141,11 @@
 		case freshFor >= leastTime:
 			evicted = l.takeOut(fresh)
 		case l.fresh.Len() > 0:
-			return nil, placeWaiting{changed: l.awaitChange(), most: max(leastTime-freshFor, time.Millisecond)}, false
+			return nil, placeWaiting{changed: l.awaitChange(), until: now.Add(max(leastTime-freshFor, retryPause))}, false
 		case l.limiter.bodies.EndBefore(now.Add(-leastTime)):
 			*bodyEnded = true
 		case l.limiter.bodies.Growing() > 0:
-			return nil, placeWaiting{changed: l.awaitChange(), most: time.Millisecond}, false
+			return nil, placeWaiting{changed: l.awaitChange(), until: now.Add(retryPause)}, false
 		}
 		if *bodyEnded {
 			most += l.port.Connections / spareDivisor
@@ -156,7 +160,7 @@
 		return evicted, placeWaiting{}, true
 	}
 	if *bodyEnded {
-		return nil, placeWaiting{changed: l.awaitChange(), most: placeWait}, false
+		return nil, placeWaiting{changed: l.awaitChange(), until: now.Add(placeWait)}, false
 	}
 	return nil, placeWaiting{}, false
 }
