Connections: a port at its limit ends no bodies at another port

What callers saw: while the ready or the operators' address had no place left, each further connection there ended the body of a caller at the callers' address that had stalled, which made no place at that address.

Cause: the account of bodies is shared by all ports, and the end of the longest stalled body was asked of the account as a whole.

Evidence: TestPorts fails on (the body gets no response) and passes now.

Why it works: a holding knows the port whose connection takes it, or that a handler of the callers' requests does, and each port ends its own only. The choice of who gives way is a function of its own now, displace.

--- a/connlimiter/account.go
+++ b/connlimiter/account.go
@@ -87,6 +87,8 @@
 	account *Account
 	// stop ends the read that the holding grows by; it is called with the account's lock held.
 	stop func()
+	// listener is that of the connection which takes the space, or nil if a handler of the callers' requests takes it.
+	listener *Listener
 	// The fields below are guarded by the account's lock. place is that in account.growing, or nil.
 	taken   int64
 	place   *list.Element
@@ -185,24 +187,23 @@
 	h.stop()
 }
 
-// EndBefore ends the holding that has not grown for the longest time, if it last grew before a time, because its connection is needed for another caller.
-// It reports whether there was one.
-func (a *Account) EndBefore(before time.Time) bool {
+// endBefore ends the holding of a listener that has not grown for the longest time, if it last grew before a time, because its connection is needed for
+// another caller. It reports whether there was one, and whether the listener has any that may grow.
+func (a *Account) endBefore(listener *Listener, before time.Time) (ended, any bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	place := a.growing.Front()
-	if place == nil || !place.Value.(*Holding).grownAt.Before(before) {
-		return false
+	for place := a.growing.Front(); place != nil; place = place.Next() {
+		h := place.Value.(*Holding)
+		if h.listener != listener {
+			continue
+		}
+		if !h.grownAt.Before(before) {
+			return false, true
+		}
+		a.end(place)
+		return true, true
 	}
-	a.end(place)
-	return true
-}
-
-// Growing returns the number of holdings that may grow.
-func (a *Account) Growing() int {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	return a.growing.Len()
+	return false, false
 }
 
 // Touch records progress that needs no more space.
--- a/connlimiter/connection.go
+++ b/connlimiter/connection.go
@@ -311,7 +311,7 @@
 		return nil
 	}
 	if c.body == nil {
-		c.setSpace(&c.body, c.listener.limiter.bodies.Hold(c.stop))
+		c.setSpace(&c.body, &Holding{account: c.listener.limiter.bodies, stop: c.stop, listener: c.listener})
 	}
 	size := int64(0)
 	if length := c.scanner.length; length > freeBodyBytes && length <= int64(c.listener.port.BodyLimit) {
--- a/connlimiter/connlimiter_test.go
+++ b/connlimiter/connlimiter_test.go
@@ -34,7 +34,7 @@
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
 	gomega.NewWithT(t).Expect(err).NotTo(gomega.HaveOccurred())
 	s := &testServer{limiter: connlimiter.New(host, func() connlimiter.HeadLimits { return limits }, func(string) {})}
-	port.Name, port.HTTP = "test", true
+	port.Name, port.HTTP, port.HandlersHold = "test", true, true
 	s.listener = s.limiter.Listen(lingerer.New(inner, lingerer.DefaultLimits()), port)
 	s.server = &http.Server{MaxHeaderBytes: 16 << 20, ConnState: connlimiter.ObserveState, Handler: s}
 	go func() { _ = s.server.Serve(s.listener) }() // Ends with Close.
--- a/connlimiter/listener.go
+++ b/connlimiter/listener.go
@@ -21,6 +21,8 @@
 	// BodyLimit is set for servers that read bodies before they call a handler, which makes the connections take the space for these. Bodies that are
 	// larger need none, since the server refuses them.
 	BodyLimit int
+	// HandlersHold is set if the port's handlers take the space for bodies. No more than one port of a limiter has such handlers.
+	HandlersHold bool
 	// BodyCopies is how many copies of such a body the server and its handlers hold at most; 0 stands for one.
 	BodyCopies int
 }
@@ -120,37 +122,18 @@
 func (l *Listener) tryAdmit(c *connection, bodyEnded *bool) (evicted *connection, wait placeWaiting, admitted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	now := time.Now()
+	if l.open >= l.port.Connections && !*bodyEnded && l.port.HTTP {
+		var retryAt time.Time
+		evicted, *bodyEnded, retryAt = l.displace(now)
+		if !retryAt.IsZero() {
+			return nil, placeWaiting{changed: l.awaitChange(), until: retryAt}, false
+		}
+	}
 	most := l.port.Connections
 	if *bodyEnded {
 		most += l.port.Connections / spareDivisor
 	}
-	now := time.Now()
-	if l.open >= most && !*bodyEnded && l.port.HTTP {
-		fresh, waiting := l.silent(), l.waiting.Front()
-		freshFor := time.Duration(0)
-		if fresh != nil {
-			freshFor = now.Sub(fresh.Value.(*connection).since)
-		}
-		switch {
-		case freshFor >= firstTime:
-			evicted = l.takeOut(fresh)
-		case waiting != nil:
-			evicted = l.takeOut(waiting)
-		case l.limiter.bodies.EndBefore(now.Add(-stallTime)):
-			*bodyEnded = true
-		case freshFor >= leastTime:
-			evicted = l.takeOut(fresh)
-		case l.fresh.Len() > 0:
-			return nil, placeWaiting{changed: l.awaitChange(), until: now.Add(max(leastTime-freshFor, retryPause))}, false
-		case l.limiter.bodies.EndBefore(now.Add(-leastTime)):
-			*bodyEnded = true
-		case l.limiter.bodies.Growing() > 0:
-			return nil, placeWaiting{changed: l.awaitChange(), until: now.Add(retryPause)}, false
-		}
-		if *bodyEnded {
-			most += l.port.Connections / spareDivisor
-		}
-	}
 	if l.open < most {
 		l.open++
 		if l.port.HTTP {
@@ -165,6 +148,47 @@
 	return nil, placeWaiting{}, false
 }
 
+// displace makes a connection without a whole request give way: it takes out one that must be closed, or ends the body of one. RetryAt is when one may give
+// way if none may yet; it is zero if there is no such connection. The lock is held.
+func (l *Listener) displace(now time.Time) (evicted *connection, bodyEnded bool, retryAt time.Time) {
+	fresh, freshFor := l.silent(), time.Duration(0)
+	if fresh != nil {
+		freshFor = now.Sub(fresh.Value.(*connection).since)
+	}
+	if freshFor >= firstTime {
+		return l.takeOut(fresh), false, time.Time{}
+	}
+	if waiting := l.waiting.Front(); waiting != nil {
+		return l.takeOut(waiting), false, time.Time{}
+	}
+	if ended, _ := l.endBody(now.Add(-stallTime)); ended {
+		return nil, true, time.Time{}
+	}
+	if freshFor >= leastTime {
+		return l.takeOut(fresh), false, time.Time{}
+	}
+	if l.fresh.Len() > 0 {
+		return nil, false, now.Add(max(leastTime-freshFor, retryPause))
+	}
+	ended, growing := l.endBody(now.Add(-leastTime))
+	if growing && !ended {
+		return nil, false, now.Add(retryPause)
+	}
+	return nil, ended, time.Time{}
+}
+
+// endBody ends the body of this port that has made no progress for the longest time, if its last progress was before a time. It reports whether there was
+// one, and whether any body of the port is not whole. The lock is held.
+func (l *Listener) endBody(before time.Time) (ended, growing bool) {
+	switch {
+	case l.port.HandlersHold:
+		return l.limiter.bodies.endBefore(nil, before)
+	case l.port.BodyLimit > 0:
+		return l.limiter.bodies.endBefore(l, before)
+	}
+	return false, false
+}
+
 // silent returns the place of the new connection that has waited longest among those that the server has read all bytes of; nil without one. What the
 // others sent waits for a processor only. The lock is held.
 func (l *Listener) silent() *list.Element {
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -157,7 +157,7 @@
 
 // Serve serves callers' requests until Close is called.
 func (f *Forwarder) Serve(listener net.Listener) error {
-	return serveUntilClosed(f.server, f.limiter.Listen(listener, connlimiter.Port{Name: "callers", Connections: f.limiter.MaxCallers(), HTTP: true}))
+	return serveUntilClosed(f.server, f.limiter.Listen(listener, connlimiter.Port{Name: "callers", Connections: f.limiter.MaxCallers(), HTTP: true, HandlersHold: true}))
 }
 
 // ServeReady serves readiness checks until Close is called.
