Crashes: log what speaks for and against a refusal

"request checked for crashes" could not tell these apart:

- H1, crashes of one moment count as several: when they were found is missing.
- H2, what was answered before does not count: whether this node got an answer lately is missing.
- H3, nothing is sent that could clear the part: there would be no line "trial begun" after the first refusal.
- H4, the model is loaded nowhere: there would be "request held" before each refusal.

span_ms is the time between the first and the last of the crashes, answered whether this node got an answer to a request with the fingerprint lately. No logic changes.

--- a/crashkeeper/verdict.go
+++ b/crashkeeper/verdict.go
@@ -79,6 +79,12 @@
 	return found && !state.sound && !state.expired(now)
 }
 
+// span returns when the first and the last of some crashes were found, of which there is at least one.
+func (s suspect) span(crashes []event) (first, last time.Time) {
+	found := lo.Map(crashes, func(crashed event, _ int) time.Time { return s[crashed].foundAt })
+	return slices.MinFunc(found, time.Time.Compare), slices.MaxFunc(found, time.Time.Compare)
+}
+
 // Verdict says whether a request crashes workers, as far as a node knows.
 type Verdict struct {
 	// Refused is set if the request must not be sent.
@@ -91,6 +97,10 @@
 	Suspects []string
 	// Tied is set if fingerprints that the request lacks explain so many of these crashes that the others are not enough.
 	Tied bool
+	// FirstAt and LastAt are when the first and the last of these crashes were found, and Answered is set if this node got an answer to a
+	// request with Fingerprint lately; zero unless the request is refused.
+	FirstAt, LastAt time.Time
+	Answered        bool
 }
 
 // Equal reports whether two verdicts are the same.
@@ -130,6 +140,8 @@
 			verdict.Refused = !verdict.Tied || len(crashes) >= tiedCrashes(fingerprint) && !spared && !k.answered.has(now, fingerprint)
 		}
 		if verdict.Refused {
+			verdict.FirstAt, verdict.LastAt = k.suspects[fingerprint].span(crashes)
+			verdict.Answered = k.answered.has(now, fingerprint)
 			return verdict
 		}
 		if verdict.Crashes > most.Crashes {
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -38,7 +38,8 @@
 	verdict := f.dependencies.Crashes.Check(time.Now(), c.fingerprints)
 	if !verdict.Equal(c.crashVerdict) {
 		logger.Info("request checked for crashes").Str("request", c.ID).Str("fingerprint", verdict.Fingerprint).Int("crashes", verdict.Crashes).Bool("tied", verdict.Tied).
-			Int("sends", c.sends).Int64("after_ms", time.Since(c.arrived).Milliseconds()).Bool("refused", verdict.Refused).Strs("suspects", verdict.Suspects).Msg("request checked for crashes")
+			Int("sends", c.sends).Int64("after_ms", time.Since(c.arrived).Milliseconds()).Bool("refused", verdict.Refused).Strs("suspects", verdict.Suspects).
+			Int64("span_ms", verdict.LastAt.Sub(verdict.FirstAt).Milliseconds()).Bool("answered", verdict.Answered).Msg("request checked for crashes")
 	}
 	c.crashVerdict = verdict
 	return c.refuseCrashes()
