Forwarder: send one blamed request on a registered trial, so that it can be cleared

Cause: three crashes blame a part, and only an answer clears it, but a blamed request was never sent; each refusal after five minutes dated the crashes anew, and refused requests were no demand, so nobody loaded the model. The class: a verdict that only its own subject can overturn, and that forbids the subject.

The mend: each node lets one request for a blamed fingerprint go on; it counts as demand, waits for its model and for its turn, and is sent once a row of the store that can be written once says so. An answer clears the fingerprint at all nodes. The others are told to come back when the trial is likely to be over. A crash that was cleared stays so when a node without the news dates it anew.

In where.json the state "crashes" now has crashes found just now, since what a node does with older ones is to try one; that is the new state "trial due".

--- a/crashkeeper/crashkeeper.go
+++ b/crashkeeper/crashkeeper.go
@@ -249,6 +249,7 @@
 	}
 	crashed := crash.event()
 	known, found := k.suspects[crash.Fingerprint][crashed]
+	crash.Sound = crash.Sound || known.sound // A node that has not heard of the answer may have dated the crash anew.
 	if crash.expired(now) || found && (known.sound || !crash.Sound) && crash.FoundAt.Sub(known.foundAt) < renewalAge {
 		return false
 	}
--- a/crashkeeper/crashkeeper_test.go
+++ b/crashkeeper/crashkeeper_test.go
@@ -68,6 +68,24 @@
 			r.values[key] = value
 			return nil
 		},
+		Create: func(_ time.Time, values map[string]string) ([]crashkeeper.Row, error) {
+			r.mu.Lock()
+			defer r.mu.Unlock()
+			if r.down {
+				return nil, errDown
+			}
+			var existing []crashkeeper.Row
+			for key := range values {
+				if value, found := r.values[key]; found {
+					existing = append(existing, crashkeeper.Row{Key: key, Value: value, Version: 1})
+				}
+			}
+			if len(existing) == 0 {
+				r.version++
+				maps.Copy(r.values, values)
+			}
+			return existing, nil
+		},
 		Delete: func(_ time.Time, versions map[string]int64) error {
 			r.mu.Lock()
 			defer r.mu.Unlock()
--- a/crashkeeper/rows.go
+++ b/crashkeeper/rows.go
@@ -11,8 +11,10 @@
 
 // Rows are the calls to the table of crashes in the store. Every call returns by its deadline.
 type Rows struct {
-	// Put writes a row, whatever its version. Delete deletes rows that have the given versions, or none of them.
+	// Put writes a row, whatever its version. Create writes rows, by their keys, if none of them exists, else it returns those that do. Delete deletes
+	// rows that have the given versions, or none of them.
 	Put    func(deadline time.Time, key, value string) error
+	Create func(deadline time.Time, values map[string]string) (existing []Row, err error)
 	Delete func(deadline time.Time, versions map[string]int64) error
 }
 
@@ -81,7 +83,7 @@
 			log.Warn().Str("key", row.Key).Err(err).Msg("row of crashes ignored")
 			continue
 		}
-		if lo.EveryBy(crashes, func(crash Crash) bool { return crash.expired(now) }) {
+		if allExpired(now, crashes) {
 			expired[row.Key] = row.Version
 		}
 		for _, crash := range crashes {
@@ -94,6 +96,10 @@
 	}
 }
 
+func allExpired(now time.Time, crashes []Crash) bool {
+	return lo.EveryBy(crashes, func(crash Crash) bool { return crash.expired(now) })
+}
+
 // NotifyRestored is called when the store has come back from an older copy: crashes that it had confirmed may be missing, however young.
 func (k *Keeper) NotifyRestored() {
 	k.mu.Lock()
--- a/crashkeeper/verdict.go
+++ b/crashkeeper/verdict.go
@@ -66,7 +66,7 @@
 func (s suspect) live(now time.Time) []event {
 	var crashes []event
 	for crashed, state := range s {
-		if !state.sound && !state.expired(now) {
+		if !crashed.isTrial() && !state.sound && !state.expired(now) {
 			crashes = append(crashes, crashed)
 		}
 	}
@@ -87,25 +87,34 @@
 
 // Verdict says whether a request crashes workers, as far as a node knows.
 type Verdict struct {
-	// Refused is set if the request must not be sent.
+	// Refused is set if the request must not be sent, unless on a trial that is registered.
 	Refused bool
 	// Fingerprint is the one with the most crashes that count, Crashes their number. For a refused request it is the one that is blamed.
 	Fingerprint string
 	Crashes     int
-	// Suspects are the fingerprints that may have caused a crash: the request may be sent only while no other one with any of them is at a worker. It is empty if
-	// the request is refused.
+	// Suspects are the fingerprints that may have caused a crash: the request may be sent only while no other one with any of them is at a worker.
 	Suspects []string
 	// Tied is set if fingerprints that the request lacks explain so many of these crashes that the others are not enough.
 	Tied bool
-	// FirstAt and LastAt are when the first and the last of these crashes were found, and Answered is set if this node got an answer to a
-	// request with Fingerprint lately; zero unless the request is refused.
+	// Blamed are the fingerprints that the request is refused for, in the order of its own.
+	Blamed []string
+	// FirstAt and LastAt are when the first and the last of these crashes were found, and Answered is set if this node got an answer to a request
+	// with Fingerprint lately.
 	FirstAt, LastAt time.Time
 	Answered        bool
+	// TrialAt is from when on one request with Blamed may be sent on trial; zero if all trials were had. PendingUntil is until when the last of
+	// them may be answered; zero if there are more.
+	TrialAt, PendingUntil time.Time
 }
 
+// OnTrial returns the fingerprints of which no other request may be at a worker while the request is.
+func (v Verdict) OnTrial() []string { return append(slices.Clip(v.Suspects), v.Blamed...) }
+
 // Equal reports whether two verdicts are the same.
 func (v Verdict) Equal(other Verdict) bool {
-	return v.Refused == other.Refused && v.Fingerprint == other.Fingerprint && v.Crashes == other.Crashes && v.Tied == other.Tied && slices.Equal(v.Suspects, other.Suspects)
+	return v.Refused == other.Refused && v.Fingerprint == other.Fingerprint && v.Crashes == other.Crashes && v.Tied == other.Tied &&
+		slices.Equal(v.Suspects, other.Suspects) && slices.Equal(v.Blamed, other.Blamed) &&
+		v.TrialAt.Equal(other.TrialAt) && v.PendingUntil.Equal(other.PendingUntil)
 }
 
 // Check returns the verdict on a request with these fingerprints. A request is refused if enough crashes came while requests with one of its
@@ -114,7 +123,10 @@
 func (k *Keeper) Check(now time.Time, fingerprints []string) Verdict {
 	k.mu.Lock()
 	verdict := k.check(now, fingerprints)
-	renewed := verdict.Refused && k.renew(now, verdict.Fingerprint)
+	renewed := false
+	for _, fingerprint := range verdict.Blamed {
+		renewed = k.renew(now, fingerprint) || renewed
+	}
 	k.mu.Unlock()
 	if renewed {
 		k.announce()
@@ -131,6 +143,7 @@
 
 // check returns what Check does. The caller holds mu.
 func (k *Keeper) check(now time.Time, fingerprints []string) (most Verdict) {
+	var refused Verdict
 	for _, fingerprint := range fingerprints {
 		crashes := k.suspects[fingerprint].live(now)
 		verdict := Verdict{Fingerprint: fingerprint, Crashes: len(crashes)}
@@ -140,9 +153,13 @@
 			verdict.Refused = !verdict.Tied || len(crashes) >= tiedCrashes(fingerprint) && !spared && !k.answered.has(now, fingerprint)
 		}
 		if verdict.Refused {
-			verdict.FirstAt, verdict.LastAt = k.suspects[fingerprint].span(crashes)
-			verdict.Answered = k.answered.has(now, fingerprint)
-			return verdict
+			if !refused.Refused {
+				refused = verdict
+				refused.FirstAt, refused.LastAt = k.suspects[fingerprint].span(crashes)
+				refused.Answered = k.answered.has(now, fingerprint)
+			}
+			refused.Blamed = append(refused.Blamed, fingerprint)
+			continue
 		}
 		if verdict.Crashes > most.Crashes {
 			verdict.Suspects, most = most.Suspects, verdict
@@ -151,6 +168,11 @@
 			most.Suspects = append(most.Suspects, fingerprint)
 		}
 	}
+	if refused.Refused {
+		refused.Suspects = most.Suspects
+		refused.TrialAt, refused.PendingUntil = k.nextTrial(now, refused.Blamed)
+		return refused
+	}
 	return most
 }
 
@@ -189,7 +211,7 @@
 	return unexplained, spared
 }
 
-// renew dates the crashes of a fingerprint anew if they are old, and reports whether it did so. The caller holds mu.
+// renew dates the crashes and trials of a fingerprint anew if they are old, and reports whether it did so. The caller holds mu.
 func (k *Keeper) renew(now time.Time, fingerprint string) bool {
 	renewed := false
 	for crashed, state := range k.suspects[fingerprint] {
--- a/crashkeeper/verdict_test.go
+++ b/crashkeeper/verdict_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"strings"
 	"time"
 
@@ -12,7 +13,7 @@
 	"github.com/acaciaproxy/acaciaproxy/crashkeeper"
 )
 
-// verdictScript is one script of testdata/verdicts.json.
+// verdictScript is one script of testdata/verdicts.json or testdata/trials.json.
 type verdictScript struct {
 	Name  string
 	Steps []struct {
@@ -22,13 +23,22 @@
 		Request  string
 		Seconds  int
 		Refused  bool
+		// Granted is set if a trial may begin, Alone if the store is known to be away.
+		Granted, Alone bool
 	}
 }
 
 // Guards against a prompt part that crashes workers being sent on, and against sound requests that ran beside it being refused.
-var _ = ginkgo.Describe("verdicts on requests", func() {
+var _ = ginkgo.Describe("verdicts on requests", func() { playVerdicts("testdata/verdicts.json") })
+
+// Guards against a fingerprint that is blamed wrongly being refused for as long as it is asked for, since nothing is sent that could clear it,
+// and against more trials of one that does crash workers than the platform allows.
+var _ = ginkgo.Describe("trials of blamed requests", func() { playVerdicts("testdata/trials.json") })
+
+// playVerdicts adds a spec for each script of a file.
+func playVerdicts(file string) {
 	var scripts []verdictScript
-	gomega.Expect(casereader.Read("testdata/verdicts.json", &scripts)).To(gomega.Succeed())
+	gomega.Expect(casereader.Read(file, &scripts)).To(gomega.Succeed())
 	for _, script := range scripts {
 		ginkgo.It(script.Name, func() {
 			table := &fakeRows{values: map[string]string{}, lateWrites: map[string]string{}}
@@ -44,6 +54,8 @@
 			}
 			first, second := start(), start()
 			keeper, other := first, second
+			var trial *crashkeeper.Trial
+			var copied map[string]string
 			for i, step := range script.Steps {
 				switch step.Do {
 				case "crash":
@@ -65,6 +77,28 @@
 					for _, crash := range news {
 						keeper.Learn(now, crash, "test")
 					}
+				case "try":
+					verdict := keeper.Check(now, strings.Fields(step.Request))
+					var err error
+					trial, err = keeper.RegisterTrial(now, time.Now().Add(30*time.Millisecond), "r", verdict.Blamed, step.Alone)
+					gomega.Expect(verdict.Refused && trial != nil).To(gomega.Equal(step.Granted), fmt.Sprintf("step %d: %s, %+v, %v", i, step.Request, verdict, err))
+				case "withdraw":
+					keeper.Withdraw(now, trial)
+				case "peer":
+					keeper, other = other, keeper
+				case "redate":
+					for _, fingerprint := range strings.Fields(step.Request) {
+						keeper.Learn(now, crashkeeper.Crash{Fingerprint: fingerprint, Worker: step.Worker, FoundAt: now}, "test")
+					}
+				case "down", "up":
+					table.update(func() { table.down = step.Do == "down" })
+				case "copy":
+					time.Sleep(50 * time.Millisecond) // Until the writer has written.
+					table.update(func() { copied = maps.Clone(table.values) })
+				case "restore":
+					table.update(func() { table.values = maps.Clone(copied) })
+					keeper.NotifyRestored()
+					keeper.ApplyRows(now, table.list(), true)
 				case "check":
 					verdict := keeper.Check(now, strings.Fields(step.Request))
 					gomega.Expect(verdict.Refused).To(gomega.Equal(step.Refused), fmt.Sprintf("step %d: %s, %+v", i, step.Request, verdict))
@@ -72,4 +106,4 @@
 			}
 		})
 	}
-})
+}
--- a/forwarder/forwarder.go
+++ b/forwarder/forwarder.go
@@ -64,6 +64,8 @@
 	// started have been read.
 	Crashes      *crashkeeper.Keeper
 	CrashesKnown func() bool
+	// StoreAvailable reports whether the store has responded lately, to this node or to a leader.
+	StoreAvailable func() bool
 	// Trier lets requests that may crash workers through one at a time.
 	Trier *trier.Trier
 	// Crashed reports, by probing a worker's address, whether its process seems to have ended.
@@ -109,7 +111,8 @@
 	life    context.Context
 	endLife context.CancelFunc
 	// broken holds the sends that broke for an unknown reason.
-	broken brokenSends
+	broken   brokenSends
+	clearing clearingCalls
 	// reach is the node's path to the workers; carried counts the requests that it serves for other nodes.
 	reach   *cutdetector.Detector
 	carried atomic.Int64
@@ -228,6 +231,12 @@
 	// trial is the trial under which the call is sent; nil if it needs none. Suspected is set once the call had to wait for one.
 	trial     *trier.Trial
 	suspected bool
+	// candidateFor are the blamed fingerprints for which the call is the candidate of this node. Permission is that of its next send,
+	// usedPermission that of its last one; nil without one. PartsAnswered is set once a worker has gone on after the first event, which speaks
+	// for the parts.
+	candidateFor               []string
+	permission, usedPermission *crashkeeper.Trial
+	partsAnswered              bool
 	// sentAt is when the last send began, events the number of events that it brought, firstEventAt when the first of them arrived.
 	sentAt       time.Time
 	events       int
@@ -300,6 +309,7 @@
 	defer f.inFlight.Add(-1)
 	c, err := f.admit(w, r, arrived)
 	defer f.refundUnrun(c)
+	defer f.endClearing(c)
 	defer c.held.Release()
 	if err != nil {
 		f.fail(w, r, c, err)
--- a/forwarder/forwarder_test.go
+++ b/forwarder/forwarder_test.go
@@ -169,7 +169,8 @@
 	f.streams = streamkeeper.New()
 	f.tracker = fleettracker.New(f.list)
 	f.limiter = limiter.New(f.ask, func() int { return 1 }, f.recorder.Count)
-	f.crashes = crashkeeper.New("n", crashkeeper.Rows{}, f.recorder.Count)
+	createRows := func(time.Time, map[string]string) ([]crashkeeper.Row, error) { return nil, nil }
+	f.crashes = crashkeeper.New("n", crashkeeper.Rows{Create: createRows}, f.recorder.Count)
 	now := time.Now()
 	worker := func(id, service string, port int, models map[string][]string) registrar.Worker {
 		return registrar.Worker{ID: id, Service: service, Zone: "z", Address: fmt.Sprint("127.0.0.1:", port), Software: "v1", Slots: 8, Loaded: models, SeenAt: now}
@@ -202,7 +203,7 @@
 		Decode: decode, Send: f.send, SetAttemptID: func(http.Header, string) {}, Crashed: f.hasCrashed,
 		Streams: f.streams, FindStream: f.findStream, FindArchived: f.findArchived, ConfirmList: f.confirmList,
 		Carry:   f.carry,
-		Crashes: f.crashes, CrashesKnown: func() bool { return true },
+		Crashes: f.crashes, CrashesKnown: func() bool { return true }, StoreAvailable: func() bool { return true },
 		Trier: trier.New("n", func() int { return 1 }, trier.Arbitration{
 			Begin: func(time.Time, trier.Trial) (bool, error) { return true, nil }, End: func(time.Time, trier.Trial, time.Time) error { return nil },
 		}, f.recorder.Count),
--- a/forwarder/hedges.go
+++ b/forwarder/hedges.go
@@ -207,7 +207,7 @@
 			{Reason: "attempts", Allows: func() bool { return c.sends < maxSends }},
 			{Reason: "begun", Allows: func() bool { return !first.headArrived.Load() }},
 			{Reason: "repeat", Allows: func() bool { return f.mayRepeat(c) }},
-			{Reason: "suspected", Allows: func() bool { return f.checkCrashes(c) == nil && len(c.crashVerdict.Suspects) == 0 }},
+			{Reason: "suspected", Allows: func() bool { return f.checkCrashes(c) == nil && len(c.crashVerdict.OnTrial()) == 0 }},
 			{Reason: "worker", Allows: func() bool { return err == nil }},
 			{Reason: "full", Allows: func() bool { return !f.isFull(worker) }},
 			{Reason: "limited", Allows: func() bool { return !f.judge(time.Now(), worker, -1).limited }},
--- a/forwarder/model.go
+++ b/forwarder/model.go
@@ -140,7 +140,13 @@
 	}()
 	for {
 		if err := f.checkCrashes(c); err != nil {
-			return nil, err
+			if !c.awaitsClearing() {
+				return nil, err
+			}
+			if err := f.awaitTrial(ctx, c, f.latestFor(c.eventDeadline())); err != nil {
+				return nil, err
+			}
+			continue
 		}
 		if err := f.recheckKey(c); err != nil {
 			return nil, err
--- a/forwarder/plain.go
+++ b/forwarder/plain.go
@@ -265,7 +265,7 @@
 	if !f.mayRepeat(c) || c.ledger.MayHaveRun() >= c.route.MaxAttempts || c.deadline.Sub(now) < minResendTime {
 		return newFailure(http.StatusBadGateway, "broken", err.Error())
 	}
-	if err := f.checkCrashes(c); err != nil {
+	if err := f.checkCrashes(c); err != nil && !c.awaitsClearing() {
 		return err
 	}
 	if !f.allowRetry(now, c) {
--- a/forwarder/repeats.go
+++ b/forwarder/repeats.go
@@ -113,7 +113,7 @@
 		return "attempts"
 	case c.deadline.Sub(now) < minResendTime+returnReserve:
 		return "deadline"
-	case f.checkCrashes(c) != nil || len(c.crashVerdict.Suspects) > 0:
+	case f.checkCrashes(c) != nil || len(c.crashVerdict.OnTrial()) > 0:
 		return "suspected"
 	}
 	if _, err := f.choosePlainWorker(c); err != nil {
--- a/forwarder/send.go
+++ b/forwarder/send.go
@@ -75,6 +75,7 @@
 // beginSend counts a send and returns the function that records its end.
 func (f *Forwarder) beginSend(c *call, worker *registrar.Worker) (endSend func(error)) {
 	c.sends++
+	f.useTrial(c)
 	c.ledger.Begin()
 	c.tries.begin(c.sends, worker)
 	c.sentAt, c.events = time.Now(), 0
@@ -105,7 +106,10 @@
 		slot.End(isNotRun && notRun.reason == ReasonFull)
 		if !isNotRun || notRun.reason != ReasonUnreachable && notRun.reason != ReasonUncleared {
 			c.reached, c.retryAllowed = true, false
+		} else {
+			c.permission = c.usedPermission
 		}
+		c.usedPermission = nil
 		f.recordOutcome(c, worker, f.isWorkerFault(c, err))
 	}
 }
--- a/forwarder/suspects.go
+++ b/forwarder/suspects.go
@@ -32,16 +32,25 @@
 	return lo.Map(parts, func(id string, _ int) string { return crashkeeper.PartFingerprint(id) })
 }
 
-// checkCrashes returns the error with which a call ends if its request, or a part of its prompt, was running at workers that crashed and is likely to be the
-// cause. It must be called before each send, since other nodes find crashes while a request waits.
+// checkCrashes returns the error with which a call ends if its request, or a part of its prompt, was running at workers that crashed and is
+// likely to be the cause, unless it is the one that goes on to be sent on trial. It must be called before each send, since other nodes find
+// crashes while a request waits.
 func (f *Forwarder) checkCrashes(c *call) error {
 	verdict := f.dependencies.Crashes.Check(time.Now(), c.fingerprints)
 	if !verdict.Equal(c.crashVerdict) {
 		logger.Info("request checked for crashes").Str("request", c.ID).Str("fingerprint", verdict.Fingerprint).Int("crashes", verdict.Crashes).Bool("tied", verdict.Tied).
 			Int("sends", c.sends).Int64("after_ms", time.Since(c.arrived).Milliseconds()).Bool("refused", verdict.Refused).Strs("suspects", verdict.Suspects).
-			Int64("span_ms", verdict.LastAt.Sub(verdict.FirstAt).Milliseconds()).Bool("answered", verdict.Answered).Msg("request checked for crashes")
+			Strs("blamed", verdict.Blamed).Int64("span_ms", verdict.LastAt.Sub(verdict.FirstAt).Milliseconds()).
+			Bool("answered", verdict.Answered).Time("trial_at", verdict.TrialAt).Msg("request checked for crashes")
 	}
 	c.crashVerdict = verdict
+	if !verdict.Refused {
+		f.clearing.release(c)
+		return nil
+	}
+	if f.mayClear(time.Now(), c) {
+		return nil
+	}
 	return c.refuseCrashes()
 }
 
@@ -54,7 +63,7 @@
 	if c.ledger.MayHaveRun() > 0 {
 		return newFailure(http.StatusBadGateway, "crashes_workers", message)
 	}
-	return c.refuse("crashes_workers", message, crashkeeper.Lifetime)
+	return c.refuse("crashes_workers", message, c.clearedIn(time.Now()))
 }
 
 // recordEvents counts events of the response to a call. Once the worker has gone on after the first, it speaks for the shared parts of the prompt.
@@ -66,6 +75,7 @@
 		f.dependencies.Crashes.Began(now, c.fingerprints[1:])
 	}
 	if c.events < begunEvents && c.events+count >= begunEvents {
+		c.partsAnswered = true
 		f.dependencies.Crashes.Answered(now, c.ID, c.fingerprints[1:])
 	}
 	c.events, c.lastEventAt = c.events+count, now
--- a/forwarder/trials.go
+++ b/forwarder/trials.go
@@ -19,11 +19,20 @@
 	suspectedRetry = 1 * time.Second
 )
 
-// beginTrial reports whether a call may be sent now: it needs no trial, or it is its turn. EndTrial must follow.
+// beginTrial reports whether a call may be sent now: it needs no trial, or it is its turn and, if it would be refused otherwise, the trial is
+// registered. EndTrial must follow.
 func (f *Forwarder) beginTrial(c *call) bool {
-	trial, begun := f.dependencies.Trier.Begin(c.ID, c.crashVerdict.Suspects, c.deadline)
+	verdict, storeAvailable := &c.crashVerdict, f.dependencies.StoreAvailable()
+	trial, begun := f.dependencies.Trier.Begin(c.ID, verdict.OnTrial(), c.deadline, verdict.Refused && storeAvailable)
 	c.trial = trial
-	return begun
+	if !begun || !verdict.Refused || c.permission != nil {
+		return begun
+	}
+	if !f.register(c, storeAvailable) {
+		f.endTrial(c, time.Now().Add(registrationPause))
+		return false
+	}
+	return true
 }
 
 // endTrial ends the call's trial, if it has one; others like it may be sent from freeAt on.
@@ -44,7 +53,8 @@
 	if !c.suspected {
 		c.suspected = true
 		f.dependencies.Recorder.Count("held for trial " + c.route.Name)
-		logger.Info("request waits for its trial").Str("request", c.ID).Strs("suspects", c.crashVerdict.Suspects).Int64("left_ms", time.Until(latest).Milliseconds()).Msg("request waits for its trial")
+		logger.Info("request waits for its trial").Str("request", c.ID).Strs("suspects", c.crashVerdict.Suspects).
+			Strs("blamed", c.crashVerdict.Blamed).Int64("left_ms", time.Until(latest).Milliseconds()).Msg("request waits for its trial")
 	}
 	select {
 	case <-ctx.Done():
--- a/forwarder/where.go
+++ b/forwarder/where.go
@@ -195,7 +195,7 @@
 	}
 	c.setFingerprints()
 	c.crashVerdict = f.dependencies.Crashes.Look(now, c.fingerprints[1:]) // The first is that of the body, which is not known.
-	if err := c.refuseCrashes(); err != nil {
+	if err := c.refuseCrashes(); err != nil && !c.isTrialDue(now) {
 		return err
 	}
 	tenant, cost, latest := c.tokensNeeded(now)
@@ -209,7 +209,7 @@
 			return f.refuseAllowance(c, result, retryAt)
 		}
 	}
-	if len(c.crashVerdict.Suspects) > 0 {
+	if len(c.crashVerdict.OnTrial()) > 0 {
 		d.wait(now, "turn", time.Time{}, f.latestTrial(c), 0)
 	}
 	return nil
--- a/forwarder/where_test.go
+++ b/forwarder/where_test.go
@@ -83,9 +83,10 @@
 		}
 	}
 	f.tracker.ApplyAnnouncements(now, "y", 1, nil, false) // The leader of the other zone is heard.
-	for i := range map[string]int{"crashes": 6, "suspects": 1}[s.Node] {
-		crash := crashkeeper.Crash{Fingerprint: crashkeeper.PartFingerprint("a"), Worker: fmt.Sprint("w", i), Incarnation: int64(i), FoundAt: now}
-		f.crashes.Learn(now.Add(-2*time.Second), crash, "test")
+	crashed := map[string]time.Time{"crashes": now, "trial due": now.Add(-2 * time.Second), "suspects": now.Add(-2 * time.Second)}[s.Node]
+	for i := range map[string]int{"crashes": 6, "trial due": 6, "suspects": 1}[s.Node] {
+		crash := crashkeeper.Crash{Fingerprint: crashkeeper.PartFingerprint("a"), Worker: fmt.Sprint("w", i), Incarnation: int64(i), FoundAt: crashed}
+		f.crashes.Learn(crashed, crash, "test")
 	}
 }
 
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -190,7 +190,7 @@
 		DemandCounter: do.MustInvoke[*demandcounter.Counter](i), Assessor: do.MustInvoke[*assessor.Assessor](i), Recorder: do.MustInvoke[*recorder.Recorder](i),
 		Ready: f.watcher.Ready, Isolated: f.isolated, Decode: platform.DecodeRequest, Send: f.workers.Send, SetAttemptID: platform.SetAttemptID, Crashed: f.workers.Crashed,
 		Carry: f.carry, Limiter: f.limiter, Streams: f.streamKeeper, FindStream: f.findStream, FindArchived: f.archiver.Find, ConfirmList: f.watcher.Confirm,
-		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown,
+		Crashes: f.crashKeeper, CrashesKnown: f.watcher.CrashesKnown, StoreAvailable: func() bool { return !f.watcher.IsUnavailable(time.Now()) },
 		Trier:  trier.New(settings.Name(), f.subscriber.Nodes, trier.Arbitration{Begin: f.beginTrial, End: f.endTrial}, do.MustInvoke[*recorder.Recorder](i).Count),
 		Budget: forwarder.Budget{CountRequest: retryBudget.CountRequest, AllowRetry: retryBudget.AllowRetry, ReturnRetry: retryBudget.ReturnRetry}, RepeatFailed: settings.RepeatsFailures(), Room: settings.WaitsForRoom(),
 		Hedger:     hedger.New(settings.HedgePercent()),
--- a/soaker/parts.go
+++ b/soaker/parts.go
@@ -87,8 +87,20 @@
 
 // sendSound sends a request with the sound part to a node and records its end.
 func (l *partLoad) sendSound(client *http.Client, n *node) {
+	l.sendRecorded(client, n, l.newAttempt(soundPart))
+}
+
+// sendAlike is sendSound for requests that are all alike.
+func (l *partLoad) sendAlike(client *http.Client, n *node) {
+	attempt := l.newAttempt(soundPart)
+	attempt.Body, attempt.Parts = "alike", []string{firstPart, soundPart, thirdPart, "alike"}
+	l.sendRecorded(client, n, attempt)
+}
+
+// sendRecorded sends a sound request to a node and records its end.
+func (l *partLoad) sendRecorded(client *http.Client, n *node, sound fleetstandin.Attempt) {
 	attempt := partAttempt{sentAt: time.Now()}
-	result := fleetstandin.SendAttempt(client, n.callerAddress, l.newAttempt(soundPart))
+	result := fleetstandin.SendAttempt(client, n.callerAddress, sound)
 	attempt.began, attempt.blamed = result.Began(), strings.Contains(result.Body, "crashes_workers")
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/soaker/script_test.go
+++ b/soaker/script_test.go
@@ -174,7 +174,7 @@
 		p.copied = e.store.Copy()
 	case "restore":
 		e.restoreStore(p.copied)
-	case "sound", "crashing":
+	case "sound", "crashing", "alike":
 		return p.startParts(verb, rest)
 	case "kill":
 		e.parts.excuse(time.Now().Add(time.Hour))
@@ -205,6 +205,8 @@
 		return e.forWorkers(words, func(target *endpoint, runsEvery float64) { target.shed(int(runsEvery)) })
 	case "crash":
 		return e.forWorkers(words, func(target *endpoint, _ float64) { e.crashByRequest(target, fleetstandin.CauseBody, e.models) })
+	case "rack":
+		return e.loseRack(words)
 	case "streams":
 		return p.startStreams(rest)
 	case "isolate":
@@ -262,7 +264,7 @@
 // soundCallers is the number of callers that a "sound" step starts; each pauses for loadPause on average.
 const soundCallers = 8
 
-// startParts starts callers of requests with the sound or the crashing part, which go on for some seconds.
+// startParts starts callers of requests with the sound or the crashing part, or of sound ones that are all alike, which go on for some seconds.
 func (p *player) startParts(kind, text string) error {
 	seconds, err := strconv.Atoi(text)
 	if err != nil {
@@ -276,8 +278,12 @@
 		start(soundCallers, scriptPartPause, parts.sendCrashing)
 		return nil
 	}
+	send := parts.sendSound
+	if kind == "alike" {
+		send = parts.sendAlike
+	}
 	for i := range uint64(soundCallers) {
-		start(i, loadPause, parts.sendSound)
+		start(i, loadPause, send)
 	}
 	return nil
 }
--- a/trier/trier.go
+++ b/trier/trier.go
@@ -86,9 +86,11 @@
 	return &Trier{node: node, nodes: nodes, arbitration: arbitration, count: count, turns: map[string]*turn{}}
 }
 
-// Begin begins the trial of a request if it is its turn, and reports whether it is; End must follow then. Without suspected fingerprints, it returns nil and
-// true. A request that was denied may ask again at any time; this node asks the leader once in a pause for each fingerprint.
-func (t *Trier) Begin(request string, fingerprints []string, until time.Time) (trial *Trial, begun bool) {
+// Begin begins the trial of a request if it is its turn, and reports whether it is; End must follow then. Without suspected fingerprints, it
+// returns nil and true. A request that was denied may ask again at any time; this node asks the leader once in a pause for each fingerprint.
+// Registered is set if the trial is to be registered in the store too, which lets one of several nodes send its request; then each node that
+// reaches no leader may begin one in unledInterval.
+func (t *Trier) Begin(request string, fingerprints []string, until time.Time, registered bool) (trial *Trial, begun bool) {
 	if len(fingerprints) == 0 {
 		return nil, true
 	}
@@ -107,7 +109,7 @@
 	now = time.Now()
 	unled := err != nil
 	if unled {
-		granted = t.beginUnled(now, turns, fingerprints)
+		granted = t.beginUnled(now, turns, fingerprints, registered)
 	}
 	for _, turn := range turns {
 		turn.taken = granted
@@ -154,9 +156,13 @@
 	return turns, true
 }
 
-// beginUnled reports whether a trial may begin without a leader. All nodes together begin one in unledInterval, each at moments of its own. The caller holds mu.
-func (t *Trier) beginUnled(now time.Time, turns []*turn, fingerprints []string) bool {
-	interval := unledInterval * time.Duration(t.nodeCount())
+// beginUnled reports whether a trial may begin without a leader. All nodes together begin one in unledInterval, or each does if trials are
+// registered, at moments of its own. The caller holds mu.
+func (t *Trier) beginUnled(now time.Time, turns []*turn, fingerprints []string, registered bool) bool {
+	interval := unledInterval
+	if !registered {
+		interval *= time.Duration(t.nodeCount())
+	}
 	for i, turn := range turns {
 		if turn.unledAt.IsZero() {
 			const steps = 1 << 16
--- a/trier/trier_test.go
+++ b/trier/trier_test.go
@@ -81,21 +81,21 @@
 		var failure error
 		asked := 0
 		node := newTrier("n", 8, &failure, &asked)
-		trial, begun := node.Begin("r1", []string{"f", "g"}, until())
+		trial, begun := node.Begin("r1", []string{"f", "g"}, until(), false)
 		gomega.Expect(begun).To(gomega.BeTrue())
-		_, begun = node.Begin("r2", []string{"g"}, until())
+		_, begun = node.Begin("r2", []string{"g"}, until(), false)
 		gomega.Expect(begun).To(gomega.BeFalse())
-		_, begun = node.Begin("r3", []string{"h"}, until())
+		_, begun = node.Begin("r3", []string{"h"}, until(), false)
 		gomega.Expect(begun).To(gomega.BeTrue())
 		node.End(trial, time.Now())
-		_, begun = node.Begin("r2", []string{"g"}, until())
+		_, begun = node.Begin("r2", []string{"g"}, until(), false)
 		gomega.Expect(begun).To(gomega.BeTrue())
 		gomega.Expect(asked).To(gomega.Equal(3))
 	})
 
 	ginkgo.It("sends a request without suspected fingerprints at once", func() {
 		failure, asked := errors.New("no leader"), 0
-		trial, begun := newTrier("n", 8, &failure, &asked).Begin("r", nil, until())
+		trial, begun := newTrier("n", 8, &failure, &asked).Begin("r", nil, until(), false)
 		gomega.Expect(begun).To(gomega.BeTrue())
 		gomega.Expect(trial).To(gomega.BeNil())
 		gomega.Expect(asked).To(gomega.BeZero())
@@ -106,7 +106,7 @@
 		begunNodes := 0
 		for i := range 400 {
 			asked := 0
-			if _, begun := newTrier(fmt.Sprint("n", i), 400, &failure, &asked).Begin("r", []string{"f"}, until()); begun {
+			if _, begun := newTrier(fmt.Sprint("n", i), 400, &failure, &asked).Begin("r", []string{"f"}, until(), false); begun {
 				begunNodes++
 			}
 		}
@@ -116,6 +116,9 @@
 	ginkgo.It("that reaches no leader still sends one after some time, alone", func() {
 		failure, asked := errors.New("no leader"), 0
 		node := newTrier("n", 1, &failure, &asked)
-		gomega.Eventually(func() bool { _, begun := node.Begin("r", []string{"f"}, until()); return begun }, 4*time.Second, 50*time.Millisecond).Should(gomega.BeTrue())
+		gomega.Eventually(func() bool {
+			_, begun := node.Begin("r", []string{"f"}, until(), false)
+			return begun
+		}, 4*time.Second, 50*time.Millisecond).Should(gomega.BeTrue())
 	})
 })
