Quarantiner: try a quarantined request, so that it can be cleared

Only a request that completes clears itself, and a quarantined one was never sent. Its clearing, had there been one, would not have reached other nodes, and they would have reported the quarantine again.

Evidence: the scenario cleared-request ends both workers by a mark that is then taken away.

The mend: the zone's leader lets it be tried 10 s and 2 minutes after the quarantine began, on a worker of its own. A trial that ends its worker leaves the end of the quarantine as it was. Reports of completed suspects that do not arrive are repeated and logged.

--- a/crashreporter/crashreporter.go
+++ b/crashreporter/crashreporter.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"errors"
 	"strconv"
 	"sync"
 	"time"
@@ -16,8 +17,13 @@
 	"github.com/acaciaproxy/acaciaproxy/quarantiner"
 )
 
-// reportTimeout bounds a report to the leader.
-const reportTimeout = 800 * time.Millisecond
+// reportTimeout bounds a report to the leader, maxClearRepeats how often one of a completed request is repeated.
+const (
+	reportTimeout   = 800 * time.Millisecond
+	maxClearRepeats = 10
+)
+
+var errNotLeading = errors.New("the node that was asked does not lead the zone")
 
 // Reporter decides which requests of one node may run where. It is safe for
 // concurrent use.
@@ -51,9 +57,25 @@
 	return strconv.FormatUint(digest.Sum64(), 16) + "-" + strconv.Itoa(len(content))
 }
 
-// Check returns this node's verdict on a request that is about to be sent, without
-// asking the leader.
+// Check returns the verdict on a request that is about to be sent: that of this node,
+// or of the leader if the request is quarantined and may be tried.
 func (r *Reporter) Check(fingerprint string) quarantiner.Verdict {
+	verdict := r.checkLocally(fingerprint)
+	if !verdict.TrialDue {
+		return verdict
+	}
+	r.mu.Lock()
+	r.quarantiner.RecordAsked(time.Now(), fingerprint)
+	r.mu.Unlock()
+	tried := r.Recheck(fingerprint)
+	if tried.Suspected {
+		log.Info().Str("fingerprint", fingerprint).Str("worker", tried.Worker).Msg("quarantined request is tried")
+	}
+	return tried
+}
+
+// checkLocally returns this node's verdict on a request, without asking the leader.
+func (r *Reporter) checkLocally(fingerprint string) quarantiner.Verdict {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	return r.quarantiner.Check(time.Now(), fingerprint, r.workers())
@@ -73,7 +95,7 @@
 
 // Recheck asks the leader again for the verdict on a suspect that waits for a worker.
 func (r *Reporter) Recheck(fingerprint string) quarantiner.Verdict {
-	return r.leaderVerdict(&nodewire.SuspectRequest{Fingerprints: []string{fingerprint}, Node: r.node}, r.Check(fingerprint))
+	return r.leaderVerdict(&nodewire.SuspectRequest{Fingerprints: []string{fingerprint}, Node: r.node}, r.checkLocally(fingerprint))
 }
 
 // leaderVerdict sends a request about one fingerprint and returns the leader's
@@ -86,8 +108,8 @@
 	received := reply.GetVerdicts()[0]
 	verdict := quarantiner.Verdict{Fingerprint: local.Fingerprint, Suspected: received.GetSuspected(), Worker: received.GetWorker()}
 	if received.GetQuarantineMs() > 0 {
-		verdict.QuarantinedUntil = time.Now().Add(time.Duration(received.GetQuarantineMs()) * time.Millisecond)
-		r.AddQuarantine(local.Fingerprint, verdict.QuarantinedUntil)
+		r.AddQuarantine(local.Fingerprint, time.Now().Add(time.Duration(received.GetQuarantineMs())*time.Millisecond))
+		return r.checkLocally(local.Fingerprint)
 	}
 	return verdict
 }
@@ -104,20 +126,42 @@
 	return client.Suspect(ctx, request)
 }
 
-// Clear ends the suspicion of a request that completed, here and at the leader. A report
-// that fails is not retried; the suspicion then expires at the leader.
+// Clear ends the suspicion and the quarantine of a request that completed, here and at the
+// leader. A report that fails is repeated a few times; what the leader has not heard by then
+// expires there.
 func (r *Reporter) Clear(fingerprint string) {
 	r.mu.Lock()
-	r.quarantiner.Clear(fingerprint)
+	r.quarantiner.Clear(time.Now(), fingerprint)
 	r.mu.Unlock()
-	_, _ = r.sendReport(&nodewire.SuspectRequest{Cleared: []string{fingerprint}, Node: r.node})
+	if err := r.reportCleared(fingerprint); err == nil {
+		return
+	}
+	go func() {
+		for range maxClearRepeats {
+			time.Sleep(reportTimeout)
+			err := r.reportCleared(fingerprint)
+			if err == nil {
+				return
+			}
+			log.Info().Str("fingerprint", fingerprint).Err(err).Msg("leader not told of a completed suspect")
+		}
+	}()
+}
+
+// reportCleared tells the leader that a request completed.
+func (r *Reporter) reportCleared(fingerprint string) error {
+	reply, err := r.sendReport(&nodewire.SuspectRequest{Cleared: []string{fingerprint}, Node: r.node})
+	if err == nil && !reply.GetLeading() {
+		return errNotLeading
+	}
+	return err
 }
 
-// AddQuarantine adds a quarantine that the leader decided.
+// AddQuarantine adds a quarantine that the leader decided; one that ends now has been cleared there.
 func (r *Reporter) AddQuarantine(fingerprint string, until time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.quarantiner.AddQuarantine(fingerprint, until)
+	r.quarantiner.AddQuarantine(time.Now(), fingerprint, until)
 }
 
 // HandleReport applies a node's report at the leader and returns the verdict on each
@@ -127,7 +171,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, fingerprint := range request.GetCleared() {
-		r.quarantiner.Clear(fingerprint)
+		r.quarantiner.Clear(now, fingerprint)
 	}
 	var verdicts []*nodewire.SuspectVerdict
 	for _, verdict := range r.verdicts(now, request) {
@@ -148,13 +192,13 @@
 	}
 	var verdicts []quarantiner.Verdict
 	for _, fingerprint := range request.GetFingerprints() {
-		verdicts = append(verdicts, r.quarantiner.Check(now, fingerprint, r.workers()))
+		verdicts = append(verdicts, r.quarantiner.Try(now, fingerprint, r.workers()))
 	}
 	return verdicts
 }
 
 // Quarantines returns the quarantined fingerprints with their remaining time, for
-// the other nodes of the zone.
+// the other nodes of the zone; it is 0 for those that were cleared.
 func (r *Reporter) Quarantines(now time.Time) []*nodewire.Quarantine {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/gateway/model.go
+++ b/gateway/model.go
@@ -129,7 +129,7 @@
 		return nil
 	}
 	failure := &FailureError{
-		status: fiber.StatusServiceUnavailable, code: "quarantined", outcome: OutcomeRefused, retryAt: verdict.QuarantinedUntil,
+		status: fiber.StatusServiceUnavailable, code: "quarantined", outcome: OutcomeRefused, retryAt: verdict.RetryAt,
 		message: "this request crashed the endpoints that ran it",
 	}
 	return failure.withoutFalsePromise(m.request)
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -4,7 +4,9 @@
 // Every request in flight at a crash becomes a suspect. A suspect may run only
 // on a worker that is assigned to no other suspect; when that worker crashes
 // too, exactly one suspect can be the cause, and it is quarantined. A suspect
-// that completes is cleared. The package reads no clock and does no I/O.
+// that completes is cleared. The worker may have crashed for a reason of its own,
+// so a quarantined request is tried again a few times, on a worker of its own; if
+// it completes, the quarantine ends. The package reads no clock and does no I/O.
 package quarantiner
 
 import (
@@ -19,14 +21,27 @@
 	// suspicionDuration is how long a request stays suspected after the last crash at which
 	// it was in flight, unless it completes before.
 	suspicionDuration = 2 * time.Minute
+	// trialDuration is how long a trial keeps its worker from other suspects.
+	trialDuration = 10 * time.Second
+	// askInterval is the shortest time between two questions of a node to the leader whether a trial may begin.
+	askInterval = time.Second
+	// trialRetry is about the time from the moment at which a trial is due to its end.
+	trialRetry = 2 * time.Second
 )
 
+// trialDelays are the times from the beginning of a quarantine at which the request is tried.
+var trialDelays = []time.Duration{10 * time.Second, 2 * time.Minute}
+
 // Verdict says whether and where one request may run.
 type Verdict struct {
 	// Fingerprint identifies the request's content.
 	Fingerprint string
 	// QuarantinedUntil is the end of the quarantine; zero when the request is not quarantined.
 	QuarantinedUntil time.Time
+	// RetryAt is when a caller whose request is quarantined may come again: after the next trial, or at the end of the quarantine.
+	RetryAt time.Time
+	// TrialDue is set if the request is quarantined and its zone's leader may let it be tried; the node is to ask it.
+	TrialDue bool
 	// Suspected is set while the request may run only on Worker.
 	Suspected bool
 	// Worker is the only worker on which a suspect may run; empty while no worker is available.
@@ -43,18 +58,55 @@
 	expires time.Time
 }
 
+// quarantine is a request that is refused.
+type quarantine struct {
+	// until is the end of the quarantine. It stays the same when the request is tried.
+	until time.Time
+	// tried is the number of trials that were permitted or missed; only the zone's leader counts them.
+	tried int
+	// askedAt is when this node last asked whether a trial may begin; zero if it has not.
+	askedAt time.Time
+}
+
+// trialsDue returns the number of trials that were due until now.
+func (q *quarantine) trialsDue(now time.Time) int {
+	since := now.Sub(q.until.Add(-QuarantineDuration))
+	due := 0
+	for due < len(trialDelays) && since >= trialDelays[due] {
+		due++
+	}
+	return due
+}
+
+func (q *quarantine) trialDue(now time.Time) bool { return q.tried < q.trialsDue(now) }
+
+// retryAt returns when callers may come again.
+func (q *quarantine) retryAt(now time.Time) time.Time {
+	due, began := q.trialsDue(now), q.until.Add(-QuarantineDuration)
+	if due > 0 && now.Before(began.Add(trialDelays[due-1]+trialDuration)) {
+		return now.Add(trialRetry) // The trial may end soon.
+	}
+	if due < len(trialDelays) {
+		return began.Add(trialDelays[due] + trialRetry)
+	}
+	return q.until
+}
+
 // Quarantiner holds the suspects and quarantines of one zone. It is not safe for
 // concurrent use.
 type Quarantiner struct {
 	// suspects maps fingerprints to suspects.
 	suspects map[string]*suspect
-	// quarantined maps fingerprints to the end of their quarantine.
-	quarantined map[string]time.Time
+	// quarantined maps fingerprints to their quarantines.
+	quarantined map[string]*quarantine
+	// cleared maps fingerprints whose quarantine ended by a completed request to the time at which it would have ended. Nodes that have
+	// not heard of it yet go on reporting the quarantine.
+	cleared map[string]time.Time
 }
 
 // New returns a quarantiner without suspects and quarantines.
 func New() *Quarantiner {
-	return &Quarantiner{suspects: map[string]*suspect{}, quarantined: map[string]time.Time{}}
+	return &Quarantiner{suspects: map[string]*suspect{}, quarantined: map[string]*quarantine{}, cleared: map[string]time.Time{}}
 }
 
 // RecordCrash records that a worker crashed with requests in flight and returns the
@@ -63,13 +115,14 @@
 func (q *Quarantiner) RecordCrash(now time.Time, worker string, fingerprints, workers []string) []Verdict {
 	q.expire(now)
 	if cause, found := q.crashCause(worker, fingerprints); found {
-		q.quarantined[cause] = now.Add(QuarantineDuration)
+		q.quarantined[cause] = &quarantine{until: now.Add(QuarantineDuration)}
+		delete(q.cleared, cause)
 		q.clearExplained(cause, worker)
 	}
 	verdicts := make([]Verdict, 0, len(fingerprints))
 	for _, fingerprint := range fingerprints {
 		q.addSuspect(now, fingerprint, worker)
-		verdicts = append(verdicts, q.verdict(fingerprint, workers))
+		verdicts = append(verdicts, q.verdict(now, fingerprint, workers))
 	}
 	return verdicts
 }
@@ -112,6 +165,7 @@
 // takes that worker from it.
 func (q *Quarantiner) addSuspect(now time.Time, fingerprint, worker string) {
 	if _, quarantined := q.quarantined[fingerprint]; quarantined {
+		delete(q.suspects, fingerprint) // The worker of its trial has crashed.
 		return
 	}
 	s, known := q.suspects[fingerprint]
@@ -127,9 +181,9 @@
 }
 
 // verdict returns the verdict on a request and assigns a worker to a suspect without one.
-func (q *Quarantiner) verdict(fingerprint string, workers []string) Verdict {
-	if until, quarantined := q.quarantined[fingerprint]; quarantined {
-		return Verdict{Fingerprint: fingerprint, QuarantinedUntil: until}
+func (q *Quarantiner) verdict(now time.Time, fingerprint string, workers []string) Verdict {
+	if known, quarantined := q.quarantined[fingerprint]; quarantined {
+		return Verdict{Fingerprint: fingerprint, QuarantinedUntil: known.until, RetryAt: known.retryAt(now), TrialDue: known.trialDue(now) && now.Sub(known.askedAt) >= askInterval}
 	}
 	s, suspected := q.suspects[fingerprint]
 	if !suspected {
@@ -162,32 +216,89 @@
 // workers to a suspect without a worker.
 func (q *Quarantiner) Check(now time.Time, fingerprint string, workers []string) Verdict {
 	q.expire(now)
-	return q.verdict(fingerprint, workers)
+	return q.verdict(now, fingerprint, workers)
 }
 
-// Clear ends the suspicion of a request that completed.
-func (q *Quarantiner) Clear(fingerprint string) { delete(q.suspects, fingerprint) }
+// Try returns what Check does, but lets a quarantined request run on a worker of its own if a trial of it is due. Only the zone's
+// leader may call it, so that one request of the zone is tried.
+func (q *Quarantiner) Try(now time.Time, fingerprint string, workers []string) Verdict {
+	verdict := q.Check(now, fingerprint, workers)
+	known, quarantined := q.quarantined[fingerprint]
+	if !quarantined || !known.trialDue(now) {
+		return verdict
+	}
+	trial := &suspect{crashed: map[string]bool{}, expires: now.Add(trialDuration)}
+	if trial.worker = q.unassignedWorker(trial, workers); trial.worker == "" {
+		return verdict
+	}
+	known.tried = known.trialsDue(now)
+	q.suspects[fingerprint] = trial
+	return Verdict{Fingerprint: fingerprint, Suspected: true, Worker: trial.worker}
+}
 
-// Quarantined maps every quarantined fingerprint to the end of its quarantine.
-// The map is the quarantiner's own and must not be changed.
+// RecordAsked records that this node asks the zone's leader whether a trial of a quarantined request may begin.
+func (q *Quarantiner) RecordAsked(now time.Time, fingerprint string) {
+	if known, quarantined := q.quarantined[fingerprint]; quarantined {
+		known.askedAt = now
+	}
+}
+
+// Clear ends the suspicion and the quarantine of a request that completed.
+func (q *Quarantiner) Clear(now time.Time, fingerprint string) {
+	delete(q.suspects, fingerprint)
+	if known, quarantined := q.quarantined[fingerprint]; quarantined && now.Before(known.until) {
+		delete(q.quarantined, fingerprint)
+		q.cleared[fingerprint] = known.until
+	}
+}
+
+// Quarantined maps every quarantined fingerprint to the end of its quarantine, and those whose quarantine was cleared to now.
 func (q *Quarantiner) Quarantined(now time.Time) map[string]time.Time {
 	q.expire(now)
-	return q.quarantined
+	ends := make(map[string]time.Time, len(q.quarantined)+len(q.cleared))
+	for fingerprint := range q.cleared {
+		ends[fingerprint] = now
+	}
+	for fingerprint, known := range q.quarantined {
+		ends[fingerprint] = known.until
+	}
+	return ends
 }
 
-// AddQuarantine adds a quarantine that another node decided.
-func (q *Quarantiner) AddQuarantine(fingerprint string, until time.Time) {
-	q.quarantined[fingerprint] = until
+// AddQuarantine adds a quarantine that another node decided. If it ends now, the request was cleared there. Nodes report the end of one quarantine
+// with differences below minQuarantineGap.
+func (q *Quarantiner) AddQuarantine(now time.Time, fingerprint string, until time.Time) {
+	q.expire(now)
+	if !now.Before(until) {
+		q.Clear(now, fingerprint)
+		return
+	}
+	if cleared, found := q.cleared[fingerprint]; found && until.Before(cleared.Add(minQuarantineGap)) {
+		return
+	}
+	delete(q.cleared, fingerprint)
+	if known, quarantined := q.quarantined[fingerprint]; quarantined && until.Before(known.until.Add(minQuarantineGap)) {
+		return
+	}
+	q.quarantined[fingerprint] = &quarantine{until: until}
 	delete(q.suspects, fingerprint)
 }
 
+// minQuarantineGap is shorter than the time between the ends of two quarantines of a request, since it is cleared by a trial.
+const minQuarantineGap = 5 * time.Second
+
 // expire deletes the quarantines and suspicions that have ended.
 func (q *Quarantiner) expire(now time.Time) {
-	for fingerprint, until := range q.quarantined {
-		if !now.Before(until) {
+	for fingerprint, known := range q.quarantined {
+		if !now.Before(known.until) {
 			delete(q.quarantined, fingerprint)
 		}
 	}
+	for fingerprint, until := range q.cleared {
+		if !now.Before(until) {
+			delete(q.cleared, fingerprint)
+		}
+	}
 	for fingerprint, s := range q.suspects {
 		if !now.Before(s.expires) {
 			delete(q.suspects, fingerprint)
--- a/quarantiner/quarantiner_test.go
+++ b/quarantiner/quarantiner_test.go
@@ -42,7 +42,7 @@
 				continue
 			}
 			if fingerprint != "crashing" {
-				quarantiner.Clear(fingerprint)
+				quarantiner.Clear(now, fingerprint)
 				continue
 			}
 			crashes++
