--- a/crashkeeper/trials.go
+++ b/crashkeeper/trials.go
@@ -19,8 +19,8 @@
 	maxJointTrials = 2
 	// jointDelay is how long requests with several blamed fingerprints leave the trials to those with one of them.
 	jointDelay = 3 * time.Second
-	// lateAfter is the time from the first crash of a fingerprint on after which further ones take up its trials: the requests that caused them were sent
-	// late already, if they did, and the bound is on all of them. One trial remains.
+	// lateAfter is the time from the first crash of a fingerprint on after which further ones take up its trials: the requests that caused them
+	// were sent late already, if they did, and the bound is on all of them. One trial remains.
 	lateAfter = 2 * time.Second
 	// withdrawnDelay is the shortest time from a trial that reached no worker to the next one.
 	withdrawnDelay = 500 * time.Millisecond
@@ -87,36 +87,41 @@
 	return min(late, maxTrials-1)
 }
 
-// nextTrial returns from when on a request with these blamed fingerprints may be sent on trial; zero if all trials were had. Pending is until
-// when the last one may still be answered in that case. The caller holds mu.
+// nextTrial returns from when on a request with these blamed fingerprints may be sent on trial; zero if one of them has no trial left or has been
+// cleared. Pending is until when
+// the last one may still be answered in that case. The caller holds mu.
 func (k *Keeper) nextTrial(now time.Time, blamed []string) (at, pending time.Time) {
-	limit := maxTrials
-	if len(blamed) > 1 {
-		limit = maxJointTrials
-	}
 	for _, fingerprint := range blamed {
-		known := k.suspects[fingerprint]
-		failed, settledAt := known.trials(now)
-		if len(failed) >= limit { // Spent trials that are not registered leave one.
-			return time.Time{}, failed[len(failed)-1].Add(trialTime)
-		}
-		if !settledAt.IsZero() {
-			at = latest(at, settledAt.Add(withdrawnDelay))
-		}
-		if crashes := known.live(now); len(crashes) > 0 {
-			_, lastCrash := known.span(crashes)
-			at = latest(at, lastCrash.Add(trialDelays[0]))
-			if len(blamed) > 1 {
-				at = latest(at, lastCrash.Add(jointDelay))
-			}
-		}
-		if len(failed) > 0 {
-			last := failed[len(failed)-1]
-			at = latest(at, last.Add(trialDelays[len(failed)]))
-			if len(blamed) > 1 {
-				at = latest(at, last.Add(jointDelay))
-			}
+		next, pending := k.suspects[fingerprint].nextTrial(now, len(blamed) > 1)
+		if next.IsZero() {
+			return next, pending
 		}
+		at = latest(at, next)
+	}
+	return at, time.Time{}
+}
+
+// nextTrial returns what Keeper.nextTrial does for one fingerprint, which is blamed. Joint is set if the request has others that are blamed too.
+func (s suspect) nextTrial(now time.Time, joint bool) (at, pending time.Time) {
+	limit, pause := maxTrials, time.Duration(0)
+	if joint {
+		limit, pause = maxJointTrials, jointDelay
+	}
+	failed, settledAt := s.trials(now)
+	if len(failed) >= limit { // Spent trials that are not registered leave one.
+		return time.Time{}, failed[len(failed)-1].Add(trialTime)
+	}
+	crashes := s.live(now)
+	if len(crashes) == 0 {
+		return time.Time{}, time.Time{} // It has been cleared meanwhile.
+	}
+	_, lastCrash := s.span(crashes)
+	at = lastCrash.Add(max(trialDelays[0], pause))
+	if len(failed) > 0 {
+		at = latest(at, failed[len(failed)-1].Add(max(trialDelays[len(failed)], pause)))
+	}
+	if !settledAt.IsZero() {
+		at = latest(at, settledAt.Add(withdrawnDelay))
 	}
 	return at, time.Time{}
 }
@@ -182,8 +187,8 @@
 	return !at.IsZero() && !now.Before(at)
 }
 
-// createTrial writes the rows of a trial, with the first numbers for its fingerprints, again until the store responds. It returns the rows of other trials
-// that have these numbers; then none was written.
+// createTrial writes the rows of a trial, with the first numbers for its fingerprints, again until the store responds. It returns the rows of
+// other trials that have these numbers; then none was written.
 func (k *Keeper) createTrial(now, deadline time.Time, trial *Trial, numbers map[string]int) ([]Row, error) {
 	values := map[string]string{}
 	for fingerprint, first := range numbers {
--- a/crashkeeper/verdict.go
+++ b/crashkeeper/verdict.go
@@ -102,7 +102,7 @@
 	// with Fingerprint lately.
 	FirstAt, LastAt time.Time
 	Answered        bool
-	// TrialAt is from when on one request with Blamed may be sent on trial; zero if all trials were had. PendingUntil is until when the last of
+	// TrialAt is from when on one request with Blamed may be sent on trial; zero if no trial is left. PendingUntil is until when the last of
 	// them may be answered; zero if there are more.
 	TrialAt, PendingUntil time.Time
 }
--- a/forwarder/clearing.go
+++ b/forwarder/clearing.go
@@ -126,8 +126,8 @@
 	}
 }
 
-// clearedIn returns after which time a caller whose request is refused for crashes may come again: when a trial has cleared it or, if all trials
-// were had, when the crashes count no more.
+// clearedIn returns after which time a caller whose request is refused for crashes may come again: when a trial has cleared it or, if no
+// trial is left, when the crashes count no more.
 func (c *call) clearedIn(now time.Time) time.Duration {
 	verdict, trialEnds := &c.crashVerdict, clearedRetry+time.Duration(hashFraction(c.ID)*float64(clearedSpread))
 	switch {
