--- a/crashkeeper/trials.go
+++ b/crashkeeper/trials.go
@@ -87,9 +87,8 @@
 	return min(late, maxTrials-1)
 }
 
-// nextTrial returns from when on a request with these blamed fingerprints may be sent on trial; zero if one of them has no trial left or has been
-// cleared. Pending is until when
-// the last one may still be answered in that case. The caller holds mu.
+// nextTrial returns from when on a request with these blamed fingerprints may be sent on trial; zero if one of them has no trial left, or has
+// been cleared. Pending is until when the last trial may still be answered if none is left. The caller holds mu.
 func (k *Keeper) nextTrial(now time.Time, blamed []string) (at, pending time.Time) {
 	for _, fingerprint := range blamed {
 		next, pending := k.suspects[fingerprint].nextTrial(now, len(blamed) > 1)
