--- a/crashreporter/crashreporter.go
+++ b/crashreporter/crashreporter.go
@@ -5,7 +5,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"strconv"
 	"sync"
 	"time"
@@ -23,8 +23,6 @@
 	maxClearRepeats = 10
 )
 
-var errNotLeading = errors.New("the node that was asked does not lead the zone")
-
 // Reporter decides which requests of one node may run where. It is safe for
 // concurrent use.
 type Reporter struct {
@@ -152,7 +150,7 @@
 func (r *Reporter) reportCleared(fingerprint string) error {
 	reply, err := r.sendReport(&nodewire.SuspectRequest{Cleared: []string{fingerprint}, Node: r.node})
 	if err == nil && !reply.GetLeading() {
-		return errNotLeading
+		return fmt.Errorf("crashreporter: report that request %q completed: the node that was asked does not lead the zone", fingerprint)
 	}
 	return err
 }
