Connlimiter: close a connection that gives way even if it makes no room

Cause: while the connections of ended bodies are still open, up to an eighth more are open than there are places. A connection that was taken out then made no room; tryAdmit refused the new connection and forgot the one taken out. It stayed open, and its next request was dropped, since its place was gone.

The mend: what is taken out is always closed, at which its caller opens another connection, and the new one tries again at once.

Test: TestDisplaced failed before (the new connection got no answer) and passes.

--- a/connlimiter/connlimiter_test.go
+++ b/connlimiter/connlimiter_test.go
@@ -61,6 +61,9 @@
 	held := s.limiter.Bodies().Hold(func() { _ = controller.SetReadDeadline(time.Unix(1, 0)) }) // Fails only on a closed connection.
 	defer held.Release()
 	body, err := held.ReadAll(r.Body, r.ContentLength, 8<<20, time.Time{})
+	if err != nil && r.URL.Path == "/stays" {
+		time.Sleep(time.Second) // Its connection stays open meanwhile.
+	}
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
@@ -199,6 +202,33 @@
 	}, 2*time.Second, 50*time.Millisecond).Should(gomega.Equal(http.StatusOK))
 }
 
+// TestDisplaced guards against a connection that gives way without being closed while more are open than the port has places for: the next request of
+// its caller was lost.
+func TestDisplaced(t *testing.T) {
+	g := gomega.NewWithT(t)
+	s := start(t, connlimiter.Host{}, connlimiter.Port{Connections: 8}, connlimiter.HeadLimits{})
+	for range 8 {
+		_, err := fmt.Fprint(s.dial(t), "POST /stays HTTP/1.1\r\nHost: h\r\nContent-Length: 5\r\n\r\nhell")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+	}
+	time.Sleep(600 * time.Millisecond) // The bodies have stalled; one of them is ended for the next connection.
+	request := func() *bufio.Reader {
+		connection := s.dial(t)
+		_, err := fmt.Fprint(connection, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		g.Expect(err).NotTo(gomega.HaveOccurred())
+		reader := bufio.NewReader(connection)
+		g.Expect(status(reader)).To(gomega.Equal(http.StatusOK))
+		return reader
+	}
+	kept := request()
+	g.Expect(s.listener.Open()).To(gomega.Equal(9))
+	request()
+	began := time.Now()
+	_, err := kept.ReadByte()
+	g.Expect(err).To(gomega.Equal(io.EOF))
+	g.Expect(time.Since(began)).To(gomega.BeNumerically("<", 500*time.Millisecond))
+}
+
 // TestHeadSpace guards against many heads within the limits that fill the memory together, and against stalled ones that keep out others.
 func TestHeadSpace(t *testing.T) {
 	g := gomega.NewWithT(t)
--- a/connlimiter/listener.go
+++ b/connlimiter/listener.go
@@ -118,7 +118,8 @@
 	until   time.Time
 }
 
-// tryAdmit adds a new connection if there is a place, or makes another connection give way. BodyEnded is set once it has ended a body.
+// tryAdmit adds a new connection if there is a place, or makes another connection give way: evicted, if not nil, must be closed. BodyEnded is set once
+// it has ended a body.
 func (l *Listener) tryAdmit(c *connection, bodyEnded *bool) (evicted *connection, wait placeWaiting, admitted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -145,6 +146,9 @@
 	if *bodyEnded {
 		return nil, placeWaiting{changed: l.awaitChange(), until: now.Add(placeWait)}, false
 	}
+	if evicted != nil { // The connections of ended bodies are still open beyond the port's places, so another one must give way too.
+		return evicted, placeWaiting{changed: l.awaitChange(), until: now}, false
+	}
 	return nil, placeWaiting{}, false
 }
 
