--- a/soaker/crashing_part_test.go
+++ b/soaker/crashing_part_test.go
@@ -16,7 +16,7 @@
 // other parts being refused with them.
 var _ = ginkgo.Describe("requests with a prompt part that crashes workers", func() {
 	ginkgo.It("with a crashing part are no longer sent, also after kills, while those with the other parts are", func() {
-		playScripts("testdata/crashing_parts.json", func(e *environment) []string { return e.parts.checkScript(e.record) })
+		partsAndRacks.expectKept("testdata/crashing_parts.json")
 	})
 })
 
--- a/soaker/lost_rack_test.go
+++ b/soaker/lost_rack_test.go
@@ -15,7 +15,7 @@
 // cleared them.
 var _ = ginkgo.Describe("sound requests that ran at workers which ended for another reason", func() {
 	ginkgo.It("are served again, also after kills and a restored store", func() {
-		playScripts("testdata/lost_racks.json", func(e *environment) []string { return e.parts.checkRacks(e.record) })
+		partsAndRacks.expectKept("testdata/lost_racks.json")
 	})
 })
 
--- a/soaker/script_test.go
+++ b/soaker/script_test.go
@@ -60,6 +60,10 @@
 // Companions are chosen so that few scripts that load the processor are played at the same time, and none beside those that measure memory.
 var (
 	crashingRequests = &companions{files: map[string]func(*environment) []string{"testdata/crashing_requests.json": checkCrashes, "testdata/crashing_bursts.json": checkBursts}}
+	partsAndRacks    = &companions{files: map[string]func(*environment) []string{
+		"testdata/crashing_parts.json": func(e *environment) []string { return e.parts.checkScript(e.record) },
+		"testdata/lost_racks.json":     func(e *environment) []string { return e.parts.checkRacks(e.record) },
+	}}
 	leavesAndStreams = &companions{files: map[string]func(*environment) []string{"testdata/unlisted_workers.json": checkNothing, "testdata/versions.json": checkStreams}}
 	entriesAndPauses = &companions{files: map[string]func(*environment) []string{
 		"testdata/lapsed_entries.json": checkNothing, "testdata/leaving_workers.json": checkNothing, "testdata/pausing_workers.json": checkNothing,
