KNOWN-RED: sound requests refused for crashes, seen again in a soak, traced

Two shared parts were blamed after four crashes over 6.3 s. Crashes that came late take up two of the three trials. The one that was left was spent on a send that certainly did not run: the worker had just been replaced and answered 421 (request part-65, 13:55:02.560). Such a trial is not withdrawn, since the bound is on requests that reach workers. So nothing was left that could clear the parts.

To be tried next: withdraw a trial that did not run if it was the last one, a few times.

--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -53,6 +53,10 @@
 		gomega.Expect(errs[i]).NotTo(gomega.HaveOccurred())
 		t.Log(reports[i])
 		for _, breach := range reports[i].Breaches {
+			if isKnownRedBreach(breach) {
+				t.Logf("passed over as known red: seed %d: %s", seeds[i].Seed, breach)
+				continue
+			}
 			t.Errorf("a guarantee was breached: %s: %s", breach, reports[i])
 		}
 	}
@@ -61,6 +65,17 @@
 // knownRedStart is the name in KNOWN-RED.txt of a node that does not get ready after its start.
 const knownRedStart = "node not ready at the start of a soak"
 
+// knownRedBlamed is the name in KNOWN-RED.txt of sound requests that are refused for crashes which others caused, in any seed.
+const knownRedBlamed = "sound requests refused for crashes in a soak"
+
+// isKnownRedBreach reports whether a breach is listed in KNOWN-RED.txt; the Makefile passes the names on.
+func isKnownRedBreach(breach string) bool {
+	return strings.HasPrefix(breach, "LOST: ") && strings.HasSuffix(breach, blamedBreach) && strings.Contains(os.Getenv("ACACIA_KNOWN_RED"), knownRedBlamed)
+}
+
+// blamedBreach ends the text of that breach.
+const blamedBreach = "sound requests were refused for crashes that others caused"
+
 // isKnownRed reports whether an error is listed in KNOWN-RED.txt; the Makefile passes the names on.
 func isKnownRed(err error) bool {
 	var notReady *soaker.NotReadyError
