--- a/connlimiter/listener.go
+++ b/connlimiter/listener.go
@@ -118,8 +118,8 @@
 	until   time.Time
 }
 
-// tryAdmit adds a new connection if there is a place, or makes another connection give way: evicted, if not nil, must be closed. BodyEnded is set once
-// it has ended a body.
+// tryAdmit adds a new connection if there is a place, or makes another connection give way: evicted, if not nil, must be closed. BodyEnded is set
+// once it has ended a body.
 func (l *Listener) tryAdmit(c *connection, bodyEnded *bool) (evicted *connection, wait placeWaiting, admitted bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/forwarder/parts_test.go
+++ b/forwarder/parts_test.go
@@ -59,8 +59,8 @@
 	}
 })
 
-// Guards against blamed requests being refused although no worker with their model is left at which one of them could clear them: the one that goes on
-// has its model loaded, and the others are told to come back soon.
+// Guards against blamed requests being refused although no worker with their model is left at which one of them could clear them: the one that goes
+// on has its model loaded, and the others are told to come back soon.
 var _ = ginkgo.It("one request with a blamed part waits for its model, and clears the others", func() {
 	f := newFixture([]scriptedSend{{Status: http.StatusOK, Body: "id:1\ndata:x\n\n"}, {Status: http.StatusOK, Body: "id:1\ndata:x\n\n"}}, false)
 	defer f.server.Close()
--- a/quarantiner/quarantiner.go
+++ b/quarantiner/quarantiner.go
@@ -183,7 +183,10 @@
 // verdict returns the verdict on a request and assigns a worker to a suspect without one.
 func (q *Quarantiner) verdict(now time.Time, fingerprint string, workers []string) Verdict {
 	if known, quarantined := q.quarantined[fingerprint]; quarantined {
-		return Verdict{Fingerprint: fingerprint, QuarantinedUntil: known.until, RetryAt: known.retryAt(now), TrialDue: known.trialDue(now) && now.Sub(known.askedAt) >= askInterval}
+		return Verdict{
+			Fingerprint: fingerprint, QuarantinedUntil: known.until, RetryAt: known.retryAt(now),
+			TrialDue: known.trialDue(now) && now.Sub(known.askedAt) >= askInterval,
+		}
 	}
 	s, suspected := q.suspects[fingerprint]
 	if !suspected {
--- a/quarantiner/trials_test.go
+++ b/quarantiner/trials_test.go
@@ -15,7 +15,8 @@
 	Steps []string
 }
 
-// TestTrials guards against a request that was quarantined wrongly being refused although it runs, and against more trials of one that does crash workers.
+// TestTrials guards against a request that was quarantined wrongly being refused although it runs, and against more trials of one that does crash
+// workers.
 func TestTrials(t *testing.T) {
 	var scripts []trialScript
 	if err := casereader.Read("testdata/trials.json", &scripts); err != nil {
