review: drop the case of a passed-on request, move the rig

The rig moves to a folder named platform, since a check of the project keeps the platform's names out of all others. Its ports lie below those of outgoing connections: twice in some 30 plays beside each other a node was not ready after 15 s, both times with a port of the old range; the logs were not kept.

--- a/review/rig3/node.go
+++ b/review/rig3/platform/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -20,11 +21,18 @@
 	exited                           chan struct{}
 }
 
+// freeAddress returns an address that nobody listens at. Its port is below those that the system gives to outgoing connections, of which one could take it
+// before the node does.
 func freeAddress() string {
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	must(err)
-	defer listener.Close()
-	return listener.Addr().String()
+	for range 100 {
+		listener, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000)))
+		if err == nil {
+			defer listener.Close()
+			return listener.Addr().String()
+		}
+	}
+	broken("no free port")
+	return ""
 }
 
 // startNode starts a node whose settings have the values of a small installation.
@@ -71,6 +79,11 @@
 // awaitReady waits until the node is ready.
 func (n *node) awaitReady() {
 	for deadline := time.Now().Add(15 * time.Second); !n.isReady(); time.Sleep(100 * time.Millisecond) {
+		select {
+		case <-n.exited:
+			broken("the process of node " + n.name + " ended at its start")
+		default:
+		}
 		if time.Now().After(deadline) {
 			broken("node " + n.name + " is not ready after 15 s")
 		}
--- a/review/rig3/rig.go
+++ b/review/rig3/platform/rig.go
@@ -21,6 +21,8 @@
 	folder, program string
 	// settings are further settings of all nodes.
 	settings string
+	// software is the version of the software of the workers that are started from now on.
+	software string
 	store    *store
 	nodes    []*node
 	began    time.Time
@@ -92,13 +94,13 @@
 }
 
 func play(name, record string) (code int) {
-	cases := map[string]func(*rig) bool{"carrier": playCarrier, "drill": playDrill}
+	cases := map[string]func(*rig) bool{"drill": playDrill, "return": playReturn, "follower": playFollower, "takeup": playTakeUp}
 	folder, err := os.MkdirTemp("", "rig3-")
 	if err != nil || cases[name] == nil {
 		fmt.Fprintln(os.Stderr, "rig3: no such case, or no temporary folder")
 		return 2
 	}
-	r := &rig{folder: folder, program: "target/acaciaproxy", store: newStore(), began: time.Now(), runs: map[string][]run{}}
+	r := &rig{folder: folder, program: "target/acaciaproxy", software: "v1", store: newStore(), began: time.Now(), runs: map[string][]run{}}
 	if os.Getenv("KEEP") != "" {
 		fmt.Println("logs in", folder)
 	}
--- a/review/rig3/store.go
+++ b/review/rig3/platform/store.go
@@ -34,6 +34,8 @@
 	began   time.Time
 	era     int64
 	copies  []storeCopy
+	// written holds when each worker wrote its entry last, or when the store came back; silence removes it.
+	written map[string]time.Time
 }
 
 // storeCopy is what the store held at a time.
@@ -75,11 +77,16 @@
 	s.version++
 	newest.Version = s.version
 	s.set(newest)
+	for id := range s.rows {
+		if id.table == "servers" {
+			s.written[id.key] = time.Now()
+		}
+	}
 	s.notify()
 }
 
 func newStore() *store {
-	return &store{rows: map[rowID]storeRow{}, changed: make(chan struct{}), began: time.Now()}
+	return &store{rows: map[rowID]storeRow{}, changed: make(chan struct{}), began: time.Now(), written: map[string]time.Time{}}
 }
 
 // put writes a row as the operator or a worker does, and returns when the store has acknowledged it.
@@ -90,10 +97,34 @@
 	defer s.mu.Unlock()
 	s.version++
 	s.set(storeRow{Table: table, Key: key, Value: base64.StdEncoding.EncodeToString(encoded), Version: s.version})
+	if table == "servers" {
+		s.written[key] = time.Now()
+	}
 	s.notify()
 	return time.Now()
 }
 
+// silence is the time after which the store removes the entry of a worker that writes nothing: three heartbeats.
+const silence = 3600 * time.Millisecond
+
+// removeSilent removes the entries of workers that write nothing any more, and calls removed for each.
+func (s *store) removeSilent(removed func(id string, at time.Time)) {
+	for ; ; time.Sleep(20 * time.Millisecond) {
+		s.mu.Lock()
+		var gone []string
+		for id := range s.rows {
+			if id.table == "servers" && time.Since(s.written[id.key]) > silence {
+				gone = append(gone, id.key)
+			}
+		}
+		s.mu.Unlock()
+		for _, id := range gone {
+			s.remove("servers", id)
+			removed(id, time.Now())
+		}
+	}
+}
+
 func (s *store) remove(table, key string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/review/rig3/worker.go
+++ b/review/rig3/platform/worker.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -12,8 +13,10 @@
 
 // worker is a stand-in of a worker: it runs requests, executes orders at once and writes its entry.
 type worker struct {
-	rig                *rig
-	id, service, zone  string
+	rig               *rig
+	id, service, zone string
+	// software is the version of its software.
+	software           string
 	born               int64
 	slots              int
 	models             []string
@@ -22,7 +25,8 @@
 	stop               chan struct{}
 	mu                 sync.Mutex
 	seq, beats, active int
-	ended              bool
+	// ended is set once it writes no entry any more, leaving once it says that it leaves.
+	ended, leaving bool
 	// handle runs a request; it is called after the arrival was recorded.
 	handle func(w http.ResponseWriter, r *http.Request)
 }
@@ -30,7 +34,7 @@
 func (r *rig) startWorker(id, service, zone string, slots int, models []string, handle func(w *worker) func(http.ResponseWriter, *http.Request)) *worker {
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	must(err)
-	w := &worker{rig: r, id: id, service: service, zone: zone, born: time.Now().UnixMilli(), slots: slots, models: models, address: listener.Addr().String(), stop: make(chan struct{})}
+	w := &worker{rig: r, id: id, service: service, zone: zone, born: time.Now().UnixMilli(), slots: slots, software: r.software, models: models, address: listener.Addr().String(), stop: make(chan struct{})}
 	w.handle = handle(w)
 	w.server = &http.Server{Handler: w}
 	go func() { _ = w.server.Serve(listener) }()
@@ -52,7 +56,7 @@
 		w.mu.Lock()
 		w.beats++
 		entry := map[string]any{
-			"service": w.service, "address": w.address, "zone": w.zone, "version": "v1", "slots": w.slots, "state": "ready", "coldLeftMs": 0,
+			"service": w.service, "address": w.address, "zone": w.zone, "version": w.software, "slots": w.slots, "state": "ready", "coldLeftMs": 0,
 			"stage": "mixed", "models": w.held(), "seq": w.beats, "born": w.born,
 		}
 		ended := w.ended
@@ -69,14 +73,14 @@
 	}
 }
 
-// crash ends the worker without notice; the store removes its entry after three intervals of silence.
-func (w *worker) crash() {
+// leave ends the heartbeats and removes the worker's entry, without a word of draining. The worker goes on serving, and says in its answers that it leaves.
+func (w *worker) leave() time.Time {
 	w.mu.Lock()
-	w.ended = true
+	w.ended, w.leaving = true, true
 	w.mu.Unlock()
 	close(w.stop)
-	_ = w.server.Close()
-	time.AfterFunc(3600*time.Millisecond, func() { w.rig.store.remove("servers", w.id) })
+	w.rig.store.remove("servers", w.id)
+	return time.Now()
 }
 
 func (w *worker) load() string {
@@ -158,6 +162,12 @@
 	writer.Header().Set("X-Acaciaproxy-Server-Seal", w.id+".seal")
 	writer.Header().Set("X-Acaciaproxy-Instance-Id", w.id)
 	writer.Header().Set("X-Acaciaproxy-Server-Load", w.load())
+	w.mu.Lock()
+	if w.leaving {
+		writer.Header().Set("Server-Leaving", "1")
+		writer.Header().Set("Connection", "close")
+	}
+	w.mu.Unlock()
 	return func() {
 		w.mu.Lock()
 		w.active--
@@ -184,8 +194,9 @@
 		return func(writer http.ResponseWriter, r *http.Request) {
 			defer w.begin(writer, r)()
 			writer.Header().Set("Content-Type", "text/event-stream")
-			for i := 1; i <= events; i++ {
-				if _, err := fmt.Fprintf(writer, "id: %d\ndata: piece %d of %d\n\n", i, i, events); err != nil {
+			first, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+			for i := first + 1; i <= events; i++ {
+				if _, err := fmt.Fprintf(writer, "id: %d\ndata: piece %d of %d by %s\n\n", i, i, events, w.software); err != nil {
 					return
 				}
 				writer.(http.Flusher).Flush()
