--- a/review/rig3/platform/cases.go
+++ b/review/rig3/platform/cases.go
@@ -130,7 +130,7 @@
 			n.door.heal()
 		}
 		r.record("the store is back from a copy that is 3 s old; the operator has written its configuration again")
-		time.Sleep(500 * time.Millisecond)
+		time.Sleep(350 * time.Millisecond)
 		for _, n := range r.nodes {
 			n.restart(r)
 		}
@@ -400,6 +400,10 @@
 	if trouble() {
 		r.record("%s is killed", relay.name)
 		relay.kill()
+		time.AfterFunc(3*time.Second, func() {
+			relay.restart(r)
+			r.record("%s is started again", relay.name)
+		})
 	}
 	group.Wait()
 	goOn, began, taken := 0, 0, 0
