--- a/forwarder/origins.go
+++ b/forwarder/origins.go
@@ -79,6 +79,7 @@
 		return
 	}
 	c.origin.recordedAt = now
+	f.dependencies.Recorder.Count("origins of streams recorded")
 	f.dependencies.Streams.Record(now, c.streamAttempt(), c.origin.version)
 }
 
--- a/server/streams.go
+++ b/server/streams.go
@@ -30,13 +30,20 @@
 	now := time.Now()
 	several := func(service string) bool { return len(f.workerList.Fleet().Software(now, service)) > 1 }
 	streams, next := f.streamKeeper.Since(now, first, several)
+	if len(streams) > 0 {
+		f.recorder.Add("origins of streams sent to leaders", int64(len(streams)))
+	}
 	return streamkeeper.Encode(streams), next
 }
 
 // learnStreams records the origins of streams that a node of a zone relayed. Those of the local zone are archived.
 func (f *FleetNode) learnStreams(zone string, origins []*nodewire.StreamOrigins) {
 	now := time.Now()
+	if len(origins) == 0 {
+		return
+	}
 	streams := streamkeeper.Decode(origins)
+	f.recorder.Add("origins of streams learned", int64(len(streams)))
 	for _, stream := range streams {
 		f.streamKeeper.Learn(now, stream)
 	}
