--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -138,6 +138,8 @@
 	successfulReadSentAt time.Time
 	// loggedHeldOver is whether this node last logged that it leads by promises only.
 	loggedHeldOver bool
+	// loggedWait is the wait for an unknown predecessor that this node last logged.
+	loggedWait time.Time
 	// lastOrderAt is when this node last sent an order.
 	lastOrderAt time.Time
 }
@@ -307,7 +309,16 @@
 	heldOver := l.elector.HeldOver(l.dependencies.Now())
 	previouslyHeldOver := l.loggedHeldOver
 	l.loggedHeldOver = heldOver
+	until, reason := l.elector.Wait()
+	waits := epoch == 0 && reason == elector.WaitPredecessor && !until.Equal(l.loggedWait) && l.dependencies.Now().Before(until)
+	if waits {
+		l.loggedWait = until
+	}
+	wait, holder := until.Sub(l.dependencies.Now()), l.elector.Lease().Holder
 	l.mu.Unlock()
+	if waits {
+		log.Warn().Str("zone", l.dependencies.Zone).Str("why", reason).Str("holder", holder.Node).Int64("wait_ms", wait.Milliseconds()).Msg("lease not taken yet")
+	}
 	if heldOver != previouslyHeldOver {
 		log.Info().Str("zone", l.dependencies.Zone).Int64("epoch", epoch).Bool("held_over", heldOver).Msg("lease held over by promises")
 	}
