Leases: a node that a restored lease names takes it after one term

What callers saw: all processes were killed while the store was away, which came back from a copy 3 s old. A second kill began the wait anew.

Cause: the copy's lease may not name the last holder, which may lead by promises for up to 15 s after its last renewal. Nobody could tell, so all waited for term and longest hold-over, 17 s, from their own first read.

Ruled out: a holder that counts as holding over (reason 'hold-over'), and a lease that may be taken but is not (no wait).

Why this works: a lease names the members that leases of the last 25 s named, and its holder needs the promises of all of them to lead past its term. So whoever finds itself named in a copy of at most 20 s, by the store's clock, knows that no holder leads without its promise, and takes the lease one term after its first read. A holder that takes a restored lease does not know whom the lost ones named and does not hold over for 25 s. Other nodes wait as before, from the store's return where a lease tells when that was. Price: no hold-over for up to 25 s after a node that recent leases named is lost for good. Leases that name nodes of an earlier release keep the wait of 17 s.

Tests: leaseholder 'all nodes are killed while the store is away ...' and five more scripts fail with the old wait; those with a cut-off holder fail also if the early takeover comes without the named members. The script '... it is taken once no earlier holder can lead' demanded the wait at fault: it stands twice now, for a node that the copy does not name and for an old copy, and a third one bounds the wait of a named node from both sides.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -43,6 +43,8 @@
 	Incarnation string `json:"incarnation"`
 	// Address is the IP and port at which other nodes reach the member.
 	Address string `json:"address"`
+	// Recalls is set if the member, as a holder, keeps to Lease.Named.
+	Recalls bool `json:"recalls,omitempty"`
 }
 
 // Lease is the value of a zone's lease row.
@@ -65,11 +67,20 @@
 	// Software holds the software versions of each service's workers that were listed in the last minute before the row was written, and how long before, in
 	// milliseconds. It is nil if the holder did not know them all.
 	Software map[string]map[string]int64 `json:"software,omitzero"`
+	// Named are the members that leases of the last seconds named as holders or successors, without those that this one names. If this lease is lost
+	// since the store comes back from an older copy, they may take the one that they find there; a hold-over therefore needs their promises too.
+	Named []Name `json:"named,omitempty"`
+	// TimeMS is the store's clock in milliseconds when the row was written, or shortly before; 0 if it is not known.
+	TimeMS int64 `json:"time,omitempty"`
+	// SinceMS is the lowest value of the store's clock in Era that the holder knows of, in milliseconds; 0 if it knows none.
+	SinceMS int64 `json:"since,omitempty"`
 }
 
 // Row is a lease row as read from the store.
 type Row struct {
 	Lease Lease
+	// StoreTimeMS is the store's clock in milliseconds at a read of this version; 0 if it is not known.
+	StoreTimeMS int64
 	// Version is the row's version (platformclient.NewVersion); a RowVersion of 0 means that the row does not exist.
 	Version int64
 }
@@ -127,6 +138,8 @@
 	proposedNoSuccessors bool
 	// predecessor is the lease that this node last proposed to replace.
 	predecessor Lease
+	// settledEra is the last era that began so long ago that no holder of an earlier one can lead.
+	settledEra int64
 }
 
 // New returns the elector of an incarnation, with the default times.
@@ -156,15 +169,22 @@
 // Predecessor returns the lease that this node last proposed to replace.
 func (e *Elector) Predecessor() Lease { return e.predecessor }
 
-// Successors returns every node that the row may name as a successor: those of
-// the last known row and those of proposals whose result is unknown. A hold-over
+// Successors returns every node that may take the lease before the longest hold-over has passed, also if the store comes back from a copy of the
+// last seconds: those that the last known row and proposals whose result is unknown may name. A hold-over
 // needs the promise of each. It returns nil, which rules out a hold-over, while
-// the row may name no successor.
+// the row may name no successor, or nodes that this one does not know.
 func (e *Elector) Successors() []Member {
 	if e.proposedNoSuccessors || len(e.row.Lease.Successors) == 0 {
 		return nil
 	}
-	return lo.Uniq(append(append([]Member(nil), e.row.Lease.Successors...), e.proposedSuccessors...))
+	members := append(append([]Member(nil), e.row.Lease.Successors...), e.proposedSuccessors...)
+	for _, name := range e.row.Lease.Named {
+		members = append(members, name.Member)
+	}
+	if lo.ContainsBy(members, unknownMember().onHost) {
+		return nil
+	}
+	return lo.UniqBy(members, func(member Member) Member { return Member{Node: member.Node, Address: member.Address} })
 }
 
 // Leading reports whether this node is the leader, and under which epoch; the
@@ -219,6 +239,9 @@
 	if e.rowKnown && e.isHolder() && row.Lease.Holder.Incarnation != e.self.Incarnation {
 		e.clearLease()
 	}
+	if e.rowKnown && row.Version == e.row.Version && e.row.StoreTimeMS != 0 {
+		row.StoreTimeMS = e.row.StoreTimeMS // The age of a copy counts at the first read.
+	}
 	e.rowLost = !row.Exists() && (e.rowLost || e.row.Exists())
 	e.rowKnown = true
 	e.row = row
@@ -249,7 +272,10 @@
 		return nil
 	}
 	e.predecessor = e.row.Lease
-	return e.startWrite(now, Lease{Holder: e.self, Epoch: e.row.nextEpoch(), Successors: successors})
+	if len(successors) == 0 {
+		successors = e.heirs()
+	}
+	return e.startWrite(now, Lease{Holder: e.self, Epoch: e.row.nextEpoch(), Successors: successors, Named: e.named(now, successors, false)})
 }
 
 func (e *Elector) proposeRenewal(now time.Time, successors []Member) *Proposal {
@@ -259,7 +285,7 @@
 	if now.Before(e.heldOverUntil) {
 		successors = e.row.Lease.Successors // Only these are known to have promised.
 	}
-	return e.startWrite(now, Lease{Holder: e.self, Epoch: e.row.Lease.Epoch, Successors: successors})
+	return e.startWrite(now, Lease{Holder: e.self, Epoch: e.row.Lease.Epoch, Successors: successors, Named: e.named(now, successors, true)})
 }
 
 func (e *Elector) startWrite(now time.Time, lease Lease) *Proposal {
@@ -296,7 +322,8 @@
 // Wait returns until when this node must not take the lease, and why; a zero time if it may take it at any time. A successor that
 // has not promised waits one term. Any other node also waits for the longest hold-over, because the holder
 // may lead on promises until then. If the row has come back from an older copy of the
-// store, every node waits so long, since the row may not name the last holder.
+// store, it may not name the last holder: the nodes that it names, without whose promises no holder of the last seconds leads, wait one term, all others
+// for the longest hold-over too.
 func (e *Elector) Wait() (until time.Time, reason string) {
 	until, reason = e.waitForLease()
 	if e.promisedTo == e.row.Lease.Holder.Incarnation && e.promisedUntil.After(until) {
@@ -308,6 +335,12 @@
 // waitForLease returns what Wait does, without regard to promises of this node.
 func (e *Elector) waitForLease() (until time.Time, reason string) {
 	if e.PredecessorUnknown() {
+		if e.settledEra == platformclient.Era(e.row.Version) {
+			return time.Time{}, ""
+		}
+		if e.recallsSelf() {
+			return e.unchangedSince.Add(e.term()), WaitPredecessor
+		}
 		return e.unchangedSince.Add(e.term() + e.maxHoldOver()), WaitPredecessor
 	}
 	if !e.row.Exists() || e.row.Lease.Holder.Incarnation == "" || e.released == e.row.release() {
@@ -324,7 +357,7 @@
 
 func (e *Elector) isSuccessor() bool {
 	for _, successor := range e.row.Lease.Successors {
-		if successor.Incarnation == e.self.Incarnation || successor.Node == e.self.Node && successor.Address == e.self.Address {
+		if successor.Incarnation == e.self.Incarnation || successor.onHost(e.self) {
 			return true // A restarted process waits a term, which is longer than the promises it has forgotten.
 		}
 	}
@@ -398,7 +431,7 @@
 }
 
 // Resign gives the lease up for good. It returns the row to write, which has no
-// holder and no successors, or nil when this node does not lead.
+// holder, or nil when this node does not lead.
 func (e *Elector) Resign(now time.Time) *Proposal {
 	_, leading := e.Leading(now)
 	e.resigned = true
@@ -409,7 +442,7 @@
 	lease := e.row.Lease
 	lease.Era = platformclient.Era(e.row.Version)
 	lease.Holder = Member{}
-	lease.Successors = nil
+	lease.Named = e.named(now, lease.Successors, true)
 	return &Proposal{Lease: lease, Version: e.row.Version}
 }
 
@@ -429,7 +462,7 @@
 // one runs there. It reports whether that is so.
 func (e *Elector) ResumeAfterRestart() bool {
 	holder := e.row.Lease.Holder
-	if !e.rowKnown || e.isHolder() || holder.Node != e.self.Node || holder.Address != e.self.Address {
+	if !e.rowKnown || e.isHolder() || !holder.onHost(e.self) {
 		return false
 	}
 	e.released = e.row.release()
--- a/elector/restore.go
+++ b/elector/restore.go
@@ -38,3 +38,6 @@
 func (e *Elector) PredecessorUnknown() bool {
 	return e.rowLost || e.row.IsRestored() || e.rowKnown && !e.row.Exists() && platformclient.Era(e.row.Version) > 0
 }
+
+// Settle records that an era of the store began so long ago that no holder of an earlier era can lead any more.
+func (e *Elector) Settle(era int64) { e.settledEra = max(e.settledEra, era) }
--- a/fleetleader/aggregator.go
+++ b/fleetleader/aggregator.go
@@ -63,6 +63,8 @@
 	cores float64
 	// cut is set if the node reaches no worker.
 	cut bool
+	// recalls is set if the node, as a holder, keeps to elector.Lease.Named.
+	recalls bool
 	// requestCounts and refusalCounts are the totals that the node reported last, counted since its process started.
 	requestCounts, refusalCounts map[demandKey]int64
 	// waiting holds the node's waiting requests by key.
@@ -125,7 +127,7 @@
 	}
 	node.zone, node.address, node.incarnation, node.lastMessageAt = message.GetZone(), message.GetAddress(), message.GetIncarnation(), now
 	node.startedAt = now.Add(-time.Duration(message.GetAgeMs()) * time.Millisecond)
-	node.leads, node.cores, node.cut = message.GetLeads(), message.GetStrength(), message.GetCut()
+	node.leads, node.cores, node.cut, node.recalls = message.GetLeads(), message.GetStrength(), message.GetCut(), message.GetRecalls()
 	newWaits := false
 	for _, model := range message.GetModels() {
 		key := demandKey{model.GetService(), model.GetModel(), model.GetAdapter()}
--- a/fleetleader/follow.go
+++ b/fleetleader/follow.go
@@ -314,7 +314,7 @@
 	var members []elector.Member
 	for name, node := range l.demand.nodes {
 		if node.zone == l.dependencies.Zone && name != l.dependencies.Node {
-			members = append(members, elector.Member{Node: name, Incarnation: node.incarnation, Address: node.address})
+			members = append(members, elector.Member{Node: name, Incarnation: node.incarnation, Address: node.address, Recalls: node.recalls})
 		}
 	}
 	sort.Slice(members, func(i, j int) bool {
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -138,6 +138,8 @@
 	successfulReadSentAt time.Time
 	// loggedHeldOver is whether this node last logged that it leads by promises only.
 	loggedHeldOver bool
+	// era is the store's era at the last read of the rows, eraSinceMS the lowest value of its clock in that era that this node knows of, 0 for none.
+	era, eraSinceMS int64
 	// loggedWait is the wait for an unknown predecessor that this node last logged.
 	loggedWait time.Time
 	// lastOrderAt is when this node last sent an order.
@@ -286,7 +288,7 @@
 			l.quietUntil = l.quietEnd(now, l.elector.Predecessor())
 		}
 		proposal.Lease.QuietMS = max(l.quietUntil.Sub(now).Milliseconds(), 0)
-		proposal.Lease.Software = l.dependencies.Software()
+		l.describe(proposal)
 	}
 	l.mu.Unlock()
 	if proposal != nil {
@@ -353,7 +355,7 @@
 	proposal := l.elector.Resign(now)
 	if proposal != nil {
 		proposal.Lease.QuietMS = l.quietToHandOver(now)
-		proposal.Lease.Software = l.dependencies.Software()
+		l.describe(proposal)
 	}
 	l.mu.Unlock()
 	if proposal == nil {
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/onsi/ginkgo/v2"
 	"github.com/onsi/gomega"
+	"github.com/samber/lo"
 
 	"github.com/acaciaproxy/acaciaproxy/casereader"
 	"github.com/acaciaproxy/acaciaproxy/elector"
@@ -26,8 +27,8 @@
 	// AfterMS is how far the clock advances in steps of loopMS; JumpMS is how far it jumps first, as in a suspension.
 	AfterMS, JumpMS int64
 	// Do is an action or empty: "down" and "up" end and restore the store's service, "lose" and "keep" lose or keep
-	// the responses to writes that take effect, "copy" copies the store and "restore" brings the copy back, "resign NODE", "kill NODE" and "start NODE" end or start a node, "cut NODE"
-	// and "join NODE" disconnect or reconnect it.
+	// the responses to writes that take effect, "copy" copies the store and "restore" brings the copy back, or "copy NAME" and "restore NAME" one of several, "resign NODE", "kill NODE" and "start NODE" end or start a node, "cut NODE"
+	// and "join NODE" disconnect or reconnect it, "away NODE" and "near NODE" move it to or from the part of the zone that is cut off from the store and from the others.
 	Do string
 	// Leads names the node that may send orders; it is empty if none may.
 	Leads string
@@ -43,21 +44,26 @@
 	row     platformclient.Row
 	version int64 // the store's own row version of row
 	era     int64
-	// copied is the row of the copy.
-	copied        platformclient.Row
-	copiedVersion int64
+	// copies are the copies of the row by name; the one of the steps without a name has none.
+	copies map[string]rowCopy
 	// storeDown makes every call to the store fail; losesResponses makes writes fail that took effect.
 	storeDown      bool
 	losesResponses bool
 	// disconnected nodes reach neither the store nor other nodes; the processes of frozen ones stand still.
 	disconnected, frozen map[string]bool
-	nodes                map[string]*Leaseholder
+	// away nodes reach each other, but neither the store nor other nodes.
+	away  map[string]bool
+	nodes map[string]*Leaseholder
 	// zones are those that have workers; reads counts the reads of rows. otherRow is the lease row of another zone, without a key if there is none.
 	zones    []string
 	reads    int
 	otherRow platformclient.Row
 	// lastOrderAt maps nodes to when they could last send an order, startedAt to when their processes started.
 	lastOrderAt, startedAt map[string]time.Time
+	// forwards is set if leaders forward what they know of the leases.
+	forwards bool
+	// earlier are the nodes whose program, of an earlier release, does not keep to elector.Lease.Named.
+	earlier map[string]struct{}
 	// followMS is for how many milliseconds a process that has started does not hear the leader yet.
 	followMS int64
 	// highestEpoch is that of all orders.
@@ -66,10 +72,16 @@
 	software, recalled map[string]map[string]map[string]int64
 }
 
+// rowCopy is the lease row of a copy of the store.
+type rowCopy struct {
+	row     platformclient.Row
+	version int64
+}
+
 // newFakeZone returns a zone without nodes.
 func newFakeZone() *fakeZone {
 	return &fakeZone{
-		now: time.Unix(1e6, 0), disconnected: map[string]bool{}, frozen: map[string]bool{}, nodes: map[string]*Leaseholder{}, lastOrderAt: map[string]time.Time{}, startedAt: map[string]time.Time{},
+		now: time.Unix(1e6, 0), disconnected: map[string]bool{}, frozen: map[string]bool{}, away: map[string]bool{}, copies: map[string]rowCopy{}, nodes: map[string]*Leaseholder{}, lastOrderAt: map[string]time.Time{}, startedAt: map[string]time.Time{},
 		software: map[string]map[string]map[string]int64{}, recalled: map[string]map[string]map[string]int64{},
 	}
 }
@@ -81,6 +93,10 @@
 		Steps []scenarioStep
 		// FollowMS is for how long a process that has started does not hear the leader yet.
 		FollowMS int64
+		// Forwards is set if leaders forward what they know of the leases.
+		Forwards bool
+		// Earlier are the nodes whose program is of an earlier release.
+		Earlier []string
 		// Lines are log lines that must be written.
 		Lines []string
 	}
@@ -90,7 +106,7 @@
 			logged := casereader.NewCapture()
 			defer logged.Close()
 			z := newFakeZone()
-			z.followMS = scenario.FollowMS
+			z.followMS, z.forwards, z.earlier = scenario.FollowMS, scenario.Forwards, lo.Keyify(scenario.Earlier)
 			for _, name := range scenario.Nodes {
 				z.start(name)
 			}
@@ -150,6 +166,33 @@
 	})
 })
 
+// Guards against zones without a leader for the longest hold-over, although the store came back from its copy long before.
+var _ = ginkgo.Describe("a node of a new zone in a store that has come back from a copy", func() {
+	startAfter := func(ago time.Duration) *fakeZone {
+		z := newFakeZone()
+		z.era = 1
+		version, _ := platformclient.NewVersion(z.era, 9)
+		lease := elector.Lease{Holder: elector.Member{Node: "o", Incarnation: "o1", Address: "o"}, Epoch: 1 << 20, Era: 1, SinceMS: z.now.Add(-ago).UnixMilli()}
+		value, err := json.Marshal(lease)
+		gomega.Expect(err).NotTo(gomega.HaveOccurred())
+		z.otherRow = platformclient.Row{Key: "y", Value: string(value), Version: version}
+		z.start("a")
+		return z
+	}
+	ginkgo.It("takes the lease at once if the lease of another zone shows that no earlier holder can lead", func() {
+		z := startAfter(term + maxHoldOver)
+		z.run(scenarioStep{AfterMS: quietMS + 300})
+		gomega.Expect(z.leader()).To(gomega.Equal("a"))
+	})
+	ginkgo.It("waits from the return of the store, not from its own start", func() {
+		z := startAfter(7 * time.Second)
+		z.run(scenarioStep{AfterMS: 9900 + quietMS})
+		gomega.Expect(z.leader()).To(gomega.BeEmpty())
+		z.run(scenarioStep{AfterMS: 1000})
+		gomega.Expect(z.leader()).To(gomega.Equal("a"))
+	})
+})
+
 var _ = ginkgo.Describe("a node that resigns right after it sent an order", func() {
 	ginkgo.It("lengthens the next leader's quiet period, since the order may still be in transit", func() {
 		z := newFakeZone()
@@ -206,10 +249,10 @@
 
 func (z *fakeZone) start(name string) {
 	z.startedAt[name] = z.now
-	self := elector.Member{Node: name, Incarnation: name + z.now.String(), Address: name}
+	self := elector.Member{Node: name, Incarnation: name + z.now.String(), Address: name, Recalls: !lo.HasKey(z.earlier, name)}
 	z.nodes[name] = New(Dependencies{
 		Zone: "z", Self: self, QuietMS: quietMS, Cores: coresOf(name), Changed: func() {}, Now: func() time.Time { z.mu.Lock(); defer z.mu.Unlock(); return z.now },
-		Rows:       &platformclient.Platform{ReadRows: z.read(name), Write: z.write(name), Era: func() int64 { z.mu.Lock(); defer z.mu.Unlock(); return z.era }},
+		Rows:       &platformclient.Platform{ReadRows: z.read(name), Write: z.write(name), Era: func() int64 { z.mu.Lock(); defer z.mu.Unlock(); return z.era }, Clock: z.clockMS},
 		Software:   func() map[string]map[string]int64 { return z.software[name] },
 		OnSoftware: func(software map[string]map[string]int64) { z.recalled[name] = software },
 		Zones:      func() []string { return z.zones },
@@ -217,11 +260,18 @@
 		Successors: func() []elector.Member { return z.otherMembers(name) },
 		Ask: func(_ time.Time, successor elector.Member, epoch int64, hold time.Duration) bool {
 			peer, running := z.nodes[successor.Node]
-			return running && !z.disconnected[name] && !z.disconnected[successor.Node] && !z.frozen[successor.Node] && peer.Promise(self.Incarnation, epoch, hold)
+			return running && z.connected(name, successor.Node) && !z.frozen[successor.Node] && peer.Promise(self.Incarnation, epoch, hold)
 		},
 	})
 }
 
+// clockMS returns the store's clock.
+func (z *fakeZone) clockMS() int64 {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.now.UnixMilli()
+}
+
 // coresOf returns a node's share of a core; names that begin with "weak" have little.
 func coresOf(name string) float64 {
 	if strings.HasPrefix(name, "weak") {
@@ -237,7 +287,7 @@
 		z.mu.Lock()
 		defer z.mu.Unlock()
 		z.reads++
-		if z.storeDown || z.disconnected[name] {
+		if z.storeDown || z.disconnected[name] || z.away[name] {
 			return nil, errUnavailable
 		}
 		rows := []platformclient.Row{}
@@ -257,7 +307,7 @@
 	return func(_ time.Time, transaction platformclient.Transaction) (platformclient.WriteResult, error) {
 		z.mu.Lock()
 		defer z.mu.Unlock()
-		if z.storeDown || z.disconnected[name] {
+		if z.storeDown || z.disconnected[name] || z.away[name] {
 			return platformclient.WriteResult{}, errUnavailable
 		}
 		if platformclient.RowVersion(transaction.Checks[0].Version) != z.version {
@@ -273,13 +323,33 @@
 	}
 }
 
+// connected reports whether two nodes reach each other.
+func (z *fakeZone) connected(name, other string) bool {
+	return !z.disconnected[name] && !z.disconnected[other] && z.away[name] == z.away[other]
+}
+
+// forwardLeases sends what a leader knows of the leases to the nodes that it reaches.
+func (z *fakeZone) forwardLeases(name string) {
+	if _, leading := z.nodes[name].Leading(); !leading || !z.forwards {
+		return
+	}
+	for other, node := range z.nodes {
+		if other == name || z.frozen[other] || !z.connected(name, other) {
+			continue
+		}
+		for _, lease := range z.nodes[name].Leases() {
+			node.ApplyForwarded(lease)
+		}
+	}
+}
+
 // hearsLeader reports whether a node is connected to another node that leads.
 func (z *fakeZone) hearsLeader(name string) bool {
 	if z.disconnected[name] || z.now.Before(z.startedAt[name].Add(time.Duration(z.followMS)*time.Millisecond)) {
 		return false
 	}
 	for other, node := range z.nodes {
-		if other == name || z.disconnected[other] || z.frozen[other] {
+		if other == name || !z.connected(name, other) || z.frozen[other] {
 			continue
 		}
 		if _, leading := node.Leading(); leading {
@@ -292,7 +362,7 @@
 func (z *fakeZone) otherMembers(name string) []elector.Member {
 	var members []elector.Member
 	for other, node := range z.nodes {
-		if other != name && !z.disconnected[other] && !z.disconnected[name] {
+		if other != name && z.connected(name, other) {
 			members = append(members, node.Self())
 		}
 	}
@@ -338,13 +408,15 @@
 		z.storeDown = step.Do == "down"
 	case "lose", "keep":
 		z.losesResponses = step.Do == "lose"
+	case "copy", "restore":
+		action = step.Do
+	}
+	switch action {
 	case "copy":
-		z.copied, z.copiedVersion = z.row, z.version
+		z.copies[name] = rowCopy{row: z.row, version: z.version}
 	case "restore":
-		z.row, z.version = z.copied, z.copiedVersion
+		z.row, z.version = z.copies[name].row, z.copies[name].version
 		z.era++
-	}
-	switch action {
 	case "resign":
 		z.nodes[name].Resign()
 		delete(z.nodes, name)
@@ -361,6 +433,8 @@
 		z.start(name)
 	case "cut", "join":
 		z.disconnected[name] = action == "cut"
+	case "away", "near":
+		z.away[name] = action == "away"
 	}
 	z.mu.Lock()
 	z.now = z.now.Add(time.Duration(step.JumpMS) * time.Millisecond)
@@ -380,6 +454,7 @@
 			}
 			node.maintainLease()
 			node.requestPromises()
+			z.forwardLeases(name)
 		}
 		z.leader()
 	}
--- a/leaseholder/random_test.go
+++ b/leaseholder/random_test.go
@@ -37,7 +37,7 @@
 func playRandom(seed uint64) (events []string) {
 	random := rand.New(rand.NewPCG(seed, 17))
 	z := newFakeZone()
-	z.followMS = random.Int64N(maxFollowMS)
+	z.followMS, z.forwards = random.Int64N(maxFollowMS), seed%2 == 0
 	names := []string{"a", "b", "c", "d"}
 	gomega.RegisterFailHandler(func(message string, _ ...int) {
 		gomega.RegisterFailHandler(ginkgo.Fail)
@@ -50,12 +50,12 @@
 		_, running := z.nodes[name]
 		actions := []string{"start " + name}
 		if running {
-			actions = []string{"resign " + name, "kill " + name, "freeze " + name, "thaw " + name, "cut " + name, "join " + name, "", "down", "up", "lose", "keep", "copy", "restore"}
+			actions = []string{"resign " + name, "kill " + name, "freeze " + name, "thaw " + name, "cut " + name, "join " + name, "away " + name, "near " + name, "", "down", "up", "lose", "keep", "copy", "restore"}
 		}
 		switch step.Do = actions[random.IntN(len(actions))]; {
 		case strings.HasPrefix(step.Do, "resign") && z.frozen[name]: // A frozen process handles no signal.
 			step.Do = "thaw " + name
-		case step.Do == "restore" && z.copiedVersion == 0 && z.version == 0:
+		case step.Do == "restore" && z.copies[""].version == 0 && z.version == 0:
 			step.Do = ""
 		case strings.HasPrefix(step.Do, "kill"):
 			z.frozen[name] = false
--- a/leaseholder/row.go
+++ b/leaseholder/row.go
@@ -119,6 +119,7 @@
 		l.firstReadAt = l.readAt
 	}
 	local := elector.Row{Version: l.missingVersion()}
+	storeTimeMS := l.storeTimeMS()
 	if len(rows) == 0 && platformclient.Era(local.Version) == 0 {
 		l.dependencies.OnSoftware(map[string]map[string]int64{})
 	}
@@ -131,14 +132,47 @@
 		if row.Key == l.dependencies.Zone {
 			local = elector.Row{Lease: lease, Version: row.Version}
 		}
+		l.observeEra(platformclient.Era(row.Version), storeTimeMS, lease)
 		l.recordLease(row.Key, row.Value, row.Version, lease)
 	}
+	l.observeEra(platformclient.Era(local.Version), storeTimeMS, elector.Lease{})
 	observedAt := sentAt
 	if platformclient.Era(local.Version) > platformclient.Era(l.elector.Version()) {
 		observedAt = l.dependencies.Now() // The store may have come back after the read was sent.
 	}
 	l.logRestored(local)
+	local.StoreTimeMS = storeTimeMS
 	l.elector.Observe(observedAt, local)
+	if l.eraSinceMS != 0 && storeTimeMS-l.eraSinceMS >= (term+maxHoldOver).Milliseconds() {
+		l.elector.Settle(l.era)
+	}
+}
+
+// storeTimeMS returns the store's clock in milliseconds as of its last response, or 0 if it has none.
+func (l *Leaseholder) storeTimeMS() int64 {
+	if l.dependencies.Rows.Clock == nil {
+		return 0
+	}
+	return l.dependencies.Rows.Clock()
+}
+
+// observeEra records since when an era of the store lasts, as this node and the writer of a lease know it; the caller holds mu.
+func (l *Leaseholder) observeEra(era, storeTimeMS int64, lease elector.Lease) {
+	if era > l.era {
+		l.era, l.eraSinceMS = era, storeTimeMS
+	}
+	if lease.Era == l.era && lease.SinceMS != 0 && lease.SinceMS < l.eraSinceMS {
+		l.eraSinceMS = lease.SinceMS
+	}
+}
+
+// describe adds what other nodes learn from a lease beside its holder; the caller holds mu.
+func (l *Leaseholder) describe(proposal *elector.Proposal) {
+	proposal.Lease.Software = l.dependencies.Software()
+	proposal.Lease.TimeMS = l.storeTimeMS()
+	if proposal.Lease.Era == l.era {
+		proposal.Lease.SinceMS = l.eraSinceMS
+	}
 }
 
 // missingVersion returns the version of a row that does not exist.
--- a/platformclient/platform.go
+++ b/platformclient/platform.go
@@ -78,6 +78,8 @@
 	Write func(deadline time.Time, transaction Transaction) (WriteResult, error)
 	// Era returns the era of the store's rows as far as it is known; nil if the store never loses what it has acknowledged.
 	Era func() int64
+	// Clock returns the store's steady clock in milliseconds as of the last response of the current era, 0 without one; nil if the store has no clock.
+	Clock func() int64
 	// GetObject returns the content of an object; a *MissingError means that it does not exist.
 	GetObject func(deadline time.Time, name string) ([]byte, error)
 	// PutObject stores an object under a name; a *NoResponseError means that it may have been stored.
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -155,7 +155,7 @@
 	f.limiter.ReserveBy(limiter.Reservations{Reserve: f.reserveSlots, Later: tellLater})
 	f.leaseholder = leaseholder.New(leaseholder.Dependencies{
 		Zone: settings.Zone(), Now: timekeeper.Now, QuietMS: settings.QuietMS(), Rows: do.MustInvoke[*platform.Store](i).Rows,
-		Self:       elector.Member{Node: settings.Name(), Incarnation: newIncarnation(settings.Name()), Address: settings.Nodes()},
+		Self:       elector.Member{Node: settings.Name(), Incarnation: newIncarnation(settings.Name()), Address: settings.Nodes(), Recalls: true},
 		Heard:      func(zone string) bool { return f.fleetTracker.IsLeaderLive(time.Now(), zone) },
 		Cores:      settings.Cores(),
 		Zones:      f.workerZones,
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -339,7 +339,7 @@
 	return &nodewire.Demand{
 		Node: s.dependencies.Self.Node, Zone: s.dependencies.Zone, Address: s.dependencies.Self.Address, Incarnation: s.dependencies.Self.Incarnation, Config: s.dependencies.Config(), AgeMs: time.Since(s.started).Milliseconds(),
 		Leads: s.dependencies.Leads(), Strength: s.dependencies.Cores, Cut: s.dependencies.CutOff(), ListVersion: s.dependencies.ListVersion(), Unsure: s.dependencies.IsUnsure(),
-		Unanswered: s.dependencies.IsUnanswered(), Stamp: s.dependencies.Stamp(),
+		Unanswered: s.dependencies.IsUnanswered(), Stamp: s.dependencies.Stamp(), Recalls: s.dependencies.Self.Recalls,
 	}
 }
 
