List of workers: log how long a doubt about a restore lasts when an entry goes missing

'removed worker is kept' named the doubt about an outage only, so that a worker that is kept for another reason had to be told from the code.

--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -144,6 +144,14 @@
 	r.restoredUntil = now.Add(restoreGrace)
 }
 
+// RestoredUntil returns until when an entry that goes missing may be a result of the store's return from an older copy; a past or zero time if there is no
+// such doubt.
+func (r *Registrar) RestoredUntil() time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.restoredUntil
+}
+
 // NextExpiry returns when RemoveExpired will next remove a worker, and whether any worker is listed whose entry is missing.
 func (r *Registrar) NextExpiry() (at time.Time, missing bool) {
 	r.mu.Lock()
--- a/watcher/expiry.go
+++ b/watcher/expiry.go
@@ -49,9 +49,10 @@
 	change()
 	added, _ := lo.Difference(w.registrar.Missing(), before)
 	sinceFirst, sinceLast := w.attester.Evidence()
+	restored := max(time.Until(w.registrar.RestoredUntil()), 0)
 	for _, id := range added {
 		log.Info().Str("worker", id).Int64("version", w.listVersion.Load()).Int64("first_ms", sinceFirst.Milliseconds()).Int64("last_ms", sinceLast.Milliseconds()).
-			Int64("remaining_ms", w.attester.Remaining().Milliseconds()).Msg("removed worker is kept: its entry may be written again")
+			Int64("remaining_ms", w.attester.Remaining().Milliseconds()).Int64("restored_ms", restored.Milliseconds()).Msg("removed worker is kept: its entry may be written again")
 	}
 	w.scheduleExpiry()
 }
