List of workers: the doubt about a restore runs from the store's return

Cause: a follower compared the era of a list with that of its own last list. What its leader forwarded names the era, but did not count, so that its first list after a restore, however late, began the two seconds for missing entries.

Ruled out: a doubt about an outage (remaining_ms), and a removal learned late.

Why this works: registrar keeps one time since when the store is known to be in its era, which every call, forwarded read, forwarded change and lease row may only lower. The same time serves the other side: a follower that hears of a missing entry from its leader keeps the worker until two seconds after the return, where it was dropped at once; and what a worker wrote since the return counts in a late list, where it was ignored until the next heartbeat.

Leaders of an earlier release send no era_ms; the first forwarded read counts then.

--- a/fleetleader/forwarded_reads.go
+++ b/fleetleader/forwarded_reads.go
@@ -39,6 +39,9 @@
 		Version: freshness.Version, AgeMs: now.Sub(freshness.ReadAt).Milliseconds(), Whole: whole,
 		Changes: lo.Map(changes, func(change registrar.Change, _ int) *nodewire.Heartbeat { return heartbeatOf(&change) }),
 	}
+	if !freshness.EraBegan.IsZero() {
+		message.EraMs = max(now.Sub(freshness.EraBegan).Milliseconds(), 1)
+	}
 	f.listVersion = max(f.listVersion, freshness.Version)
 	return message
 }
@@ -49,6 +52,8 @@
 	BaseVersion, Version int64
 	// ReadAt is when the store last responded; zero if this node does not read the store itself.
 	ReadAt time.Time
+	// EraBegan is when the store was in the era of Version already; zero in era 0.
+	EraBegan time.Time
 }
 
 func heartbeatOf(change *registrar.Change) *nodewire.Heartbeat {
--- a/leaseholder/leaseholder.go
+++ b/leaseholder/leaseholder.go
@@ -95,6 +95,9 @@
 	// that never came back from a copy has no row. Both are called with the leaseholder's lock held, so that they must not call the leaseholder.
 	Software   func() map[string]map[string]int64
 	OnSoftware func(software map[string]map[string]int64)
+	// OnEra is called with the store's era and for how long the store has been in it at least, when that becomes known from this node's reads. It is called
+	// with the leaseholder's lock held, so that it must not call the leaseholder.
+	OnEra func(era int64, age time.Duration)
 	// Changed is called after this node took or lost the lease.
 	Changed func()
 }
--- a/leaseholder/leaseholder_test.go
+++ b/leaseholder/leaseholder_test.go
@@ -255,6 +255,7 @@
 		Rows:       &platformclient.Platform{ReadRows: z.read(name), Write: z.write(name), Era: func() int64 { z.mu.Lock(); defer z.mu.Unlock(); return z.era }, Clock: z.clockMS},
 		Software:   func() map[string]map[string]int64 { return z.software[name] },
 		OnSoftware: func(software map[string]map[string]int64) { z.recalled[name] = software },
+		OnEra:      func(int64, time.Duration) {},
 		Zones:      func() []string { return z.zones },
 		Heard:      func(string) bool { return z.hearsLeader(name) },
 		Successors: func() []elector.Member { return z.otherMembers(name) },
--- a/leaseholder/row.go
+++ b/leaseholder/row.go
@@ -163,6 +163,7 @@
 	}
 	if lease.Era == l.era && lease.SinceMS != 0 && lease.SinceMS < l.eraSinceMS {
 		l.eraSinceMS = lease.SinceMS
+		l.dependencies.OnEra(l.era, time.Duration(storeTimeMS-lease.SinceMS)*time.Millisecond)
 	}
 }
 
--- /dev/null
+++ b/registrar/eras.go
@@ -0,0 +1,57 @@
+package registrar
+
+import (
+	"time"
+
+	"github.com/acaciaproxy/acaciaproxy/platformclient"
+)
+
+// restoreGrace is how long after the store's return from an older copy a worker stays listed whose entry is missing: entries are written again
+// within about two seconds.
+const restoreGrace = 2 * time.Second
+
+// ObserveEra records that the store was in the era of a version at a time already. Whoever hears of the same era again, by a call of this node or by another node,
+// does not begin the grace period for missing entries anew. It reports whether that period is found to end sooner than was known.
+func (r *Registrar) ObserveEra(at time.Time, version int64) (sooner bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.observeEra(at, version)
+}
+
+// EraBegan returns the earliest time at which the store is known to have been in the era of a version; zero if none is known, or in era 0, in which the store has
+// never come back from a copy.
+func (r *Registrar) EraBegan(version int64) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if era := platformclient.Era(version); era == 0 || era != r.era {
+		return time.Time{}
+	}
+	return r.eraBegan
+}
+
+// observeEra is ObserveEra for callers that hold mu.
+func (r *Registrar) observeEra(at time.Time, version int64) (sooner bool) {
+	era := platformclient.Era(version)
+	if era < r.era {
+		return false
+	}
+	if era > r.era {
+		if r.era != unknownEra {
+			r.restoredUntil = at.Add(restoreGrace)
+			clear(r.restored)
+		}
+		r.era, r.eraBegan, r.eraVersion = era, at, 0
+	}
+	if r.eraVersion == 0 && platformclient.RowVersion(version) > 0 {
+		r.eraVersion = version
+	}
+	if !at.Before(r.eraBegan) {
+		return false
+	}
+	r.eraBegan = at
+	if until := at.Add(restoreGrace); until.Before(r.restoredUntil) {
+		r.restoredUntil = until
+		return true
+	}
+	return false
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -93,13 +93,19 @@
 	// removedVersions maps the IDs of removed entries to the version of the removal.
 	removedVersions map[string]int64
 	// missing maps the IDs of listed workers whose entries are missing to the time until which the entry may be written again because the store has come back
-	// from an older copy; a past or zero time if it has not.
+	// from an older copy; a past or zero time if it has not. restoredUntil bounds it: the return may turn out to be earlier.
 	missing map[string]time.Time
 	// lapsedUntil is the time until which a missing entry may have lapsed in an outage. Entries that go missing before restoredUntil may be a result of the
-	// store's return from an older copy.
+	// store's return from an older copy; it is zero if the store has not come back since this process started.
 	lapsedUntil, restoredUntil time.Time
-	// era is the store's era at the last call of Replace, or unknownEra before the first.
-	era int64
+	// era is the latest era of the store that this node has heard of, from the store or another node, or unknownEra before the first. The store was in it at
+	// eraBegan already.
+	era      int64
+	eraBegan time.Time
+	// eraVersion is the first version in era that this node has heard of, 0 before: what has a later one was written since the store's return.
+	eraVersion int64
+	// listedEra is the store's era at the last call of Replace, or unknownEra before the first.
+	listedEra int64
 	// restored maps the IDs of entries that came back with an older copy of the store, and were ignored because more was known, to the
 	// versions under which they came back. Each ID that its worker writes again is removed.
 	restored map[string]int64
@@ -112,16 +118,12 @@
 	softwareSince time.Time
 }
 
-// restoreGrace is how long a worker stays listed whose entry is missing after the store's return from an older copy: entries are written again
-// within about two seconds.
-const restoreGrace = 2 * time.Second
-
 // unknownEra is the era of the store before the first call of Replace.
 const unknownEra = -1
 
 // New returns a registrar with an empty list.
 func New() *Registrar {
-	r := &Registrar{workers: map[string]*Worker{}, removedVersions: map[string]int64{}, missing: map[string]time.Time{}, restored: map[string]int64{}, departures: map[string]departureRecord{}, era: unknownEra}
+	r := &Registrar{workers: map[string]*Worker{}, removedVersions: map[string]int64{}, missing: map[string]time.Time{}, restored: map[string]int64{}, departures: map[string]departureRecord{}, era: unknownEra, listedEra: unknownEra}
 	r.publish()
 	return r
 }
@@ -137,13 +139,6 @@
 	r.lapsedUntil = until
 }
 
-// MarkRestored records that the store has come back from an older copy, in which entries may be missing.
-func (r *Registrar) MarkRestored(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.restoredUntil = now.Add(restoreGrace)
-}
-
 // RestoredUntil returns until when an entry that goes missing may be a result of the store's return from an older copy; a past or zero time if there is no
 // such doubt.
 func (r *Registrar) RestoredUntil() time.Time {
@@ -159,8 +154,17 @@
 	if len(r.missing) == 0 {
 		return time.Time{}, false
 	}
-	earliest := lo.MinBy(lo.Values(r.missing), func(a, b time.Time) bool { return a.Before(b) })
-	return laterOf(earliest, r.lapsedUntil), true
+	earliest := lo.MinBy(lo.Map(lo.Keys(r.missing), func(id string, _ int) time.Time { return r.keptUntil(id) }), func(a, b time.Time) bool { return a.Before(b) })
+	return earliest, true
+}
+
+// keptUntil returns until when a worker whose entry is missing stays listed; the caller holds mu.
+func (r *Registrar) keptUntil(id string) time.Time {
+	until := r.missing[id]
+	if r.restoredUntil.Before(until) {
+		until = r.restoredUntil
+	}
+	return laterOf(until, r.lapsedUntil)
 }
 
 // MissingSince returns the lowest version at which the entry of a listed worker went missing, and whether any is missing.
@@ -231,11 +235,12 @@
 	if r.softwareSince.IsZero() {
 		r.softwareSince = now
 	}
-	if era := platformclient.Era(version); era > r.era {
-		if r.era != unknownEra {
-			r.recordRestored(now, workers)
+	r.observeEra(now, version)
+	if era := platformclient.Era(version); era > r.listedEra {
+		if r.listedEra != unknownEra {
+			r.recordRestored(workers)
 		}
-		r.era = era
+		r.listedEra = era
 	}
 	return r.replace(now, workers, version)
 }
@@ -266,16 +271,14 @@
 	return missing
 }
 
-// recordRestored records which entries of the first list after the store's return from an older copy must be ignored: those of workers and
-// removals that are known from before. Missing entries may be written again within the grace period. The caller holds mu.
-func (r *Registrar) recordRestored(now time.Time, workers []Worker) {
-	r.restoredUntil = now.Add(restoreGrace)
-	clear(r.restored)
+// recordRestored records which entries of this node's first list after the store's return from an older copy must be ignored: those of workers and
+// removals that are known from before, unless they were written since the return. The caller holds mu.
+func (r *Registrar) recordRestored(workers []Worker) {
 	for i := range workers {
 		id, version := workers[i].ID, workers[i].RowVersion
 		known, found := r.workers[id]
 		_, removed := r.removedVersions[id]
-		if removed || found && platformclient.Era(known.RowVersion) < platformclient.Era(version) {
+		if version <= r.eraVersion && (removed || found && platformclient.Era(known.RowVersion) < platformclient.Era(version)) {
 			r.restored[id] = version
 		}
 	}
@@ -289,6 +292,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range changes {
+		r.observeEra(now, changes[i].Worker.RowVersion)
 		if changes[i].Removed {
 			r.remove(now, changes[i].Worker.ID, changes[i].Worker.RowVersion)
 			continue
@@ -303,8 +307,8 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	var expired []string
-	for id, until := range r.missing {
-		if !now.Before(laterOf(until, r.lapsedUntil)) {
+	for id := range r.missing {
+		if !now.Before(r.keptUntil(id)) {
 			expired = append(expired, id)
 			delete(r.missing, id)
 			delete(r.workers, id)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -22,14 +22,15 @@
 // step is one event of a script. At is in milliseconds.
 type step struct {
 	At int64
-	// Do is "replace", "apply", "lapse" for entries that may have lapsed until Until, "expire", or "depart" for the departure of Departing.
+	// Do is "replace", "apply", "lapse" for entries that may have lapsed until Until, "hear" for the store's era since Began, "expire", or "depart" for the
+	// departure of Departing.
 	Do string
 	// Workers and Removed map IDs to row versions; Version is the list's version of a replace.
 	Workers map[string]int64
 	Removed map[string]int64
 	Version int64
-	// Until is a time like At.
-	Until int64
+	// Until and Began are times like At.
+	Until, Began int64
 	// Era is the store's era of all versions of the step.
 	Era int64
 	// Leaving are the IDs of Workers whose entries say that they leave.
@@ -81,6 +82,8 @@
 		list.Replace(now, workers, inEra(next.Version))
 	case "lapse":
 		list.ExpectLapsed(start.Add(time.Duration(next.Until) * time.Millisecond))
+	case "hear":
+		list.ObserveEra(start.Add(time.Duration(next.Began)*time.Millisecond), inEra(next.Version))
 	case "depart":
 		list.RecordDeparture(registrar.Departure{Worker: next.Departing, Incarnation: next.Born[next.Departing]}, true)
 	case "expire":
@@ -92,7 +95,7 @@
 		}
 		list.Apply(now, changes)
 	default:
-		ginkgo.Fail("step " + next.Do + " is none of replace, apply, lapse, expire and depart")
+		ginkgo.Fail("step " + next.Do + " is none of replace, apply, lapse, hear, expire and depart")
 	}
 }
 
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -161,6 +161,7 @@
 		Zones:      f.workerZones,
 		Software:   f.listedSoftware,
 		OnSoftware: f.recallSoftware,
+		OnEra:      f.learnEra,
 		Changed:    f.leaseChanged,
 		Successors: func() []elector.Member { return f.fleetLeader.ZoneNodes() },
 		Ask:        f.askPromise,
@@ -227,7 +228,7 @@
 // listFreshness returns the range of versions of the list of workers that this node has read, and when it read them.
 func (f *FleetNode) listFreshness(now time.Time) fleetleader.Freshness {
 	return fleetleader.Freshness{
-		BaseVersion: f.watcher.ListBase(), Version: f.watcher.ListVersion(), ReadAt: f.watcher.ReadAt(now),
+		BaseVersion: f.watcher.ListBase(), Version: f.watcher.ListVersion(), ReadAt: f.watcher.ReadAt(now), EraBegan: f.workerList.EraBegan(f.watcher.ListVersion()),
 	}
 }
 
--- a/subscriber/subscriber.go
+++ b/subscriber/subscriber.go
@@ -282,8 +282,13 @@
 	if forwarded == nil {
 		return
 	}
+	eraBegan := time.Time{}
+	if forwarded.GetEraMs() > 0 {
+		eraBegan = now.Add(-time.Duration(forwarded.GetEraMs()) * time.Millisecond)
+	}
 	s.dependencies.OnForwardedReads(now, watcher.ForwardedReads{
-		Version: forwarded.GetVersion(), ReadAt: now.Add(-time.Duration(forwarded.GetAgeMs()) * time.Millisecond), Whole: forwarded.GetWhole(),
+		EraBegan: eraBegan,
+		Version:  forwarded.GetVersion(), ReadAt: now.Add(-time.Duration(forwarded.GetAgeMs()) * time.Millisecond), Whole: forwarded.GetWhole(),
 		Changes: lo.Map(forwarded.GetChanges(), func(heartbeat *nodewire.Heartbeat, _ int) registrar.Change {
 			return newChange(now, heartbeat)
 		}),
--- a/watcher/expiry.go
+++ b/watcher/expiry.go
@@ -32,6 +32,13 @@
 	w.expireWorkers()
 }
 
+// ObserveEra records that the store was in the era of a version at a time already. It removes the workers whose entries cannot be written again any more by that.
+func (w *Watcher) ObserveEra(at time.Time, version int64) {
+	if w.registrar.ObserveEra(at, version) {
+		w.expireWorkers()
+	}
+}
+
 // expectLapsed tells the registrar until when missing entries may be written again.
 func (w *Watcher) expectLapsed() {
 	until := time.Time{} // Whatever is missing has been removed.
--- a/watcher/expiry_test.go
+++ b/watcher/expiry_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/acaciaproxy/acaciaproxy/attester"
 	"github.com/acaciaproxy/acaciaproxy/casereader"
+	"github.com/acaciaproxy/acaciaproxy/platformclient"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 	"github.com/acaciaproxy/acaciaproxy/watcher"
 )
@@ -27,6 +28,8 @@
 	// Forward is set if the leader forwards what it has just read, with the removal of Gone, if that is not empty.
 	Forward bool
 	Gone    string
+	// Era is the era that the store is in from now on; 0 for no change.
+	Era int64
 	// Asked is set when the store answers a call of this node that reads no workers.
 	Asked bool
 	// Listed are the IDs of the workers that must be listed after the step; nil to check nothing.
@@ -100,6 +103,9 @@
 	if step.Back {
 		s.unavailable = false
 	}
+	if step.Era != 0 {
+		s.version, _ = platformclient.NewVersion(step.Era, platformclient.RowVersion(s.version))
+	}
 	if step.Entries != nil {
 		s.version++
 		s.removed = lo.Without(append(s.removed, s.workers...), step.Entries...)
--- a/watcher/forwarded_reads.go
+++ b/watcher/forwarded_reads.go
@@ -21,6 +21,8 @@
 	// Changes are those after the version that this node last sent to the leader; if Whole is set, they are all workers that the leader lists.
 	Changes []registrar.Change
 	Whole   bool
+	// EraBegan is when the store was in the era of Version already, as far as the leader knows; zero if it says nothing of that.
+	EraBegan time.Time
 }
 
 // forwardingState records whether the leader of the local zone reads the list for this node.
@@ -39,6 +41,11 @@
 	if age := max(now.Sub(read.ReadAt), 0); w.attester.Learn(age, age) {
 		w.expireWorkers()
 	}
+	eraBegan := read.EraBegan
+	if eraBegan.IsZero() {
+		eraBegan = now
+	}
+	w.ObserveEra(eraBegan, read.Version)
 	if read.Whole {
 		w.replaceForwarded(now, read)
 	} else if len(read.Changes) > 0 {
