List of workers: forward the removal of an entry that was ignored after a restore

Cause: the zone's leader had removed the worker before and ignored the restored entry; registrar dropped the removal of an entry that it did not list, so that the leader forwarded nothing.

Why this works: an ignored entry is remembered until it is written again, and its removal is a change like others, so that it reaches the nodes that the leader tells of changes.

--- a/registrar/forwarded_reads_test.go
+++ b/registrar/forwarded_reads_test.go
@@ -9,6 +9,7 @@
 	"github.com/samber/lo"
 	"pgregory.net/rapid"
 
+	"github.com/acaciaproxy/acaciaproxy/platformclient"
 	"github.com/acaciaproxy/acaciaproxy/registrar"
 )
 
@@ -105,6 +106,31 @@
 	ginkgo.It("bring another registrar to the same workers, in whatever way the store was read in between", func() {
 		rapid.Check(ginkgo.GinkgoT(), checkForwarding)
 	})
+	// Guards against requests to a worker whose restored entry is removed again, from nodes that listed it when they started.
+	ginkgo.It("tell the removal of an entry that came back with an older copy after this node had removed it", func() {
+		inEra := func(rowVersion int64) int64 {
+			version, _ := platformclient.NewVersion(1, rowVersion)
+			return version
+		}
+		restored := []registrar.Worker{{ID: "a", Service: "s", RowVersion: inEra(8)}, {ID: "b", Service: "s", RowVersion: inEra(9)}}
+		removals := map[string]func(leader *registrar.Registrar){
+			"by a change": func(leader *registrar.Registrar) {
+				leader.Apply(time.Unix(4, 0), []registrar.Change{{Worker: registrar.Worker{ID: "a", RowVersion: inEra(20)}, Removed: true}})
+			},
+			"by a list without it": func(leader *registrar.Registrar) { leader.Replace(time.Unix(4, 0), restored[1:], inEra(20)) },
+		}
+		for name, remove := range removals {
+			leader, started := registrar.New(), registrar.New()
+			leader.Replace(time.Unix(0, 0), []registrar.Worker{{ID: "a", Service: "s", RowVersion: 8}, {ID: "b", Service: "s", RowVersion: 9}}, 10)
+			leader.Apply(time.Unix(1, 0), []registrar.Change{{Worker: registrar.Worker{ID: "a", RowVersion: 11}, Removed: true}})
+			leader.Replace(time.Unix(2, 0), restored, inEra(10))
+			started.Replace(time.Unix(2, 0), restored, inEra(10))
+			gomega.Expect(availabilities(started)).To(gomega.HaveLen(2))
+			remove(leader)
+			started.Apply(time.Unix(4, 0), leader.ChangesSince(inEra(10)))
+			gomega.Expect(availabilities(started)).To(gomega.And(gomega.HaveLen(1), gomega.HaveKey("b")), name)
+		}
+	})
 	ginkgo.It("leave out heartbeats without a change of availability", func() {
 		list := registrar.New()
 		heartbeat := func(version int64) registrar.Worker {
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -242,6 +242,12 @@
 		}
 		r.listedEra = era
 	}
+	listed := lo.SliceToMap(workers, func(w Worker) (string, bool) { return w.ID, true })
+	for id := range r.restored {
+		if !listed[id] {
+			r.removeRestored(id, version)
+		}
+	}
 	return r.replace(now, workers, version)
 }
 
@@ -349,7 +355,11 @@
 // again; otherwise it is removed from the list immediately. The caller holds mu.
 func (r *Registrar) remove(now time.Time, id string, version int64) {
 	listed, found := r.workers[id]
-	if !found || version < listed.RowVersion {
+	if !found {
+		r.removeRestored(id, version)
+		return
+	}
+	if version < listed.RowVersion {
 		return
 	}
 	r.removedVersions[id] = version
@@ -364,6 +374,17 @@
 	delete(r.missing, id)
 }
 
+// removeRestored records the removal of an entry that came back with an older copy of the store and was ignored: nodes that started since then list the
+// worker, and hear of its removal from this one. The caller holds mu.
+func (r *Registrar) removeRestored(id string, version int64) {
+	if restored, found := r.restored[id]; !found || version <= restored {
+		return
+	}
+	delete(r.restored, id)
+	r.removedVersions[id] = version
+	r.newestChange = max(r.newestChange, version)
+}
+
 // publish builds the list that Fleet returns; the caller holds mu.
 func (r *Registrar) publish() {
 	fleet := &Fleet{byID: make(map[string]*Worker, len(r.workers)), byService: map[string][]*Worker{}, software: map[string]map[string]time.Time{}, softwareSince: r.softwareSince}
