--- a/soaker/flooding_worker_test.go
+++ b/soaker/flooding_worker_test.go
@@ -58,7 +58,7 @@
 		}
 		var cases []floodCase
 		gomega.Expect(casereader.Read("testdata/flooding_workers.json", &cases)).To(gomega.Succeed())
-		folder := ginkgo.GinkgoT().TempDir()
+		folder := newSpecFolder()
 		breaches := make([][]string, len(cases))
 		var running sync.WaitGroup
 		free := make(chan struct{}, floodsBesideEachOther)
--- a/soaker/script_test.go
+++ b/soaker/script_test.go
@@ -25,6 +25,7 @@
 func TestSpecs(t *testing.T) {
 	format.MaxLength = 0 // All breaches of a script are printed.
 	gomega.RegisterFailHandler(ginkgo.Fail)
+	suiteFolder = FolderKeptOnFailure(t)
 	ginkgo.RunSpecs(t, "soaker")
 }
 
@@ -78,7 +79,7 @@
 	if programs == "" {
 		ginkgo.Skip("ACACIA_PROCESS_TESTS does not name the folder with the programs")
 	}
-	c.playing.Do(func() { c.play(filepath.Join(programs, "acaciaproxy"), ginkgo.GinkgoT().TempDir()) })
+	c.playing.Do(func() { c.play(filepath.Join(programs, "acaciaproxy"), newSpecFolder()) })
 	gomega.Expect(c.breaches).To(gomega.HaveKey(file))
 	gomega.Expect(c.breaches[file]).To(gomega.BeEmpty())
 }
--- a/soaker/soaker_test.go
+++ b/soaker/soaker_test.go
@@ -33,7 +33,7 @@
 		Cause string
 	}
 	gomega.Expect(casereader.Read("testdata/seeds.json", &seeds)).To(gomega.Succeed())
-	folder := t.TempDir()
+	folder := soaker.FolderKeptOnFailure(t)
 	reports := make([]*soaker.Report, len(seeds))
 	errs := make([]error, len(seeds))
 	var running sync.WaitGroup
--- a/soaker/uncontrolled_callers_test.go
+++ b/soaker/uncontrolled_callers_test.go
@@ -93,7 +93,7 @@
 		ginkgo.Skip("ACACIA_PROCESS_TESTS does not name the folder with the programs")
 	}
 	spec.Program = filepath.Join(programs, "acaciaproxy")
-	e, err := newEnvironment(spec, ginkgo.GinkgoT().TempDir())
+	e, err := newEnvironment(spec, newSpecFolder())
 	gomega.Expect(err).NotTo(gomega.HaveOccurred())
 	ginkgo.DeferCleanup(e.close)
 	return e
