Leases: name earlier members only in the form whose store may come back from a copy

The own interface uses the same elector with a store that loses nothing. Its holders need no promises of members that earlier leases named, and after a node was lost would not have held their leases over for 25 s. Members that do not recall (elector.Member.Recalls) write the rows that they wrote before.

--- a/elector/elector.go
+++ b/elector/elector.go
@@ -43,7 +43,7 @@
 	Incarnation string `json:"incarnation"`
 	// Address is the IP and port at which other nodes reach the member.
 	Address string `json:"address"`
-	// Recalls is set if the member, as a holder, keeps to Lease.Named.
+	// Recalls is set if the member, as a holder, keeps to Lease.Named: where the store may come back from an older copy.
 	Recalls bool `json:"recalls,omitempty"`
 }
 
@@ -431,7 +431,7 @@
 }
 
 // Resign gives the lease up for good. It returns the row to write, which has no
-// holder, or nil when this node does not lead.
+// holder, and successors only for the case that it comes back from a copy, or nil when this node does not lead.
 func (e *Elector) Resign(now time.Time) *Proposal {
 	_, leading := e.Leading(now)
 	e.resigned = true
@@ -442,7 +442,9 @@
 	lease := e.row.Lease
 	lease.Era = platformclient.Era(e.row.Version)
 	lease.Holder = Member{}
-	lease.Named = e.named(now, lease.Successors, true)
+	if lease.Named = e.named(now, lease.Successors, true); !e.self.Recalls {
+		lease.Successors = nil
+	}
 	return &Proposal{Lease: lease, Version: e.row.Version}
 }
 
--- a/elector/named.go
+++ b/elector/named.go
@@ -27,8 +27,12 @@
 // onHost reports whether two members are processes on the same host and address.
 func (m Member) onHost(other Member) bool { return m.Node == other.Node && m.Address == other.Address }
 
-// named returns the members that a lease which replaces the last known row must name beside its successors. Renewal is set if this node holds that row.
+// named returns the members that a lease which replaces the last known row must name beside its successors, none if this node does not keep to
+// Lease.Named. Renewal is set if this node holds that row.
 func (e *Elector) named(now time.Time, successors []Member, renewal bool) []Name {
+	if !e.self.Recalls {
+		return nil
+	}
 	previous := e.row.Lease
 	passedMS := int64(0) // The age of another holder's row is not known.
 	if renewal {
@@ -66,8 +70,12 @@
 	return kept
 }
 
-// heirs returns the successors of a lease that this node takes before any node follows it: those of the lease before, and its holder.
+// heirs returns the successors of a lease that this node takes before any node follows it: those of the lease before, and its holder, none if this node
+// does not keep to Lease.Named.
 func (e *Elector) heirs() []Member {
+	if !e.self.Recalls {
+		return nil
+	}
 	candidates := append([]Member(nil), e.row.Lease.Successors...)
 	if e.row.Lease.Holder.Incarnation != "" {
 		candidates = append(candidates, e.row.Lease.Holder)
