--- a/registrar/eras.go
+++ b/registrar/eras.go
@@ -55,3 +55,27 @@
 	}
 	return false
 }
+
+// recordRestored records which entries of this node's first list after the store's return from an older copy must be ignored: those of workers and
+// removals that are known from before, unless they were written since the return. The caller holds mu.
+func (r *Registrar) recordRestored(workers []Worker) {
+	for i := range workers {
+		id, version := workers[i].ID, workers[i].RowVersion
+		known, found := r.workers[id]
+		_, removed := r.removedVersions[id]
+		if version <= r.eraVersion && (removed || found && platformclient.Era(known.RowVersion) < platformclient.Era(version)) {
+			r.restored[id] = version
+		}
+	}
+}
+
+// removeRestored records the removal of an entry that came back with an older copy of the store and was ignored: nodes that started since then list the
+// worker, and hear of its removal from this one. The caller holds mu.
+func (r *Registrar) removeRestored(id string, version int64) {
+	if restored, found := r.restored[id]; !found || version <= restored {
+		return
+	}
+	delete(r.restored, id)
+	r.removedVersions[id] = version
+	r.newestChange = max(r.newestChange, version)
+}
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -277,19 +277,6 @@
 	return missing
 }
 
-// recordRestored records which entries of this node's first list after the store's return from an older copy must be ignored: those of workers and
-// removals that are known from before, unless they were written since the return. The caller holds mu.
-func (r *Registrar) recordRestored(workers []Worker) {
-	for i := range workers {
-		id, version := workers[i].ID, workers[i].RowVersion
-		known, found := r.workers[id]
-		_, removed := r.removedVersions[id]
-		if version <= r.eraVersion && (removed || found && platformclient.Era(known.RowVersion) < platformclient.Era(version)) {
-			r.restored[id] = version
-		}
-	}
-}
-
 // Apply applies changes, which must be in the order of their versions.
 func (r *Registrar) Apply(now time.Time, changes []Change) {
 	if len(changes) == 0 {
@@ -374,17 +361,6 @@
 	delete(r.missing, id)
 }
 
-// removeRestored records the removal of an entry that came back with an older copy of the store and was ignored: nodes that started since then list the
-// worker, and hear of its removal from this one. The caller holds mu.
-func (r *Registrar) removeRestored(id string, version int64) {
-	if restored, found := r.restored[id]; !found || version <= restored {
-		return
-	}
-	delete(r.restored, id)
-	r.removedVersions[id] = version
-	r.newestChange = max(r.newestChange, version)
-}
-
 // publish builds the list that Fleet returns; the caller holds mu.
 func (r *Registrar) publish() {
 	fleet := &Fleet{byID: make(map[string]*Worker, len(r.workers)), byService: map[string][]*Worker{}, software: map[string]map[string]time.Time{}, softwareSince: r.softwareSince}
