List of workers: a node that hears of a restore late takes what it lists for written since

Cause: the first list of a node in a new era counts as the copy's, however late it comes. An entry of a known worker that is ignored for this counts once the worker writes it again; a leader forwards only heartbeats that change something, so that the node did not hear of the worker's next ones.

Evidence: the node lists the store at 42.561 with the entry written at 42.537, logs no 'worker leaving', where all others do, and hears its leader at 42.639, which has known the era for five seconds.

Why this works: ignored entries are kept, and listed when it turns out that the node heard of the era so long after the return that living workers had written theirs again (two seconds), or the entries of others were removed (six).

Test: a registrar script that failed before.

--- a/registrar/eras.go
+++ b/registrar/eras.go
@@ -6,16 +6,21 @@
 	"github.com/acaciaproxy/acaciaproxy/platformclient"
 )
 
-// restoreGrace is how long after the store's return from an older copy a worker stays listed whose entry is missing: entries are written again
-// within about two seconds.
-const restoreGrace = 2 * time.Second
+const (
+	// restoreGrace is how long after the store's return from an older copy a worker stays listed whose entry is missing: entries are written again
+	// within about two seconds.
+	restoreGrace = 2 * time.Second
+	// restoredTime is how long after the return an entry may stay that its worker does not write again: the platform removes it after three heartbeats of
+	// silence.
+	restoredTime = 6 * time.Second
+)
 
 // ObserveEra records that the store was in the era of a version at a time already. Whoever hears of the same era again, by a call of this node or by another node,
 // does not begin the grace period for missing entries anew. It reports whether that period is found to end sooner than was known.
-func (r *Registrar) ObserveEra(at time.Time, version int64) (sooner bool) {
+func (r *Registrar) ObserveEra(now, at time.Time, version int64) (sooner bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.observeEra(at, version)
+	return r.observeEra(now, at, version)
 }
 
 // EraBegan returns the earliest time at which the store is known to have been in the era of a version; zero if none is known, or in era 0, in which the store has
@@ -30,7 +35,7 @@
 }
 
 // observeEra is ObserveEra for callers that hold mu.
-func (r *Registrar) observeEra(at time.Time, version int64) (sooner bool) {
+func (r *Registrar) observeEra(now, at time.Time, version int64) (sooner bool) {
 	era := platformclient.Era(version)
 	if era < r.era {
 		return false
@@ -43,12 +48,13 @@
 		r.era, r.eraBegan, r.eraVersion = era, at, 0
 	}
 	if r.eraVersion == 0 && platformclient.RowVersion(version) > 0 {
-		r.eraVersion = version
+		r.eraVersion, r.eraVersionAt = version, now
 	}
 	if !at.Before(r.eraBegan) {
 		return false
 	}
 	r.eraBegan = at
+	r.acceptRestored()
 	if until := at.Add(restoreGrace); until.Before(r.restoredUntil) {
 		r.restoredUntil = until
 		return true
@@ -64,15 +70,35 @@
 		known, found := r.workers[id]
 		_, removed := r.removedVersions[id]
 		if version <= r.eraVersion && (removed || found && platformclient.Era(known.RowVersion) < platformclient.Era(version)) {
-			r.restored[id] = version
+			r.restored[id] = workers[i]
+		}
+	}
+	r.acceptRestored()
+}
+
+// acceptRestored lists the ignored entries that turn out to be written since the store's return: this node heard of the era so long after it that its workers had
+// written theirs again, or those of others were removed. The caller holds mu.
+func (r *Registrar) acceptRestored() {
+	since := r.eraVersionAt.Sub(r.eraBegan)
+	accepted := false
+	for id := range r.restored {
+		if _, removed := r.removedVersions[id]; since < restoreGrace || removed && since < restoredTime {
+			continue
 		}
+		entry := r.restored[id]
+		delete(r.restored, id)
+		r.put(&entry)
+		accepted = true
+	}
+	if accepted {
+		r.publish()
 	}
 }
 
 // removeRestored records the removal of an entry that came back with an older copy of the store and was ignored: nodes that started since then list the
 // worker, and hear of its removal from this one. The caller holds mu.
 func (r *Registrar) removeRestored(id string, version int64) {
-	if restored, found := r.restored[id]; !found || version <= restored {
+	if restored, found := r.restored[id]; !found || version <= restored.RowVersion {
 		return
 	}
 	delete(r.restored, id)
--- a/registrar/registrar.go
+++ b/registrar/registrar.go
@@ -102,13 +102,14 @@
 	// eraBegan already.
 	era      int64
 	eraBegan time.Time
-	// eraVersion is the first version in era that this node has heard of, 0 before: what has a later one was written since the store's return.
-	eraVersion int64
+	// eraVersion is the first version in era that this node has heard of, at eraVersionAt, 0 before: what has a later one was written since the store's return.
+	eraVersion   int64
+	eraVersionAt time.Time
 	// listedEra is the store's era at the last call of Replace, or unknownEra before the first.
 	listedEra int64
-	// restored maps the IDs of entries that came back with an older copy of the store, and were ignored because more was known, to the
-	// versions under which they came back. Each ID that its worker writes again is removed.
-	restored map[string]int64
+	// restored maps the IDs of entries that came back with an older copy of the store, and were ignored because more was known, to these
+	// entries. Each ID that its worker writes again is removed.
+	restored map[string]Worker
 	// departures maps IDs to the last known departure of the worker, at most maxKeptDepartures; nextDeparture is the number of the next one.
 	departures    map[string]departureRecord
 	nextDeparture int64
@@ -123,7 +124,7 @@
 
 // New returns a registrar with an empty list.
 func New() *Registrar {
-	r := &Registrar{workers: map[string]*Worker{}, removedVersions: map[string]int64{}, missing: map[string]time.Time{}, restored: map[string]int64{}, departures: map[string]departureRecord{}, era: unknownEra, listedEra: unknownEra}
+	r := &Registrar{workers: map[string]*Worker{}, removedVersions: map[string]int64{}, missing: map[string]time.Time{}, restored: map[string]Worker{}, departures: map[string]departureRecord{}, era: unknownEra, listedEra: unknownEra}
 	r.publish()
 	return r
 }
@@ -235,7 +236,7 @@
 	if r.softwareSince.IsZero() {
 		r.softwareSince = now
 	}
-	r.observeEra(now, version)
+	r.observeEra(now, now, version)
 	if era := platformclient.Era(version); era > r.listedEra {
 		if r.listedEra != unknownEra {
 			r.recordRestored(workers)
@@ -285,7 +286,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for i := range changes {
-		r.observeEra(now, changes[i].Worker.RowVersion)
+		r.observeEra(now, now, changes[i].Worker.RowVersion)
 		if changes[i].Removed {
 			r.remove(now, changes[i].Worker.ID, changes[i].Worker.RowVersion)
 			continue
@@ -316,7 +317,7 @@
 
 // put lists an entry unless a newer entry or removal is known; the caller holds mu.
 func (r *Registrar) put(w *Worker) {
-	if version, found := r.restored[w.ID]; found && version == w.RowVersion {
+	if restored, found := r.restored[w.ID]; found && restored.RowVersion == w.RowVersion {
 		return
 	}
 	delete(r.restored, w.ID)
--- a/registrar/registrar_test.go
+++ b/registrar/registrar_test.go
@@ -83,7 +83,7 @@
 	case "lapse":
 		list.ExpectLapsed(start.Add(time.Duration(next.Until) * time.Millisecond))
 	case "hear":
-		list.ObserveEra(start.Add(time.Duration(next.Began)*time.Millisecond), inEra(next.Version))
+		list.ObserveEra(now, start.Add(time.Duration(next.Began)*time.Millisecond), inEra(next.Version))
 	case "depart":
 		list.RecordDeparture(registrar.Departure{Worker: next.Departing, Incarnation: next.Born[next.Departing]}, true)
 	case "expire":
--- a/watcher/expiry.go
+++ b/watcher/expiry.go
@@ -34,7 +34,7 @@
 
 // ObserveEra records that the store was in the era of a version at a time already. It removes the workers whose entries cannot be written again any more by that.
 func (w *Watcher) ObserveEra(at time.Time, version int64) {
-	if w.registrar.ObserveEra(at, version) {
+	if w.registrar.ObserveEra(time.Now(), at, version) {
 		w.expireWorkers()
 	}
 }
