List of workers: an entry that says that a known process leaves counts in a restored list too

The first list after a restore ignores entries of known workers until they are written again; a leader forwards only heartbeats that change something. So a worker that reported that it leaves between the store's return and a follower's first list stayed usable there until its end, also within the two seconds in which nobody can tell what is the copy's. A process that leaves does not take that back, so its entry counts at once if it is of the known process.

Test: registrar 'a worker that leaves by its entry in the first list after the store came back leaves, ...' failed before.

--- a/registrar/eras.go
+++ b/registrar/eras.go
@@ -63,14 +63,18 @@
 }
 
 // recordRestored records which entries of this node's first list after the store's return from an older copy must be ignored: those of workers and
-// removals that are known from before, unless they were written since the return. The caller holds mu.
+// removals that are known from before, unless they were written since the return, or say that the known process leaves, which it does not take back. The caller
+// holds mu.
 func (r *Registrar) recordRestored(workers []Worker) {
 	for i := range workers {
-		id, version := workers[i].ID, workers[i].RowVersion
-		known, found := r.workers[id]
-		_, removed := r.removedVersions[id]
-		if version <= r.eraVersion && (removed || found && platformclient.Era(known.RowVersion) < platformclient.Era(version)) {
-			r.restored[id] = workers[i]
+		entry := &workers[i]
+		known, found := r.workers[entry.ID]
+		_, removed := r.removedVersions[entry.ID]
+		if entry.RowVersion > r.eraVersion || found && !removed && entry.Leaving && entry.Incarnation == known.Incarnation {
+			continue
+		}
+		if removed || found && platformclient.Era(known.RowVersion) < platformclient.Era(entry.RowVersion) {
+			r.restored[entry.ID] = *entry
 		}
 	}
 	r.acceptRestored()
