List of workers: what counts after all since a restore changes the index of workers too

Sooner times count from 100 ms on only, else each forwarded read could be a little sooner than the one before and rebuild that index.

Test: watcher TestIgnoredEntriesThatAreListedLater, which fails without the call.

--- a/registrar/eras.go
+++ b/registrar/eras.go
@@ -13,10 +13,13 @@
 	// restoredTime is how long after the return an entry may stay that its worker does not write again: the platform removes it after three heartbeats of
 	// silence.
 	restoredTime = 6 * time.Second
+	// eraMargin is how much sooner another node must say that an era began for it to count: messages take different times, and clocks run at different rates.
+	eraMargin = 100 * time.Millisecond
 )
 
 // ObserveEra records that the store was in the era of a version at a time already. Whoever hears of the same era again, by a call of this node or by another node,
-// does not begin the grace period for missing entries anew. It reports whether that period is found to end sooner than was known.
+// does not begin the grace period for missing entries anew. It reports whether the era is found to have begun sooner than was known, so that the period ends sooner and
+// ignored entries may have been listed.
 func (r *Registrar) ObserveEra(now, at time.Time, version int64) (sooner bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -50,16 +53,15 @@
 	if r.eraVersion == 0 && platformclient.RowVersion(version) > 0 {
 		r.eraVersion, r.eraVersionAt = version, now
 	}
-	if !at.Before(r.eraBegan) {
+	if !at.Before(r.eraBegan.Add(-eraMargin)) {
 		return false
 	}
 	r.eraBegan = at
 	r.acceptRestored()
 	if until := at.Add(restoreGrace); until.Before(r.restoredUntil) {
 		r.restoredUntil = until
-		return true
 	}
-	return false
+	return true
 }
 
 // recordRestored records which entries of this node's first list after the store's return from an older copy must be ignored: those of workers and
--- a/watcher/expiry.go
+++ b/watcher/expiry.go
@@ -32,10 +32,11 @@
 	w.expireWorkers()
 }
 
-// ObserveEra records that the store was in the era of a version at a time already. It removes the workers whose entries cannot be written again any more by that.
+// ObserveEra records that the store was in the era of a version at a time already, and applies what that says about missing and ignored entries.
 func (w *Watcher) ObserveEra(at time.Time, version int64) {
 	if w.registrar.ObserveEra(time.Now(), at, version) {
 		w.expireWorkers()
+		w.changed()
 	}
 }
 
--- a/watcher/expiry_test.go
+++ b/watcher/expiry_test.go
@@ -112,3 +112,21 @@
 		s.workers = step.Entries
 	}
 }
+
+// Guards against an index of workers that stays as it was while the list says that a worker leaves: ignored entries are listed without a read of the store.
+func TestIgnoredEntriesThatAreListedLater(t *testing.T) {
+	g := gomega.NewWithT(t)
+	version := func(era, row int64) int64 {
+		v, _ := platformclient.NewVersion(era, row)
+		return v
+	}
+	changes := 0
+	list := registrar.New()
+	w := watcher.New(watcher.Source{}, list, attester.New(time.Now), func() { changes++ })
+	list.Replace(time.Now(), []registrar.Worker{{ID: "a", Service: "s", Incarnation: 5, RowVersion: version(0, 8)}}, version(0, 10))
+	list.Replace(time.Now(), []registrar.Worker{{ID: "a", Service: "s", Incarnation: 7, Leaving: true, RowVersion: version(1, 38)}}, version(1, 40))
+	w.ObserveEra(time.Now().Add(-5*time.Second), version(1, 0))
+	worker, _ := list.Fleet().Worker("a")
+	g.Expect(worker.Leaving).To(gomega.BeTrue())
+	g.Expect(changes).To(gomega.Equal(1))
+}
