--- a/elector/named.go
+++ b/elector/named.go
@@ -84,9 +84,9 @@
 	return heirs[:min(len(heirs), MaxSuccessors)]
 }
 
-// recallsSelf reports whether no holder that came after the last known row may hold the lease over without the promise of this node: the row
+// isNamedByCopy reports whether no holder that came after the last known row may hold the lease over without the promise of this node: the row
 // has come back from a copy of the store of at most maxCopyAge and names this node, and all that it names keep to Named.
-func (e *Elector) recallsSelf() bool {
+func (e *Elector) isNamedByCopy() bool {
 	lease := e.row.Lease
 	ageMS := e.row.StoreTimeMS - lease.TimeMS
 	if !e.row.Exists() || lease.TimeMS == 0 || ageMS < 0 || ageMS > maxCopyAge.Milliseconds() {
--- a/elector/wait.go
+++ b/elector/wait.go
@@ -45,7 +45,7 @@
 		if e.settledEra == platformclient.Era(e.row.Version) {
 			return time.Time{}, ""
 		}
-		if e.recallsSelf() {
+		if e.isNamedByCopy() {
 			return e.unchangedSince.Add(e.term()), WaitPredecessor
 		}
 		return e.unchangedSince.Add(e.term() + e.maxHoldOver()), WaitPredecessor
