--- a/lingerer/lingerer.go
+++ b/lingerer/lingerer.go
@@ -288,8 +288,10 @@
 		dropped += int64(n)
 		time.Sleep(c.listener.rate.ReserveN(time.Now(), n).Delay())
 		switch {
+		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
+			cause = "stopped" // The caller closed the connection.
 		case err != nil && time.Now().Before(deadline):
-			cause = "stopped" // The caller closed the connection, or nothing arrived for Idle.
+			cause = "idle"
 		case err != nil:
 			cause = "deadline"
 		case dropped >= limits.Bytes:
@@ -300,7 +302,12 @@
 	if c.displaced.Load() {
 		cause = "displaced"
 	}
-	if cause != "stopped" {
+	switch cause {
+	case "stopped":
+	case "idle":
+		logger.Info("connection ended quiet").Str("caller", c.RemoteAddr().String()).Int64("dropped", dropped).
+			Int64("after_ms", time.Since(closedAt).Milliseconds()).Msg("connection ended that its caller left open")
+	default:
 		logger.Info("connection cut off").Str("caller", c.RemoteAddr().String()).Str("cause", cause).Int64("dropped", dropped).
 			Int64("after_ms", time.Since(closedAt).Milliseconds()).Msg("connection cut off while its caller was sending")
 	}
