Closed connections: a node that stood still does not take its callers for quiet

Cause: the wait for what a caller still sends is one read with a deadline of 2 s. In a process that stood still the deadline passes before the bytes that arrived are polled, the connection is closed with them unread, and the reset destroys the response.

A connection is now quiet after eight empty reads in a row, each after an eighth of the time. A standstill costs one at most, and the next read begins with what waits, so that time in which the process did not run is no longer counted as silence. The bounds stay.

--- a/lingerer/lingerer.go
+++ b/lingerer/lingerer.go
@@ -21,7 +21,8 @@
 
 // Limits bound what the connections of a listener cost after they were closed.
 type Limits struct {
-	// Total is the longest time from the close of a connection to its end, Idle the longest time in which nothing arrives.
+	// Total is the longest time from the close of a connection to its end, Idle the longest time in which nothing arrives
+	// while the process runs.
 	Total, Idle time.Duration
 	// Bytes is how many bytes of one connection are dropped at most.
 	Bytes int64
@@ -43,6 +44,10 @@
 // followed by a sleep, which takes milliseconds on a busy machine: callers with 10 MB were cut off at Total, long before BytesPerSecond was reached.
 const burstDivisor = 50
 
+// idleParts is the number of reads in a row that find nothing, each after an equal part of Limits.Idle, before a connection counts as idle. While the
+// process stands still, what its callers send is not read, and one deadline at most passes.
+const idleParts = 8
+
 // Listener accepts connections that are closed in stages. It is safe for concurrent use.
 type Listener struct {
 	net.Listener
@@ -275,25 +280,30 @@
 	defer c.listener.buffers.Put(buffer)
 	limits := c.listener.limits
 	deadline := closedAt.Add(limits.Total)
-	dropped, cause := int64(0), ""
+	dropped, emptyReads, cause := int64(0), 0, ""
 	for cause == "" {
-		idleDeadline := time.Now().Add(limits.Idle)
-		if idleDeadline.After(deadline) {
-			idleDeadline = deadline
+		readDeadline := time.Now().Add(limits.Idle / idleParts)
+		if readDeadline.After(deadline) {
+			readDeadline = deadline
 		}
-		if err := c.TCPConn.SetReadDeadline(idleDeadline); err != nil {
+		if err := c.TCPConn.SetReadDeadline(readDeadline); err != nil {
 			break // The connection was displaced.
 		}
 		n, err := c.TCPConn.Read(buffer[:])
 		dropped += int64(n)
 		time.Sleep(c.listener.rate.ReserveN(time.Now(), n).Delay())
+		if n > 0 {
+			emptyReads = 0
+		} else {
+			emptyReads++
+		}
 		switch {
 		case err != nil && !errors.Is(err, os.ErrDeadlineExceeded):
 			cause = "stopped" // The caller closed the connection.
-		case err != nil && time.Now().Before(deadline):
-			cause = "idle"
-		case err != nil:
+		case err != nil && !time.Now().Before(deadline):
 			cause = "deadline"
+		case emptyReads >= idleParts:
+			cause = "idle"
 		case dropped >= limits.Bytes:
 			cause = "bytes"
 		}
