Streams: write origins to the store where too few leaders know them

Cause: leaders of three zones are told, and one zone has one leader, which has nobody to tell; the store got origins only once a second version was listed. Beside that, zones that only entries of workers name counted among the three, and have no leader. Evidence: the lookups at the living nodes ended in the store, which held no row, and one leader of three learned the stream in the installation with such zones. Ruled out: an answer that got lost (no question failed).

The three zones are now those whose leases name a leader. Where there are fewer, each leader writes the origins of all streams to the store, so that another process knows them before they are asked for. Where three zones have leaders, what is written does not change.

--- a/archiver/archiver.go
+++ b/archiver/archiver.go
@@ -1,5 +1,5 @@
 // Package archiver keeps the origins of streams in the store while a service has workers of
-// several software versions, so that they outlive all nodes.
+// several software versions or too few leaders know them, so that they outlive all nodes.
 package archiver
 
 import (
@@ -46,8 +46,9 @@
 	Rows Rows
 	// Leading reports whether this node leads the zone; only then it writes.
 	Leading func() bool
-	// Several reports whether workers of several software versions serve a service, or did in the last minute. Only then its streams are written.
-	Several func(service string) bool
+	// Archived reports whether the streams of a service are written: workers of several software versions serve it, or did in the last minute, or too
+	// few leaders know them.
+	Archived func(service string) bool
 	// Count counts an event.
 	Count func(name string)
 }
@@ -112,7 +113,7 @@
 	}
 }
 
-// write puts the oldest unwritten streams of services with several software versions into one row, if this node leads. The others are kept: a second
+// write puts the oldest unwritten streams of archived services into one row, if this node leads. The others are kept: a second
 // version may come, and the node may take the lease before the nodes that sent them do so again.
 func (a *Archiver) write(now time.Time) {
 	taken := a.take(now)
@@ -152,7 +153,7 @@
 		for len(waiting) > 0 && now.After(waiting[0].expires) {
 			waiting = waiting[1:]
 		}
-		if count := min(len(waiting), room); leading && count > 0 && a.dependencies.Several(service) {
+		if count := min(len(waiting), room); leading && count > 0 && a.dependencies.Archived(service) {
 			taken[service], waiting = waiting[:count], waiting[count:]
 			room -= count
 		}
--- a/archiver/archiver_test.go
+++ b/archiver/archiver_test.go
@@ -50,7 +50,7 @@
 			for _, step := range s.Steps {
 				if _, started := nodes[step.Node]; !started {
 					nodes[step.Node] = New(Dependencies{
-						Zone: "z", Count: func(string) {}, Leading: func() bool { return leads[step.Node] }, Several: func(string) bool { return several },
+						Zone: "z", Count: func(string) {}, Leading: func() bool { return leads[step.Node] }, Archived: func(string) bool { return several },
 						Rows: Rows{
 							Put: func(_ time.Time, key, value string) error {
 								if down {
@@ -126,7 +126,7 @@
 	for _, f := range fleets {
 		ginkgo.It(fmt.Sprintf("need writes by zone only, at %d hosts", f.Hosts), func() {
 			rows, writes := map[string]string{}, 0
-			dependencies := Dependencies{Count: func(string) {}, Leading: func() bool { return true }, Several: func(string) bool { return true }, Rows: Rows{
+			dependencies := Dependencies{Count: func(string) {}, Leading: func() bool { return true }, Archived: func(string) bool { return true }, Rows: Rows{
 				Put: func(_ time.Time, key, value string) error {
 					writes++
 					rows[key] = value
--- a/server/fleet.go
+++ b/server/fleet.go
@@ -178,7 +178,7 @@
 		ConfigReads:     f.fresh.Reads,
 		Lease:           fleetleader.Lease{Leading: f.leaseholder.Leading, QuietRemaining: f.leaseholder.QuietRemaining, CheckOrder: f.leaseholder.CheckOrder, Leases: f.leaseholder.Leases},
 	})
-	f.archiver = archiver.New(archiver.Dependencies{Zone: settings.Zone(), Rows: do.MustInvoke[*platform.Store](i).Streams, Leading: f.isLeading, Several: f.hasSeveralVersions, Count: f.recorder.Count})
+	f.archiver = archiver.New(archiver.Dependencies{Zone: settings.Zone(), Rows: do.MustInvoke[*platform.Store](i).Streams, Leading: f.isLeading, Archived: f.archives, Count: f.recorder.Count})
 	f.crashKeeper.OnNew(f.fleetLeader.NotifyCrash)
 	do.MustInvoke[*platform.Store](i).OnEra(f.observeEra)
 	f.workers.OnDeparture(f.observeDeparture)
--- a/server/streams.go
+++ b/server/streams.go
@@ -14,11 +14,25 @@
 // originZones is the number of zones whose leaders know the origins of a node's streams: its own and those that follow it by name.
 const originZones = 3
 
+// zonesWithLeaders returns the local zone and those whose leases name a leader, sorted. Zones that only entries of workers name may have no nodes.
+func (f *FleetNode) zonesWithLeaders() []string {
+	zones := lo.Filter(f.leaseholder.Zones(), func(zone string, _ int) bool {
+		_, _, known := f.leaseholder.Holder(zone)
+		return known
+	})
+	zones = lo.Uniq(append(zones, f.settings.Zone()))
+	slices.Sort(zones)
+	return zones
+}
+
 // keepsOrigins reports whether the leader of a zone is sent the origins of this node's streams.
 func (f *FleetNode) keepsOrigins(zone string) bool {
-	zones := lo.Uniq(append(f.workerZones(), f.leaseholder.Zones()...))
-	slices.Sort(zones)
-	distance := (slices.Index(zones, zone) - slices.Index(zones, f.settings.Zone()) + len(zones)) % len(zones)
+	zones := f.zonesWithLeaders()
+	index := slices.Index(zones, zone)
+	if index < 0 {
+		return false
+	}
+	distance := (index - slices.Index(zones, f.settings.Zone()) + len(zones)) % len(zones)
 	return distance < originZones
 }
 
@@ -39,6 +53,12 @@
 	return len(f.workerList.Fleet().Software(time.Now(), service)) > 1
 }
 
+// archives reports whether the origins of a service's streams are written to the store: also where the leaders of fewer than originZones zones can know them,
+// so that they outlive those.
+func (f *FleetNode) archives(service string) bool {
+	return f.hasSeveralVersions(service) || len(f.zonesWithLeaders()) < originZones
+}
+
 // learnStreams records the origins of streams that a node of a zone relayed. Those of the local zone are archived.
 func (f *FleetNode) learnStreams(zone string, origins []*nodewire.StreamOrigins) {
 	now := time.Now()
